--- /dev/null
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -0,0 +1,140 @@
+//! The companion as a process.
+
+use crate::upstream::UpstreamClient;
+use crate::{CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, PlacementLine};
+use egretstage_config::settings::CompanionSettings;
+use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, serve};
+use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
+use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
+use egretstage_wire::{Frame, Hello, Incarnation, PROTOCOL_VERSION, Role};
+use miette::{IntoDiagnostic, WrapErr, miette};
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// Threads for links and the upstream's connections.
+const IO_THREADS: usize = 2;
+
+/// Runs a companion until it has stopped.
+///
+/// # Errors
+///
+/// Returns an error when an address can't be used or a thread can't start.
+pub fn run(settings: &CompanionSettings) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(IO_THREADS)
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let (events, rx) = EventLoop::channel();
+    let health = Health::default();
+    let table = LinkTable::default();
+    let ready = health.clone();
+    let links = table.clone();
+    let (exit, mut exited) = watch::channel(false);
+    let identity = LinkIdentity::new(hello(settings), settings.process.link_key.expose());
+    let identity = Arc::new(identity.into_diagnostic()?);
+    let client = UpstreamClient::new(
+        settings.upstream.address,
+        runtime.handle().clone(),
+        events.clone(),
+    );
+    let mut sink = Sink {
+        client,
+        table: table.clone(),
+        health: health.clone(),
+        exit,
+    };
+    let limits = CompanionLimits {
+        slots: settings.upstream.slots,
+    };
+    let spawned = EventLoop::spawn("reducer", rx, move || {
+        let reducer = CompanionReducer::new(limits);
+        (reducer, Box::new(move |effect| sink.carry_out(effect)))
+    });
+    spawned.into_diagnostic()?;
+    let admin = settings.process.admin_listen;
+    let metrics = Metrics::new().into_diagnostic()?;
+    AdminServer::start(admin, health, metrics, Box::new(|| "{}".to_owned())).into_diagnostic()?;
+    let tx = events.clone();
+    on_stop_signal(move || tx.send(CompanionEvent::Stop)).into_diagnostic()?;
+    runtime.block_on(async move {
+        let address = settings.listen;
+        let listener = TcpListener::bind(address)
+            .await
+            .into_diagnostic()
+            .wrap_err_with(|| format!("link address {address} can't be used"))?;
+        log::info!(address:display = address; "companion started");
+        ready.set_ready(true);
+        tokio::spawn(serve(listener, identity, table, Arc::new(Observer(events))));
+        exited
+            .wait_for(|exit| *exit)
+            .await
+            .map_err(|_| miette!("the reducer ended"))?;
+        links.close_all().await;
+        Ok::<_, miette::Report>(())
+    })?;
+    runtime.shutdown_background();
+    log::info!("companion stopped");
+    Ok(())
+}
+
+fn hello(settings: &CompanionSettings) -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        role: Role::Companion,
+        instance: settings.process.instance.clone(),
+        incarnation: Incarnation(rand::random()),
+        zone: settings.process.zone.clone(),
+        service: Some(settings.upstream.service.clone()),
+    }
+}
+
+/// Turns what happens on links into events.
+struct Observer(EventSender<CompanionEvent>);
+
+impl LinkObserver for Observer {
+    fn link_up(&self, link: LinkKey, hello: Hello) {
+        log::info!(link = link.0, peer = hello.instance.as_str(); "link up");
+        let hello = Box::new(hello);
+        self.0.send(CompanionEvent::LinkUp { link, hello });
+    }
+
+    fn frame(&self, link: LinkKey, frame: Frame) {
+        self.0.send(CompanionEvent::Frame { link, frame });
+    }
+
+    fn link_down(&self, link: LinkKey, reason: String) {
+        log::info!(link = link.0, reason = reason.as_str(); "link down");
+        self.0.send(CompanionEvent::LinkDown { link });
+    }
+}
+
+/// Carries out the reducer's effects.
+struct Sink {
+    client: UpstreamClient,
+    table: LinkTable,
+    health: Health,
+    exit: watch::Sender<bool>,
+}
+
+impl Sink {
+    fn carry_out(&mut self, effect: CompanionEffect) {
+        match effect {
+            CompanionEffect::Send { link, frame } => self.table.send(link, frame),
+            CompanionEffect::Close(link) => self.table.close(link),
+            CompanionEffect::StartUpstream { run, req } => self.client.start(run, *req),
+            CompanionEffect::ReadUpstream { run, chunks } => self.client.read_more(run, chunks),
+            CompanionEffect::CancelUpstream(run) => self.client.cancel(run),
+            CompanionEffect::Log(line) => log_placement(&line),
+            CompanionEffect::Ready(ready) => self.health.set_ready(ready),
+            CompanionEffect::Exit => {
+                self.exit.send_replace(true);
+            }
+        }
+    }
+}
+
+fn log_placement(line: &PlacementLine) {
+    log::info!(target: DECISION_TARGET, decision:serde = line; "place");
+}
--- /dev/null
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -0,0 +1,389 @@
+//! All decisions of a companion.
+
+use crate::runs::{Run, RunState, Runs};
+use crate::{
+    CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
+    UpstreamRequest,
+};
+use egretstage_link::LinkKey;
+use egretstage_runtime::Reducer;
+use egretstage_wire::{
+    AnswerHead, CallStart, Chunk, Frame, LoadReport, NotRunReason, Outcome, Role, StreamEnd,
+    StreamId, UnknownReason,
+};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Bytes of prompt text that make about one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Time between two load reports on a link.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time that "leaving" has to reach the entries before the process ends.
+const LEAVING_GRACE: Duration = Duration::from_millis(500);
+
+/// Limits of a companion's decisions.
+#[derive(Clone, Copy, Debug)]
+pub struct CompanionLimits {
+    /// Calls that the upstream may run at once.
+    pub slots: u32,
+}
+
+/// Makes all decisions of a companion.
+#[derive(Debug)]
+pub struct CompanionReducer {
+    limits: CompanionLimits,
+    links: BTreeMap<LinkKey, u64>,
+    runs: Runs,
+    next_report: Option<Instant>,
+    leaving_until: Option<Instant>,
+    exited: bool,
+}
+
+impl CompanionReducer {
+    /// Starts a companion without links.
+    #[must_use]
+    pub fn new(limits: CompanionLimits) -> Self {
+        Self {
+            limits,
+            links: BTreeMap::new(),
+            runs: Runs::default(),
+            next_report: None,
+            leaving_until: None,
+            exited: false,
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Instant,
+        link: LinkKey,
+        start: Box<CallStart>,
+        fx: &mut Vec<CompanionEffect>,
+    ) {
+        if let Some(received) = self.links.get_mut(&link) {
+            *received += 1;
+        }
+        if self.runs.of_stream(start.stream).is_some() {
+            return;
+        }
+        if self.leaving_until.is_some() {
+            fx.push(self.line(&start, PlacementDecision::RefuseLeaving));
+            fx.push(not_run(link, start.stream, NotRunReason::Leaving));
+            return;
+        }
+        let waits = self.runs.running() >= self.limits.slots as usize;
+        if waits {
+            fx.push(self.line(&start, PlacementDecision::Wait));
+        }
+        self.runs.enqueue(Run {
+            link,
+            deadline: now + Duration::from_millis(start.budget_ms),
+            credit: start.credit,
+            start,
+            state: RunState::Waiting,
+            unsent: VecDeque::new(),
+            sent_bytes: 0,
+            whole: false,
+        });
+        self.fill_slots(fx);
+    }
+
+    fn fill_slots(&mut self, fx: &mut Vec<CompanionEffect>) {
+        while let Some(key) = self.runs.start_next(self.limits.slots) {
+            let run = self.runs.get(key).expect("the call was just taken");
+            fx.push(self.line(&run.start, PlacementDecision::Start));
+            let req = UpstreamRequest {
+                request: run.start.request.clone(),
+                repeatable: run.start.repeatable,
+                method: run.start.method.clone(),
+                path: run.start.path.clone(),
+                content_type: run.start.content_type.clone(),
+                key: run.key().cloned(),
+                priority: run.start.priority,
+                body: run.start.body.clone(),
+            };
+            fx.push(CompanionEffect::StartUpstream {
+                run: key,
+                req: Box::new(req),
+            });
+        }
+    }
+
+    fn line(&self, start: &CallStart, decision: PlacementDecision) -> CompanionEffect {
+        CompanionEffect::Log(Box::new(PlacementLine {
+            request: start.request.clone(),
+            stream: start.stream,
+            decision,
+            running: self.runs.running(),
+            waiting: self.runs.waiting(),
+            budget_ms: start.budget_ms,
+        }))
+    }
+
+    fn frame(&mut self, now: Instant, link: LinkKey, frame: Frame, fx: &mut Vec<CompanionEffect>) {
+        match frame {
+            Frame::Start(start) => self.start(now, link, start, fx),
+            Frame::Cancel(stream) => {
+                if let Some(key) = self.runs.of_stream(stream) {
+                    self.cancel(key, fx);
+                }
+            }
+            Frame::Credit { stream, chunks } => {
+                if let Some(key) = self.runs.of_stream(stream) {
+                    let run = self.runs.get_mut(key).expect("the call was just found");
+                    run.credit = run.credit.saturating_add(chunks);
+                    self.pump(key, fx);
+                }
+            }
+            Frame::Resume { stream, .. } => {
+                let outcome = Outcome::Unknown {
+                    reason: UnknownReason::AnswerForgotten,
+                };
+                fx.push(end(link, stream, outcome, 0));
+            }
+            Frame::Hello(_)
+            | Frame::Head(_)
+            | Frame::Chunk(_)
+            | Frame::End(_)
+            | Frame::Load(_)
+            | Frame::Leaving => fx.push(CompanionEffect::Close(link)),
+        }
+    }
+
+    /// Breaks a call off, also at the upstream.
+    fn cancel(&mut self, key: RunKey, fx: &mut Vec<CompanionEffect>) {
+        if let Some(run) = self.runs.remove(key) {
+            if run.state == RunState::Running && !run.whole {
+                fx.push(CompanionEffect::CancelUpstream(key));
+            }
+            self.fill_slots(fx);
+        }
+    }
+
+    fn head(
+        &mut self,
+        key: RunKey,
+        status: u16,
+        content_type: Option<compact_str::CompactString>,
+        fx: &mut Vec<CompanionEffect>,
+    ) {
+        if let Some(run) = self.runs.get(key) {
+            fx.push(CompanionEffect::Send {
+                link: run.link,
+                frame: Frame::Head(AnswerHead {
+                    stream: run.stream(),
+                    status,
+                    content_type,
+                }),
+            });
+        }
+    }
+
+    /// Sends what the entry's credit allows, then the end if it is reached.
+    fn pump(&mut self, key: RunKey, fx: &mut Vec<CompanionEffect>) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        let mut chunks = 0;
+        while run.credit > 0 {
+            let Some(bytes) = run.unsent.pop_front() else {
+                break;
+            };
+            run.credit -= 1;
+            chunks += 1;
+            let offset = run.sent_bytes;
+            run.sent_bytes += bytes.len() as u64;
+            let stream = run.stream();
+            fx.push(CompanionEffect::Send {
+                link: run.link,
+                frame: Frame::Chunk(Chunk {
+                    stream,
+                    offset,
+                    bytes,
+                }),
+            });
+        }
+        if run.whole && run.unsent.is_empty() {
+            let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
+            fx.push(end(link, stream, Outcome::Completed, sent));
+            self.runs.remove(key);
+            self.fill_slots(fx);
+        } else if chunks > 0 {
+            fx.push(CompanionEffect::ReadUpstream { run: key, chunks });
+        }
+    }
+
+    fn failed(&mut self, key: RunKey, failure: UpstreamFailure, fx: &mut Vec<CompanionEffect>) {
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        let outcome = match failure {
+            UpstreamFailure::NotSent => Outcome::NotRun {
+                reason: NotRunReason::UpstreamUnreachable,
+                retry_after_ms: None,
+            },
+            UpstreamFailure::Broken => Outcome::Unknown {
+                reason: UnknownReason::UpstreamCut,
+            },
+        };
+        fx.push(end(run.link, run.stream(), outcome, run.sent_bytes));
+        self.fill_slots(fx);
+    }
+
+    fn expire(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        while let Some(key) = self.runs.expired(now) {
+            let run = self.runs.get(key).expect("an expired call is known");
+            let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
+            let outcome = match run.state {
+                RunState::Waiting => Outcome::NotRun {
+                    reason: NotRunReason::DeadlinePassed,
+                    retry_after_ms: None,
+                },
+                RunState::Running => Outcome::Unknown {
+                    reason: UnknownReason::DeadlinePassed,
+                },
+            };
+            fx.push(self.line(&run.start, PlacementDecision::Expire));
+            self.cancel(key, fx);
+            fx.push(end(link, stream, outcome, sent));
+        }
+    }
+
+    fn link_down(&mut self, link: LinkKey, fx: &mut Vec<CompanionEffect>) {
+        self.links.remove(&link);
+        for key in self.runs.on_link(link) {
+            self.cancel(key, fx);
+        }
+    }
+
+    fn stop(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        if self.leaving_until.is_none() {
+            self.leaving_until = Some(now + LEAVING_GRACE);
+            fx.push(CompanionEffect::Ready(false));
+            for link in self.links.keys() {
+                fx.push(CompanionEffect::Send {
+                    link: *link,
+                    frame: Frame::Leaving,
+                });
+            }
+        }
+    }
+
+    fn report(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        if self.next_report.is_none_or(|at| at > now) {
+            return;
+        }
+        self.next_report = Some(now + REPORT_INTERVAL);
+        let load = self.load();
+        for (link, received) in &self.links {
+            let load = LoadReport {
+                received_from_peer: *received,
+                ..load
+            };
+            fx.push(CompanionEffect::Send {
+                link: *link,
+                frame: Frame::Load(load),
+            });
+        }
+    }
+
+    fn load(&self) -> LoadReport {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        LoadReport {
+            running: count(self.runs.running()),
+            waiting: count(self.runs.waiting()),
+            slots: self.limits.slots,
+            waiting_prompt_tokens: self.runs.waiting_body_bytes() / BYTES_PER_TOKEN,
+            ..LoadReport::default()
+        }
+    }
+
+    /// Ends a planned stop once nothing runs any more.
+    fn settle(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        let left = self.leaving_until.is_some_and(|until| until <= now);
+        if left && self.runs.is_empty() && !std::mem::replace(&mut self.exited, true) {
+            fx.push(CompanionEffect::Exit);
+        }
+    }
+}
+
+impl Reducer for CompanionReducer {
+    type Event = CompanionEvent;
+    type Effect = CompanionEffect;
+
+    fn reduce(&mut self, now: Instant, event: CompanionEvent, fx: &mut Vec<CompanionEffect>) {
+        match event {
+            CompanionEvent::LinkUp { link, hello } => {
+                if hello.role == Role::Entry {
+                    self.links.insert(link, 0);
+                    self.next_report = Some(now);
+                    if self.leaving_until.is_some() {
+                        let frame = Frame::Leaving;
+                        fx.push(CompanionEffect::Send { link, frame });
+                    }
+                } else {
+                    fx.push(CompanionEffect::Close(link));
+                }
+            }
+            CompanionEvent::LinkDown { link } => self.link_down(link, fx),
+            CompanionEvent::Frame { link, frame } => self.frame(now, link, frame, fx),
+            CompanionEvent::UpstreamHead {
+                run,
+                status,
+                content_type,
+            } => self.head(run, status, content_type, fx),
+            CompanionEvent::UpstreamBytes { run, bytes } => {
+                if let Some(held) = self.runs.get_mut(run) {
+                    held.unsent.push_back(bytes);
+                    self.pump(run, fx);
+                }
+            }
+            CompanionEvent::UpstreamEnded { run } => {
+                if let Some(held) = self.runs.get_mut(run) {
+                    held.whole = true;
+                    self.pump(run, fx);
+                }
+            }
+            CompanionEvent::UpstreamFailed { run, failure } => self.failed(run, failure, fx),
+            CompanionEvent::Stop => self.stop(now, fx),
+        }
+        self.report(now, fx);
+        self.settle(now, fx);
+    }
+
+    fn wake(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        self.expire(now, fx);
+        self.report(now, fx);
+        self.settle(now, fx);
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        let report = self.next_report.filter(|_| !self.links.is_empty());
+        let leave = self.leaving_until.filter(|_| !self.exited);
+        [self.runs.next_deadline(), report, leave]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+fn end(link: LinkKey, stream: StreamId, outcome: Outcome, body_bytes: u64) -> CompanionEffect {
+    CompanionEffect::Send {
+        link,
+        frame: Frame::End(StreamEnd {
+            stream,
+            outcome,
+            body_bytes,
+        }),
+    }
+}
+
+fn not_run(link: LinkKey, stream: StreamId, reason: NotRunReason) -> CompanionEffect {
+    let outcome = Outcome::NotRun {
+        reason,
+        retry_after_ms: None,
+    };
+    end(link, stream, outcome, 0)
+}
--- /dev/null
+++ b/crates/egretstage_config/src/body.rs
@@ -0,0 +1,152 @@
+//! The bodies of configuration records, schema version 1.
+
+use crate::RecordKind;
+use compact_str::CompactString;
+use egretstage_wire::{ModelName, OrganisationName, ServiceName, ZoneName};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use smallvec::SmallVec;
+use std::fmt::Write;
+
+/// A checked body of any kind.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RecordBody {
+    /// A customer with its tokens and shares.
+    Organisation(OrganisationName, OrganisationBody),
+    /// A plain service.
+    Service(ServiceName, ServiceBody),
+    /// A group of ranks that serves one model.
+    ModelGroup(ServiceName, ModelGroupBody),
+    /// Which organisation's work may run where.
+    PlacementRule(CompactString, PlacementRuleBody),
+}
+
+/// A customer with its tokens and shares.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationBody {
+    /// SHA-256 digests of the bearer tokens, in hexadecimal.
+    pub token_digests: SmallVec<[CompactString; 2]>,
+    /// Share of an overloaded upstream, relative to other organisations.
+    #[serde(default = "default_weight")]
+    pub weight: f64,
+    /// Priority of the organisation's calls; a larger one goes first.
+    #[serde(default)]
+    pub priority: u8,
+}
+
+fn default_weight() -> f64 {
+    1.0
+}
+
+/// Calls of a plain service that may run more than once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RepeatableRule {
+    /// HTTP method.
+    pub method: CompactString,
+    /// Start of the path, below the service's name.
+    pub path_prefix: CompactString,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceBody {
+    /// Calls that may run more than once, besides GET and HEAD.
+    #[serde(default)]
+    pub repeatable: SmallVec<[RepeatableRule; 2]>,
+}
+
+impl ServiceBody {
+    /// Tells whether a call may run more than once.
+    #[must_use]
+    pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
+        let listed =
+            |rule: &RepeatableRule| rule.method == method && path.starts_with(&*rule.path_prefix);
+        matches!(method, "GET" | "HEAD") || self.repeatable.iter().any(listed)
+    }
+}
+
+/// A group of ranks that serves one model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelGroupBody {
+    /// The model that callers ask for.
+    pub model: ModelName,
+    /// Ranks that run in lock-step.
+    #[serde(default = "default_ranks")]
+    pub ranks: u16,
+    /// Experts of each layer.
+    #[serde(default)]
+    pub experts: u16,
+}
+
+fn default_ranks() -> u16 {
+    1
+}
+
+/// Which organisation's work on a service may run in which zones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementRuleBody {
+    /// The organisation; none stands for all.
+    #[serde(default)]
+    pub organisation: Option<OrganisationName>,
+    /// The service or model group.
+    pub service: ServiceName,
+    /// Zones where the work may run; empty stands for all.
+    #[serde(default)]
+    pub zones: SmallVec<[ZoneName; 3]>,
+}
+
+impl RecordBody {
+    pub(crate) fn parse(
+        kind: RecordKind,
+        name: &str,
+        body: &serde_json::Value,
+    ) -> Result<Self, String> {
+        match kind {
+            RecordKind::Organisation => {
+                let body: OrganisationBody = read(body)?;
+                if !(body.weight.is_finite() && body.weight > 0.0) {
+                    return Err(format!("weight {} is not a number above 0", body.weight));
+                }
+                Ok(Self::Organisation(checked(name)?, body))
+            }
+            RecordKind::Service => Ok(Self::Service(checked(name)?, read(body)?)),
+            RecordKind::ModelGroup => {
+                let body: ModelGroupBody = read(body)?;
+                if body.ranks == 0 {
+                    return Err("ranks 0 is not allowed, allowed are 1 to 65535".to_owned());
+                }
+                Ok(Self::ModelGroup(checked(name)?, body))
+            }
+            RecordKind::PlacementRule => Ok(Self::PlacementRule(name.into(), read(body)?)),
+        }
+    }
+}
+
+fn read<T: DeserializeOwned>(body: &serde_json::Value) -> Result<T, String> {
+    T::deserialize(body).map_err(|e| e.to_string())
+}
+
+fn checked<'a, T: TryFrom<&'a str>>(name: &'a str) -> Result<T, String>
+where
+    T::Error: ToString,
+{
+    T::try_from(name).map_err(|e| e.to_string())
+}
+
+/// Returns the digest under which a bearer token is published.
+#[must_use]
+pub fn token_digest(token: &str) -> CompactString {
+    let digest = Sha256::digest(token.as_bytes());
+    digest
+        .iter()
+        .fold(CompactString::with_capacity(64), |mut hex, byte| {
+            let _ = write!(hex, "{byte:02x}");
+            hex
+        })
+}
--- /dev/null
+++ b/crates/egretstage_entry/src/lib.rs
@@ -0,0 +1,26 @@
+//! The entry: callers' HTTP, admission, routing, deadlines.
+//!
+//! An [`EntryReducer`] makes all decisions; [`daemon`] surrounds it with the
+//! callers' HTTP server, the links to companions and the platform's feeds.
+
+mod answer;
+mod calls;
+pub mod daemon;
+mod event;
+mod feeds;
+mod http;
+mod reducer;
+mod request;
+mod runners;
+
+pub use event::{AnswerPart, CallKey, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind};
+pub use reducer::{EntryLimits, EntryReducer, INITIAL_CREDIT};
+pub use request::{CallRequest, InvalidRequest, RawRequest, RequestLimits, Target};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        AnswerPart, CallKey, CallRequest, DecisionLine, EntryEffect, EntryEvent, EntryLimits,
+        EntryReducer, Refusal, RefusalKind, Target,
+    };
+}
--- /dev/null
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -0,0 +1,589 @@
+//! All decisions of an entry.
+
+use crate::calls::{Call, Calls, Sent};
+use crate::event::CandidateLine;
+use crate::runners::{RunnerKey, Runners};
+use crate::{
+    AnswerPart, CallKey, CallRequest, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind,
+    Target,
+};
+use compact_str::CompactString;
+use egretstage_config::Configuration;
+use egretstage_link::LinkKey;
+use egretstage_routing::{Candidate, Choice, Demand, RouteReason, RoutingPolicy};
+use egretstage_runtime::Reducer;
+use egretstage_wire::{
+    AnswerHead, CallStart, Chunk, Frame, Incarnation, NotRunReason, OrganisationName, Outcome,
+    ServiceName, StreamEnd, StreamIds, UnknownReason, ZoneName,
+};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Chunks that a companion may send before the caller has read any.
+pub const INITIAL_CREDIT: u32 = 64;
+
+/// Time between "not ready" and the end of accepting, for the platform's
+/// balancer to notice.
+const NOT_READY_GRACE: Duration = Duration::from_millis(500);
+
+/// Limits of an entry's decisions.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryLimits {
+    /// Most times that one request is sent.
+    pub max_attempts: u32,
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self { max_attempts: 2 }
+    }
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stopping {
+    No,
+    NotReady { until: Instant },
+    Draining,
+    Done,
+}
+
+/// Makes all decisions of an entry.
+pub struct EntryReducer {
+    zone: ZoneName,
+    limits: EntryLimits,
+    policy: Box<dyn RoutingPolicy>,
+    streams: StreamIds,
+    configuration: Option<Arc<Configuration>>,
+    listed: bool,
+    ready: bool,
+    stopping: Stopping,
+    runners: Runners,
+    calls: Calls,
+}
+
+impl EntryReducer {
+    /// Starts an entry that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        zone: ZoneName,
+        incarnation: Incarnation,
+        limits: EntryLimits,
+        policy: Box<dyn RoutingPolicy>,
+    ) -> Self {
+        Self {
+            zone,
+            limits,
+            policy,
+            streams: StreamIds::new(incarnation),
+            configuration: None,
+            listed: false,
+            ready: false,
+            stopping: Stopping::No,
+            runners: Runners::default(),
+            calls: Calls::default(),
+        }
+    }
+
+    fn arrived(&mut self, now: Instant, req: Box<CallRequest>, fx: &mut Vec<EntryEffect>) {
+        let call = req.call;
+        match self.admit(now, req) {
+            Ok(admitted) => {
+                self.calls.insert(call, admitted);
+                self.route(now, call, fx);
+            }
+            Err(kind) => fx.push(refuse(call, kind, None)),
+        }
+    }
+
+    /// Finds the organisation and the service of a request.
+    fn admit(&self, now: Instant, req: Box<CallRequest>) -> Result<Call, RefusalKind> {
+        let cfg = self
+            .configuration
+            .as_deref()
+            .ok_or(RefusalKind::NotRun(NotRunReason::NoUpstream))?;
+        let organisation = cfg
+            .organisation_of_token(&req.token_digest)
+            .ok_or(RefusalKind::UnknownToken)?
+            .clone();
+        let (service, repeatable) = service_of(cfg, &req).ok_or(RefusalKind::UnknownService)?;
+        Ok(Call {
+            deadline: now + req.budget,
+            req,
+            organisation,
+            service,
+            repeatable,
+            sent: None,
+            attempts: 0,
+            head_passed: false,
+            received_bytes: 0,
+        })
+    }
+
+    /// Chooses an upstream for a call and sends it there, or refuses it.
+    fn route(&mut self, now: Instant, key: CallKey, fx: &mut Vec<EntryEffect>) {
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        let rule = self.rule(&call.organisation, &call.service);
+        let zones = rule.as_ref().map(|(_, zones)| zones.as_slice());
+        let (keys, candidates) = self.candidates(&call.service, zones.unwrap_or_default());
+        let demand = demand(call, now);
+        let choice = self.policy.choose(&demand, &candidates);
+        let rule = rule.map(|(name, _)| name);
+        let mut line = self.decision_line(call, rule, &keys, &candidates);
+        match choice {
+            Choice::Send { index, reason } => {
+                self.send(now, key, keys[index], reason, &mut line, fx);
+                fx.push(EntryEffect::Log(Box::new(line)));
+            }
+            Choice::Refuse {
+                reason,
+                retry_after,
+            } => {
+                line.refused = Some(reason);
+                fx.push(EntryEffect::Log(Box::new(line)));
+                self.calls.remove(key);
+                let kind = RefusalKind::NotRun(reason);
+                fx.push(refuse(key, kind, Some(retry_after)));
+            }
+        }
+    }
+
+    fn rule(
+        &self,
+        organisation: &OrganisationName,
+        service: &ServiceName,
+    ) -> Option<(CompactString, Vec<ZoneName>)> {
+        let cfg = self.configuration.as_deref()?;
+        let (name, rule) = cfg.placement_rule(organisation, service)?;
+        Some((name.clone(), rule.zones.to_vec()))
+    }
+
+    fn candidates(
+        &self,
+        service: &ServiceName,
+        zones: &[ZoneName],
+    ) -> (Vec<RunnerKey>, Vec<Candidate>) {
+        self.runners
+            .iter()
+            .filter(|(_, r)| r.service == *service && r.open_link().is_some())
+            .filter(|(_, r)| zones.is_empty() || zones.contains(&r.zone))
+            .map(|(key, r)| (key, r.candidate(&self.zone)))
+            .unzip()
+    }
+
+    fn decision_line(
+        &self,
+        call: &Call,
+        rule: Option<CompactString>,
+        keys: &[RunnerKey],
+        candidates: &[Candidate],
+    ) -> DecisionLine {
+        let figures = keys.iter().zip(candidates);
+        DecisionLine {
+            request: call.req.request.clone(),
+            organisation: call.organisation.clone(),
+            service: call.service.clone(),
+            rule,
+            stream: None,
+            chosen: None,
+            reason: None,
+            refused: None,
+            candidates: figures
+                .filter_map(|(key, figures)| {
+                    let instance = self.runners.get(*key)?.instance.clone();
+                    let figures = *figures;
+                    Some(CandidateLine { instance, figures })
+                })
+                .collect(),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        runner_key: RunnerKey,
+        reason: RouteReason,
+        decision: &mut DecisionLine,
+        fx: &mut Vec<EntryEffect>,
+    ) {
+        let runner = self
+            .runners
+            .get_mut(runner_key)
+            .expect("a candidate is in the arena");
+        let link = runner.open_link().expect("a candidate has an open link");
+        runner.sent_since_report += 1;
+        runner.in_flight += 1;
+        let stream = self.streams.issue();
+        decision.stream = Some(stream);
+        decision.chosen = Some(runner.instance.clone());
+        decision.reason = Some(reason);
+        let sent = Sent {
+            runner: runner_key,
+            link,
+            stream,
+        };
+        self.calls.set_sent(key, Some(sent));
+        let priority = self.priority(key);
+        let call = self.calls.get_mut(key).expect("the call is being routed");
+        call.attempts += 1;
+        let start = CallStart {
+            stream,
+            request: call.req.request.clone(),
+            organisation: call.organisation.clone(),
+            service: call.service.clone(),
+            kind: call.req.target.kind(),
+            key: call.req.key.clone(),
+            repeatable: call.repeatable,
+            budget_ms: as_millis(call.deadline.saturating_duration_since(now)),
+            priority,
+            method: call.req.method.clone(),
+            path: call.req.path.clone(),
+            content_type: call.req.content_type.clone(),
+            credit: INITIAL_CREDIT,
+            body: call.req.body.clone(),
+        };
+        fx.push(EntryEffect::Send {
+            link,
+            frame: Frame::Start(Box::new(start)),
+        });
+    }
+
+    /// Returns a call's priority: at most that of its organisation.
+    fn priority(&self, key: CallKey) -> u8 {
+        let call = self.calls.get(key).expect("the call is being routed");
+        let highest = self
+            .configuration
+            .as_deref()
+            .and_then(|cfg| cfg.organisation(&call.organisation))
+            .map_or(0, |organisation| organisation.priority);
+        call.req.priority.unwrap_or(highest).min(highest)
+    }
+
+    fn frame(&mut self, now: Instant, link: LinkKey, frame: Frame, fx: &mut Vec<EntryEffect>) {
+        match frame {
+            Frame::Head(head) => self.head(link, head, fx),
+            Frame::Chunk(chunk) => self.chunk(link, chunk, fx),
+            Frame::End(end) => self.end(now, link, &end, fx),
+            Frame::Load(load) => {
+                if let Some(runner) = self.runner_of_link(link) {
+                    runner.load = load;
+                    runner.sent_since_report = 0;
+                }
+            }
+            Frame::Leaving => {
+                if let Some(runner) = self.runner_of_link(link) {
+                    runner.leaving = true;
+                }
+            }
+            Frame::Hello(_)
+            | Frame::Start(_)
+            | Frame::Cancel(_)
+            | Frame::Credit { .. }
+            | Frame::Resume { .. } => fx.push(EntryEffect::Close(link)),
+        }
+    }
+
+    fn runner_of_link(&mut self, link: LinkKey) -> Option<&mut crate::runners::Runner> {
+        let key = self.runners.of_link(link)?;
+        self.runners.get_mut(key)
+    }
+
+    /// Finds the call of a stream, if the stream belongs to the link.
+    fn call_on(&self, link: LinkKey, stream: egretstage_wire::StreamId) -> Option<CallKey> {
+        let key = self.calls.of_stream(stream)?;
+        let sent = self.calls.get(key)?.sent?;
+        (sent.link == link).then_some(key)
+    }
+
+    fn head(&mut self, link: LinkKey, head: AnswerHead, fx: &mut Vec<EntryEffect>) {
+        let Some(key) = self.call_on(link, head.stream) else {
+            return;
+        };
+        let call = self.calls.get_mut(key).expect("the call was just found");
+        if std::mem::replace(&mut call.head_passed, true) {
+            return;
+        }
+        let part = AnswerPart::Head {
+            status: head.status,
+            content_type: head.content_type,
+        };
+        fx.push(EntryEffect::Answer { call: key, part });
+    }
+
+    fn chunk(&mut self, link: LinkKey, chunk: Chunk, fx: &mut Vec<EntryEffect>) {
+        let Some(key) = self.call_on(link, chunk.stream) else {
+            return;
+        };
+        let call = self.calls.get_mut(key).expect("the call was just found");
+        if !call.head_passed || chunk.offset != call.received_bytes {
+            fx.push(EntryEffect::Close(link));
+            return;
+        }
+        call.received_bytes += chunk.bytes.len() as u64;
+        let part = AnswerPart::Bytes(chunk.bytes);
+        fx.push(EntryEffect::Answer { call: key, part });
+    }
+
+    fn end(&mut self, now: Instant, link: LinkKey, end: &StreamEnd, fx: &mut Vec<EntryEffect>) {
+        let Some(key) = self.call_on(link, end.stream) else {
+            return;
+        };
+        let call = self.calls.get(key).expect("the call was just found");
+        let whole = call.head_passed && call.received_bytes == end.body_bytes;
+        match end.outcome {
+            Outcome::Completed if whole => self.finish(key, AnswerPart::End, fx),
+            Outcome::Completed => self.lost(now, key, UnknownReason::AnswerForgotten, fx),
+            Outcome::NotRun {
+                reason,
+                retry_after_ms,
+            } => self.not_run(now, key, reason, retry_after_ms, fx),
+            Outcome::Unknown { reason } => self.lost(now, key, reason, fx),
+        }
+    }
+
+    /// Ends a call with its final answer part.
+    fn finish(&mut self, key: CallKey, part: AnswerPart, fx: &mut Vec<EntryEffect>) {
+        self.release(key);
+        if self.calls.remove(key).is_some() {
+            fx.push(EntryEffect::Answer { call: key, part });
+        }
+    }
+
+    /// Gives back the place that a call has at its runner.
+    fn release(&mut self, key: CallKey) {
+        let sent = self.calls.get(key).and_then(|call| call.sent);
+        if let Some(runner) = sent.and_then(|sent| self.runners.get_mut(sent.runner)) {
+            runner.in_flight = runner.in_flight.saturating_sub(1);
+        }
+        self.calls.set_sent(key, None);
+    }
+
+    /// Handles a call that was proved not to have run: sends it elsewhere or
+    /// refuses it.
+    fn not_run(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        reason: NotRunReason,
+        retry_after_ms: Option<u64>,
+        fx: &mut Vec<EntryEffect>,
+    ) {
+        self.release(key);
+        let elsewhere = matches!(
+            reason,
+            NotRunReason::Leaving | NotRunReason::UpstreamUnreachable
+        );
+        if elsewhere && self.may_retry(now, key) {
+            self.route(now, key, fx);
+            return;
+        }
+        let refusal = Refusal {
+            kind: RefusalKind::NotRun(reason),
+            retry_after: retry_after_ms.map(Duration::from_millis),
+        };
+        self.finish(key, AnswerPart::Refused(refusal), fx);
+    }
+
+    fn may_retry(&self, now: Instant, key: CallKey) -> bool {
+        self.calls.get(key).is_some_and(|call| {
+            !call.head_passed && call.attempts < self.limits.max_attempts && call.deadline > now
+        })
+    }
+
+    /// Handles a call whose answer is lost: sends it again if that is allowed.
+    fn lost(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        reason: UnknownReason,
+        fx: &mut Vec<EntryEffect>,
+    ) {
+        self.release(key);
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
+        if call.head_passed {
+            self.finish(key, AnswerPart::Cut, fx);
+        } else if call.repeatable && self.may_retry(now, key) {
+            self.route(now, key, fx);
+        } else {
+            let refusal = Refusal {
+                kind: RefusalKind::Unknown(reason),
+                retry_after: None,
+            };
+            self.finish(key, AnswerPart::Refused(refusal), fx);
+        }
+    }
+
+    fn cancel_upstream(&self, key: CallKey, fx: &mut Vec<EntryEffect>) {
+        if let Some(sent) = self.calls.get(key).and_then(|call| call.sent) {
+            fx.push(EntryEffect::Send {
+                link: sent.link,
+                frame: Frame::Cancel(sent.stream),
+            });
+        }
+    }
+
+    fn caller_gone(&mut self, key: CallKey, fx: &mut Vec<EntryEffect>) {
+        self.cancel_upstream(key, fx);
+        self.release(key);
+        self.calls.remove(key);
+    }
+
+    fn caller_read(&self, key: CallKey, chunks: u32, fx: &mut Vec<EntryEffect>) {
+        if let Some(sent) = self.calls.get(key).and_then(|call| call.sent) {
+            fx.push(EntryEffect::Send {
+                link: sent.link,
+                frame: Frame::Credit {
+                    stream: sent.stream,
+                    chunks,
+                },
+            });
+        }
+    }
+
+    fn expire(&mut self, now: Instant, fx: &mut Vec<EntryEffect>) {
+        while let Some(key) = self.calls.expired(now) {
+            self.cancel_upstream(key, fx);
+            let call = self.calls.get(key).expect("an expired call is known");
+            let part = if call.head_passed {
+                AnswerPart::Cut
+            } else {
+                let kind = match call.sent {
+                    Some(_) => RefusalKind::Unknown(UnknownReason::DeadlinePassed),
+                    None => RefusalKind::NotRun(NotRunReason::DeadlinePassed),
+                };
+                AnswerPart::Refused(Refusal {
+                    kind,
+                    retry_after: None,
+                })
+            };
+            self.finish(key, part, fx);
+        }
+    }
+
+    fn link_down(&mut self, now: Instant, link: LinkKey, fx: &mut Vec<EntryEffect>) {
+        self.runners.link_down(now, link);
+        for key in self.calls.on_link(link) {
+            self.lost(now, key, UnknownReason::LinkLost, fx);
+        }
+    }
+
+    fn stop(&mut self, now: Instant) {
+        if self.stopping == Stopping::No {
+            self.stopping = Stopping::NotReady {
+                until: now + NOT_READY_GRACE,
+            };
+        }
+    }
+
+    /// Does what follows every event: readiness, dials, the planned stop.
+    fn settle(&mut self, now: Instant, fx: &mut Vec<EntryEffect>) {
+        for (instance, address) in self.runners.take_dials(now) {
+            fx.push(EntryEffect::Dial { instance, address });
+        }
+        let ready = self.configuration.is_some() && self.listed && self.stopping == Stopping::No;
+        if ready != self.ready {
+            self.ready = ready;
+            fx.push(EntryEffect::Ready(ready));
+        }
+        match self.stopping {
+            Stopping::NotReady { until } if until <= now => {
+                self.stopping = Stopping::Draining;
+                fx.push(EntryEffect::StopListening);
+            }
+            Stopping::Draining if self.calls.is_empty() => {
+                self.stopping = Stopping::Done;
+                fx.push(EntryEffect::Exit);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Reducer for EntryReducer {
+    type Event = EntryEvent;
+    type Effect = EntryEffect;
+
+    fn reduce(&mut self, now: Instant, event: EntryEvent, fx: &mut Vec<EntryEffect>) {
+        match event {
+            EntryEvent::Arrived(req) => self.arrived(now, req, fx),
+            EntryEvent::CallerRead { call, chunks } => self.caller_read(call, chunks, fx),
+            EntryEvent::CallerGone(call) => self.caller_gone(call, fx),
+            EntryEvent::Listed(listed) => {
+                self.listed = true;
+                self.runners.update(now, listed);
+            }
+            EntryEvent::Configured { configuration, .. } => {
+                self.configuration = Some(configuration);
+            }
+            EntryEvent::LinkUp { link, hello } => {
+                if !self.runners.link_up(link, &hello.instance) {
+                    fx.push(EntryEffect::Close(link));
+                }
+            }
+            EntryEvent::LinkDown { link } => self.link_down(now, link, fx),
+            EntryEvent::DialFailed { instance } => self.runners.dial_failed(now, &instance),
+            EntryEvent::Frame { link, frame } => self.frame(now, link, frame, fx),
+            EntryEvent::Stop => self.stop(now),
+        }
+        self.settle(now, fx);
+    }
+
+    fn wake(&mut self, now: Instant, fx: &mut Vec<EntryEffect>) {
+        self.expire(now, fx);
+        self.settle(now, fx);
+    }
+
+    fn next_wake(&self) -> Option<Instant> {
+        let stop = match self.stopping {
+            Stopping::NotReady { until } => Some(until),
+            _ => None,
+        };
+        [self.calls.next_deadline(), self.runners.next_dial(), stop]
+            .into_iter()
+            .flatten()
+            .min()
+    }
+}
+
+/// Finds the service of a request and whether the call may run more than once.
+fn service_of(cfg: &Configuration, req: &CallRequest) -> Option<(ServiceName, bool)> {
+    match &req.target {
+        Target::Chat { model, .. } => Some((cfg.group_of_model(model)?.clone(), true)),
+        Target::Plain { service } => {
+            let body = cfg.service(service)?;
+            Some((service.clone(), body.is_repeatable(&req.method, &req.path)))
+        }
+    }
+}
+
+fn demand(call: &Call, now: Instant) -> Demand {
+    let (prompt_tokens, max_tokens) = match call.req.target {
+        Target::Chat {
+            prompt_tokens,
+            max_tokens,
+            ..
+        } => (prompt_tokens, max_tokens),
+        Target::Plain { .. } => (0, 0),
+    };
+    Demand {
+        budget: call.deadline.saturating_duration_since(now),
+        prompt_tokens,
+        max_tokens,
+    }
+}
+
+fn refuse(call: CallKey, kind: RefusalKind, retry_after: Option<Duration>) -> EntryEffect {
+    EntryEffect::Answer {
+        call,
+        part: AnswerPart::Refused(Refusal { kind, retry_after }),
+    }
+}
+
+fn as_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/egretstage_entry/src/runners.rs
@@ -0,0 +1,207 @@
+//! The upstreams that an entry knows, each with its companion.
+
+use egretstage_link::LinkKey;
+use egretstage_platform::{InstanceState, ListedInstance};
+use egretstage_routing::Candidate;
+use egretstage_wire::{InstanceId, LoadReport, Role, ServiceName, ZoneName};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Wait before a lost companion is dialled again.
+pub(crate) const REDIAL_DELAY: Duration = Duration::from_millis(250);
+
+new_key_type! {
+    /// Key of an upstream in an entry's arena.
+    pub(crate) struct RunnerKey;
+}
+
+/// The link to a companion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LinkState {
+    /// No link; the companion is dialled at the instant.
+    Down(Instant),
+    /// A link is being opened.
+    Dialing,
+    /// The link is open.
+    Up(LinkKey),
+}
+
+/// One upstream with its companion.
+#[derive(Debug)]
+pub(crate) struct Runner {
+    pub(crate) instance: InstanceId,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+    pub(crate) service: ServiceName,
+    pub(crate) link: LinkState,
+    pub(crate) listed: bool,
+    pub(crate) leaving: bool,
+    pub(crate) load: LoadReport,
+    pub(crate) sent_since_report: u32,
+    pub(crate) in_flight: u32,
+}
+
+impl Runner {
+    /// Returns the link if new work may be sent on it.
+    pub(crate) fn open_link(&self) -> Option<LinkKey> {
+        match self.link {
+            LinkState::Up(link) if !self.leaving => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Returns the figures that a policy sees.
+    pub(crate) fn candidate(&self, own_zone: &ZoneName) -> Candidate {
+        Candidate {
+            same_zone: self.zone == *own_zone,
+            load: self.load,
+            sent_since_report: self.sent_since_report,
+            own_in_flight: self.in_flight,
+        }
+    }
+}
+
+/// All upstreams that an entry knows.
+#[derive(Debug, Default)]
+pub(crate) struct Runners {
+    arena: SlotMap<RunnerKey, Runner>,
+    by_instance: HashMap<InstanceId, RunnerKey>,
+    by_link: HashMap<LinkKey, RunnerKey>,
+}
+
+impl Runners {
+    pub(crate) fn get(&self, key: RunnerKey) -> Option<&Runner> {
+        self.arena.get(key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: RunnerKey) -> Option<&mut Runner> {
+        self.arena.get_mut(key)
+    }
+
+    pub(crate) fn of_link(&self, link: LinkKey) -> Option<RunnerKey> {
+        self.by_link.get(&link).copied()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RunnerKey, &Runner)> {
+        self.arena.iter()
+    }
+
+    /// Takes over the instance list: adds, updates and removes companions.
+    pub(crate) fn update(&mut self, now: Instant, listed: Vec<ListedInstance>) {
+        let mut seen = HashSet::with_capacity(listed.len());
+        for item in listed {
+            if let (Role::Companion, Some(service)) = (item.role, item.service.clone()) {
+                seen.insert(item.instance.clone());
+                self.upsert(now, item, service);
+            }
+        }
+        let gone = |r: &Runner| !seen.contains(&r.instance);
+        for runner in self.arena.values_mut().filter(|r| gone(r)) {
+            runner.listed = false;
+            runner.leaving = true;
+        }
+        self.drop_unlisted();
+    }
+
+    fn upsert(&mut self, now: Instant, item: ListedInstance, service: ServiceName) {
+        let leaving = item.state == InstanceState::Leaving;
+        let known = self.by_instance.get(&item.instance).copied();
+        if let Some(runner) = known.and_then(|key| self.arena.get_mut(key)) {
+            runner.listed = true;
+            runner.leaving |= leaving;
+            runner.address = item.address;
+            return;
+        }
+        let instance = item.instance.clone();
+        let key = self.arena.insert(Runner {
+            instance: item.instance,
+            address: item.address,
+            zone: item.zone,
+            service,
+            link: LinkState::Down(now),
+            listed: true,
+            leaving,
+            load: LoadReport::default(),
+            sent_since_report: 0,
+            in_flight: 0,
+        });
+        self.by_instance.insert(instance, key);
+    }
+
+    /// Forgets companions that are neither listed nor linked.
+    fn drop_unlisted(&mut self) {
+        let by_instance = &mut self.by_instance;
+        self.arena.retain(|_, runner| {
+            let keep = runner.listed || !matches!(runner.link, LinkState::Down(_));
+            if !keep {
+                by_instance.remove(&runner.instance);
+            }
+            keep
+        });
+    }
+
+    /// Notes an open link; returns false when nobody asked for it.
+    pub(crate) fn link_up(&mut self, link: LinkKey, instance: &InstanceId) -> bool {
+        let key = self.by_instance.get(instance).copied();
+        let Some(runner) = key.and_then(|key| self.arena.get_mut(key)) else {
+            return false;
+        };
+        if runner.link != LinkState::Dialing {
+            return false;
+        }
+        runner.link = LinkState::Up(link);
+        runner.leaving = !runner.listed;
+        runner.load = LoadReport::default();
+        runner.sent_since_report = 0;
+        self.by_link.extend(key.map(|key| (link, key)));
+        true
+    }
+
+    /// Notes the end of a link.
+    pub(crate) fn link_down(&mut self, now: Instant, link: LinkKey) -> Option<RunnerKey> {
+        let key = self.by_link.remove(&link)?;
+        if let Some(runner) = self.arena.get_mut(key) {
+            runner.link = LinkState::Down(now + REDIAL_DELAY);
+        }
+        self.drop_unlisted();
+        Some(key)
+    }
+
+    /// Notes a failed attempt to open a link.
+    pub(crate) fn dial_failed(&mut self, now: Instant, instance: &InstanceId) {
+        let key = self.by_instance.get(instance).copied();
+        if let Some(runner) = key.and_then(|key| self.arena.get_mut(key))
+            && runner.link == LinkState::Dialing
+        {
+            runner.link = LinkState::Down(now + REDIAL_DELAY);
+        }
+        self.drop_unlisted();
+    }
+
+    /// Takes the companions that are due to be dialled.
+    pub(crate) fn take_dials(&mut self, now: Instant) -> Vec<(InstanceId, SocketAddr)> {
+        let due = |r: &&mut Runner| matches!(r.link, LinkState::Down(at) if at <= now) && r.listed;
+        self.arena
+            .values_mut()
+            .filter(due)
+            .map(|runner| {
+                runner.link = LinkState::Dialing;
+                (runner.instance.clone(), runner.address)
+            })
+            .collect()
+    }
+
+    /// Returns when the next companion is due to be dialled.
+    pub(crate) fn next_dial(&self) -> Option<Instant> {
+        self.arena
+            .values()
+            .filter(|r| r.listed)
+            .filter_map(|r| match r.link {
+                LinkState::Down(at) => Some(at),
+                _ => None,
+            })
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/egretstage_link/src/handshake.rs
@@ -0,0 +1,200 @@
+//! Opens links: the WebSocket handshake, the shared key, the `Hello`.
+
+use crate::pump::{self, SILENCE_LIMIT};
+use crate::{LinkObserver, LinkTable};
+use egretstage_wire::{Frame, Hello, MAX_FRAME_BYTES, PROTOCOL_VERSION, decode, encode};
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::client::IntoClientRequest;
+use tokio_tungstenite::tungstenite::handshake::server::{ErrorResponse, Request, Response};
+use tokio_tungstenite::tungstenite::http::header::AUTHORIZATION;
+use tokio_tungstenite::tungstenite::http::{HeaderValue, StatusCode};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Message};
+
+/// Why a link couldn't be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum LinkError {
+    /// The peer can't be reached.
+    #[error("can't connect: {0}")]
+    Connect(std::io::Error),
+    /// The handshake failed.
+    #[error("handshake failed: {0}")]
+    Handshake(Box<tungstenite::Error>),
+    /// The peer didn't answer in time.
+    #[error("no answer to the handshake")]
+    Timeout,
+    /// The peer speaks another protocol version.
+    #[error("peer has protocol version {0}, this release has {PROTOCOL_VERSION}")]
+    Version(u16),
+    /// The peer's first message isn't a `Hello`.
+    #[error("peer's first message is not a hello: {0}")]
+    NoHello(String),
+    /// The shared key can't stand in a header.
+    #[error("the link key has a character that a header can't hold")]
+    Key,
+}
+
+impl From<tungstenite::Error> for LinkError {
+    fn from(e: tungstenite::Error) -> Self {
+        Self::Handshake(Box::new(e))
+    }
+}
+
+/// Who this process is, for its peers.
+#[derive(Clone, Debug)]
+pub struct LinkIdentity {
+    /// What this process says of itself.
+    pub hello: Hello,
+    /// The `Authorization` value that proves the shared key.
+    authorization: HeaderValue,
+}
+
+impl LinkIdentity {
+    /// Joins a process's `Hello` with the shared key.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`LinkError::Key`] for a key that a header can't hold.
+    pub fn new(hello: Hello, key: &str) -> Result<Self, LinkError> {
+        let mut authorization =
+            HeaderValue::try_from(format!("Bearer {key}")).map_err(|_| LinkError::Key)?;
+        authorization.set_sensitive(true);
+        Ok(Self {
+            hello,
+            authorization,
+        })
+    }
+}
+
+/// Opens a link to a peer and runs it until it ends.
+///
+/// # Errors
+///
+/// Returns an error when the link couldn't be opened; the end of an open link
+/// is told to the observer alone.
+pub async fn dial(
+    address: SocketAddr,
+    identity: Arc<LinkIdentity>,
+    table: LinkTable,
+    observer: Arc<dyn LinkObserver>,
+) -> Result<(), LinkError> {
+    let connect = async {
+        let tcp = TcpStream::connect(address)
+            .await
+            .map_err(LinkError::Connect)?;
+        tcp.set_nodelay(true).map_err(LinkError::Connect)?;
+        let mut req = format!("ws://{address}/link").into_client_request()?;
+        req.headers_mut()
+            .insert(AUTHORIZATION, identity.authorization.clone());
+        let (socket, _) =
+            tokio_tungstenite::client_async_with_config(req, tcp, Some(config())).await?;
+        greet(socket, &identity.hello).await
+    };
+    let (socket, hello) = timeout(SILENCE_LIMIT, connect)
+        .await
+        .map_err(|_| LinkError::Timeout)??;
+    run(socket, hello, &table, observer.as_ref()).await;
+    Ok(())
+}
+
+/// Accepts links until the listener fails.
+///
+/// # Errors
+///
+/// Returns the system's error when no more connections can be accepted.
+pub async fn serve(
+    listener: TcpListener,
+    identity: Arc<LinkIdentity>,
+    table: LinkTable,
+    observer: Arc<dyn LinkObserver>,
+) -> std::io::Result<()> {
+    loop {
+        let (tcp, _) = listener.accept().await?;
+        let identity = Arc::clone(&identity);
+        let table = table.clone();
+        let observer = Arc::clone(&observer);
+        tokio::spawn(async move {
+            let accepted = timeout(SILENCE_LIMIT, accept(tcp, &identity)).await;
+            if let Ok(Ok((socket, hello))) = accepted {
+                run(socket, hello, &table, observer.as_ref()).await;
+            }
+        });
+    }
+}
+
+async fn accept(
+    tcp: TcpStream,
+    identity: &LinkIdentity,
+) -> Result<(WebSocketStream<TcpStream>, Hello), LinkError> {
+    tcp.set_nodelay(true).map_err(LinkError::Connect)?;
+    #[expect(
+        clippy::result_large_err,
+        reason = "the shape that tungstenite asks for"
+    )]
+    let check = |req: &Request, resp: Response| -> Result<Response, ErrorResponse> {
+        if req.headers().get(AUTHORIZATION) == Some(&identity.authorization) {
+            return Ok(resp);
+        }
+        let mut refusal = ErrorResponse::new(Some("wrong link key".to_owned()));
+        *refusal.status_mut() = StatusCode::UNAUTHORIZED;
+        Err(refusal)
+    };
+    let socket =
+        tokio_tungstenite::accept_hdr_async_with_config(tcp, check, Some(config())).await?;
+    greet(socket, &identity.hello).await
+}
+
+fn config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
+}
+
+async fn greet<S: AsyncRead + AsyncWrite + Unpin>(
+    mut socket: WebSocketStream<S>,
+    hello: &Hello,
+) -> Result<(WebSocketStream<S>, Hello), LinkError> {
+    let no_hello = |e: &dyn std::fmt::Display| LinkError::NoHello(e.to_string());
+    let buf = encode(&Frame::Hello(hello.clone())).map_err(|e| no_hello(&e))?;
+    socket.send(Message::binary(buf)).await?;
+    loop {
+        let message = socket
+            .next()
+            .await
+            .ok_or_else(|| no_hello(&"the connection ended"))??;
+        match message {
+            Message::Ping(_) | Message::Pong(_) => {}
+            Message::Binary(buf) => match decode(&buf).map_err(|e| no_hello(&e))? {
+                Frame::Hello(peer) if peer.version == PROTOCOL_VERSION => {
+                    return Ok((socket, peer));
+                }
+                Frame::Hello(peer) => return Err(LinkError::Version(peer.version)),
+                other => return Err(no_hello(&<&str>::from(&other))),
+            },
+            _ => return Err(no_hello(&"not a binary message")),
+        }
+    }
+}
+
+async fn run<S: AsyncRead + AsyncWrite + Unpin>(
+    socket: WebSocketStream<S>,
+    hello: Hello,
+    table: &LinkTable,
+    observer: &dyn LinkObserver,
+) {
+    let place = table.place().await;
+    let (tx, rx) = unbounded_channel();
+    let link = table.open(tx);
+    observer.link_up(link, hello);
+    let end = pump::run(socket, link, rx, observer).await;
+    table.close(link);
+    observer.link_down(link, end.to_string());
+    drop(place);
+}
--- /dev/null
+++ b/crates/egretstage_link/src/lib.rs
@@ -0,0 +1,20 @@
+//! Multiplexed WebSocket links between the system's own processes.
+//!
+//! An entry [dials](dial) a companion; a companion [serves](serve) its links.
+//! Both sides prove the shared key in the handshake's `Authorization` header,
+//! then exchange a `Hello`. A [`LinkObserver`] hears of each link's start, its
+//! frames and its end. A link that is silent for [`SILENCE_LIMIT`] is closed,
+//! so a half-open connection is noticed.
+
+mod handshake;
+mod pump;
+mod table;
+
+pub use handshake::{LinkError, LinkIdentity, dial, serve};
+pub use pump::{PING_INTERVAL, SILENCE_LIMIT};
+pub use table::{LinkKey, LinkObserver, LinkTable};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{LinkError, LinkIdentity, LinkKey, LinkObserver, LinkTable};
+}
--- /dev/null
+++ b/crates/egretstage_standins/src/caller.rs
@@ -0,0 +1,154 @@
+//! A caller that notes exactly what it was told.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest wait for a whole answer.
+const CALL_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    method: String,
+    path: String,
+    body: String,
+    token: String,
+    budget_ms: Option<u64>,
+    key: Option<String>,
+}
+
+impl Ask {
+    /// Prepares a call of a plain service.
+    #[must_use]
+    pub fn plain(method: &str, path: &str, body: &str) -> Self {
+        Self {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body: body.to_owned(),
+            token: "desk-token".to_owned(),
+            budget_ms: None,
+            key: None,
+        }
+    }
+
+    /// Prepares a chat completion with one message.
+    #[must_use]
+    pub fn chat(model: &str, prompt: &str, max_tokens: u32, stream: bool) -> Self {
+        let body = serde_json::json!({
+            "model": model, "max_tokens": max_tokens, "stream": stream,
+            "messages": chat_messages(prompt),
+        });
+        Self::plain("POST", "/v1/chat/completions", &body.to_string())
+    }
+
+    /// Uses another bearer token.
+    #[must_use]
+    pub fn token(mut self, token: &str) -> Self {
+        token.clone_into(&mut self.token);
+        self
+    }
+
+    /// Sets the budget.
+    #[must_use]
+    pub fn budget(mut self, budget: Duration) -> Self {
+        self.budget_ms = u64::try_from(budget.as_millis()).ok();
+        self
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn key(mut self, key: &str) -> Self {
+        self.key = Some(key.to_owned());
+        self
+    }
+
+    /// Sends the request and reads the answer to its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a header has a character that HTTP rules out.
+    #[must_use]
+    pub fn send(&self, entry: SocketAddr) -> Told {
+        let agent: ureq::Agent = ureq::Agent::config_builder()
+            .timeout_global(Some(CALL_TIMEOUT))
+            .http_status_as_error(false)
+            .max_idle_connections(0)
+            .build()
+            .into();
+        let mut req = ureq::http::Request::builder()
+            .method(self.method.as_str())
+            .uri(format!("http://{entry}{}", self.path))
+            .header("authorization", format!("Bearer {}", self.token))
+            .header("content-type", "application/json");
+        if let Some(budget_ms) = self.budget_ms {
+            req = req.header("egret-budget-ms", budget_ms);
+        }
+        if let Some(key) = &self.key {
+            req = req.header("idempotency-key", key);
+        }
+        let req = req.body(self.body.clone()).expect("valid headers");
+        match agent.run(req) {
+            Ok(resp) => Told::read(resp),
+            Err(e) => Told {
+                error: Some(e.to_string()),
+                ..Told::default()
+            },
+        }
+    }
+}
+
+/// Returns the messages of a chat completion with one prompt.
+#[must_use]
+pub fn chat_messages(prompt: &str) -> serde_json::Value {
+    serde_json::json!([{"role": "user", "content": prompt}])
+}
+
+/// What a caller was told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// HTTP status, 0 when no answer came.
+    pub status: u16,
+    /// `Egret-Outcome` header.
+    pub outcome: Option<String>,
+    /// `Egret-Request-Id` header.
+    pub request: Option<String>,
+    /// `Retry-After` header, in seconds.
+    pub retry_after: Option<u64>,
+    /// Body, as far as it came.
+    pub body: String,
+    /// Why the answer isn't whole.
+    pub error: Option<String>,
+}
+
+impl Told {
+    fn read(mut resp: ureq::http::Response<ureq::Body>) -> Self {
+        let header = |name: &str| {
+            let value = resp.headers().get(name)?;
+            value.to_str().ok().map(ToOwned::to_owned)
+        };
+        let mut told = Self {
+            status: resp.status().as_u16(),
+            outcome: header("egret-outcome"),
+            request: header("egret-request-id"),
+            retry_after: header("retry-after").and_then(|text| text.parse().ok()),
+            ..Self::default()
+        };
+        match resp.body_mut().read_to_string() {
+            Ok(body) => told.body = body,
+            Err(e) => told.error = Some(e.to_string()),
+        }
+        told
+    }
+
+    /// Tells whether a whole answer came from an upstream.
+    #[must_use]
+    pub fn is_completed(&self) -> bool {
+        self.error.is_none() && self.outcome.as_deref() == Some("completed")
+    }
+
+    /// Tells whether the request was refused as not run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        self.error.is_none() && self.outcome.as_deref() == Some("not-run")
+    }
+}
--- /dev/null
+++ b/crates/egretstage_standins/src/engine.rs
@@ -0,0 +1,299 @@
+//! The stand-in for a model engine.
+//!
+//! It batches continuously, streams tokens at a fixed interval, queues by
+//! priority when its slots are full, and drops a stream whose client hangs up.
+//! The tokens depend on the prompt alone, so a test can tell whether an answer
+//! is whole and belongs to its request.
+
+use crate::server::{Call, Reply, StandInHandler, serve};
+use hyper::body::Bytes;
+use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::{Sender, channel};
+use tokio::sync::oneshot;
+
+/// Chunks that wait for a slow client before generation stalls.
+const STREAM_BUFFER: usize = 16;
+
+/// Most tokens for a request that names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// Behaviour of the engine.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineOptions {
+    /// Streams that run at once.
+    pub slots: usize,
+    /// Time between two tokens of a stream.
+    pub token_interval: Duration,
+    /// Prompt tokens that are processed in a second.
+    pub prefill_tokens_per_second: u32,
+    /// Age of the figures that `GET /load` answers with.
+    pub load_lag: Duration,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            slots: 64,
+            token_interval: Duration::from_millis(35),
+            prefill_tokens_per_second: 20_000,
+            load_lag: Duration::from_millis(200),
+        }
+    }
+}
+
+/// A stream that really ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RanStream {
+    /// The request's identity.
+    pub request: Option<String>,
+    /// Tokens generated.
+    pub tokens: u32,
+    /// Whether all tokens were generated and taken.
+    pub finished: bool,
+}
+
+/// The engine's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineLoad {
+    /// Streams that run.
+    pub running: usize,
+    /// Streams that wait for a slot.
+    pub waiting: usize,
+}
+
+#[derive(Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: serde_json::Value,
+    #[serde(default, alias = "max_completion_tokens")]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    running: usize,
+    arrivals: u64,
+    waiting: BTreeMap<(Reverse<u8>, u64), oneshot::Sender<()>>,
+    ran: Vec<RanStream>,
+    load: EngineLoad,
+    load_at: Option<Instant>,
+}
+
+/// The stand-in for a model engine.
+#[derive(Debug)]
+pub struct EngineStandIn {
+    options: EngineOptions,
+    state: Arc<Mutex<State>>,
+}
+
+/// A place among the running streams, given back when dropped.
+struct Slot(Arc<Mutex<State>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut state = lock(&self.0);
+        state.running -= 1;
+        while let Some((_, tx)) = state.waiting.pop_first() {
+            if tx.send(()).is_ok() {
+                state.running += 1;
+                return;
+            }
+        }
+    }
+}
+
+fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl EngineStandIn {
+    /// Starts the engine on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the address can't be used.
+    pub fn start(
+        address: SocketAddr,
+        options: EngineOptions,
+    ) -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        let engine = Arc::new(Self {
+            options,
+            state: Arc::default(),
+        });
+        let address = serve(address, Arc::clone(&engine))?;
+        Ok((engine, address))
+    }
+
+    /// Returns the streams that really ran.
+    #[must_use]
+    pub fn ran(&self) -> Vec<RanStream> {
+        lock(&self.state).ran.clone()
+    }
+
+    async fn slot(&self, priority: u8) -> Slot {
+        let wait = {
+            let mut state = lock(&self.state);
+            if state.running < self.options.slots {
+                state.running += 1;
+                None
+            } else {
+                let (tx, rx) = oneshot::channel();
+                let arrival = state.arrivals;
+                state.arrivals += 1;
+                state.waiting.insert((Reverse(priority), arrival), tx);
+                Some(rx)
+            }
+        };
+        if let Some(rx) = wait {
+            let _ = rx.await;
+        }
+        Slot(Arc::clone(&self.state))
+    }
+
+    async fn chat(&self, call: &Call) -> Reply {
+        let chat: ChatBody = match serde_json::from_slice(&call.body) {
+            Ok(chat) => chat,
+            Err(e) => return Reply::error(400, &e.to_string()),
+        };
+        let priority = call.header("egret-priority").and_then(|p| p.parse().ok());
+        let slot = self.slot(priority.unwrap_or(0)).await;
+        let prompt = chat.messages.to_string();
+        let prefill_tokens = f64::from(u32::try_from(prompt.len() / 4).unwrap_or(u32::MAX));
+        let rate = f64::from(self.options.prefill_tokens_per_second);
+        tokio::time::sleep(Duration::from_secs_f64(prefill_tokens / rate)).await;
+        let (tx, mut rx) = channel(STREAM_BUFFER);
+        let generation = Generation {
+            state: Arc::clone(&self.state),
+            slot,
+            request: call.header("egret-request-id").map(ToOwned::to_owned),
+            tokens: expected_tokens(&prompt, chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
+            model: chat.model.clone(),
+            interval: self.options.token_interval,
+        };
+        if chat.stream {
+            tokio::spawn(generation.stream(tx));
+            return Reply::Events(rx);
+        }
+        let text = generation.tokens.concat();
+        tokio::spawn(generation.stream(tx));
+        while rx.recv().await.is_some() {}
+        whole_answer(&chat.model, &text)
+    }
+
+    fn load(&self) -> EngineLoad {
+        let mut state = lock(&self.state);
+        let now = Instant::now();
+        let lag = self.options.load_lag;
+        if state.load_at.is_none_or(|at| now - at >= lag) {
+            state.load_at = Some(now);
+            state.load = EngineLoad {
+                running: state.running,
+                waiting: state.waiting.len(),
+            };
+        }
+        state.load
+    }
+}
+
+/// Returns the tokens that the engine generates for a prompt.
+#[must_use]
+pub fn expected_tokens(prompt: &str, count: u32) -> Vec<String> {
+    let seed = prompt
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+        });
+    (0..u64::from(count))
+        .map(|i| format!("{:x}.{i} ", seed & 0xffff))
+        .collect()
+}
+
+/// Returns the body of a streamed answer that is whole.
+#[must_use]
+pub fn expected_stream(model: &str, prompt: &str, count: u32) -> String {
+    let tokens = expected_tokens(prompt, count);
+    let mut text = String::new();
+    for token in &tokens {
+        let _ = write!(text, "{}", event(model, token));
+    }
+    text + DONE_EVENT
+}
+
+/// The event that ends a streamed answer.
+const DONE_EVENT: &str = "data: [DONE]\n\n";
+
+fn event(model: &str, token: &str) -> String {
+    let chunk = serde_json::json!({
+        "object": "chat.completion.chunk",
+        "model": model,
+        "choices": [{"index": 0, "delta": {"content": token}}],
+    });
+    format!("data: {chunk}\n\n")
+}
+
+fn whole_answer(model: &str, text: &str) -> Reply {
+    Reply::ok(&serde_json::json!({
+        "object": "chat.completion",
+        "model": model,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": "stop",
+        }],
+    }))
+}
+
+/// One stream on its way to the client.
+struct Generation {
+    state: Arc<Mutex<State>>,
+    slot: Slot,
+    request: Option<String>,
+    tokens: Vec<String>,
+    model: String,
+    interval: Duration,
+}
+
+impl Generation {
+    async fn stream(self, tx: Sender<Bytes>) {
+        let mut sent = 0;
+        for token in &self.tokens {
+            let bytes = Bytes::from(event(&self.model, token));
+            if tx.send(bytes).await.is_err() {
+                break;
+            }
+            sent += 1;
+            tokio::time::sleep(self.interval).await;
+        }
+        let all = sent as usize == self.tokens.len();
+        let finished = all
+            && tx
+                .send(Bytes::from_static(DONE_EVENT.as_bytes()))
+                .await
+                .is_ok();
+        drop(self.slot);
+        lock(&self.state).ran.push(RanStream {
+            request: self.request,
+            tokens: sent,
+            finished,
+        });
+    }
+}
+
+impl StandInHandler for EngineStandIn {
+    async fn answer(&self, call: Call) -> Reply {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("POST", "/v1/chat/completions") => self.chat(&call).await,
+            ("GET", "/load") => Reply::ok(&self.load()),
+            ("GET", "/ran") => Reply::ok(&self.ran()),
+            _ => Reply::error(404, "no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -0,0 +1,430 @@
+//! Runs the real programs against stand-ins, for tests and benchmarks.
+//!
+//! The platform's stand-ins run inside the calling process, so their records
+//! can be read directly; the product's programs run as processes that can be
+//! killed, frozen and stopped.
+
+use crate::append_log::{AppendLogOptions, AppendLogStandIn};
+use crate::engine::{EngineOptions, EngineStandIn};
+use crate::instance_list::InstanceListStandIn;
+use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
+use crate::weight_store::{WeightStoreOptions, WeightStoreStandIn};
+use rustix::process::{Pid, Signal, kill_process};
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tokio::runtime::{Handle, Runtime};
+
+/// Longest wait for a program to become ready or to end.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Where the product's programs are.
+#[derive(Clone, Copy, Debug)]
+pub struct Programs {
+    /// `egret-entry`.
+    pub entry: &'static str,
+    /// `egret-companion`.
+    pub companion: &'static str,
+    /// `egretctl`.
+    pub control: &'static str,
+}
+
+/// Names the programs that cargo built for the calling test or benchmark.
+#[macro_export]
+macro_rules! programs {
+    () => {
+        $crate::fleet::Programs {
+            entry: env!("CARGO_BIN_EXE_egret-entry"),
+            companion: env!("CARGO_BIN_EXE_egret-companion"),
+            control: env!("CARGO_BIN_EXE_egretctl"),
+        }
+    };
+}
+
+/// A program of the product as a process; killed when dropped.
+#[derive(Debug)]
+pub struct Program {
+    name: String,
+    child: Child,
+    /// Address of `/livez`, `/readyz`, `/metrics` and `/status`.
+    pub admin: SocketAddr,
+    /// Address of callers or links.
+    pub address: SocketAddr,
+    log: PathBuf,
+}
+
+impl Program {
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process run on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to stop as planned.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process doesn't end in time.
+    pub fn wait(&mut self) -> ExitStatus {
+        let name = self.name.clone();
+        wait_for(&format!("the end of {name}"), || {
+            self.child.try_wait().ok().flatten()
+        })
+    }
+
+    /// Returns the process's log lines.
+    #[must_use]
+    pub fn log_lines(&self) -> Vec<serde_json::Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// Waits until `/readyz` answers with the status.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that takes too long.
+    pub fn await_ready(&self, ready: bool) {
+        let url = format!("http://{}/readyz", self.admin);
+        let agent = agent();
+        let want = if ready { 200 } else { 503 };
+        wait_for(&format!("{} ready: {ready}", self.name), || {
+            let resp = agent.get(&url).call().ok()?;
+            (resp.status().as_u16() == want).then_some(())
+        });
+    }
+
+    /// Returns `/status`.
+    #[must_use]
+    pub fn status(&self) -> serde_json::Value {
+        let url = format!("http://{}/status", self.admin);
+        let resp = agent().get(&url).call().ok();
+        let text = resp.and_then(|mut r| r.body_mut().read_to_string().ok());
+        text.and_then(|text| serde_json::from_str(&text).ok())
+            .unwrap_or_default()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(1)))
+        .http_status_as_error(false)
+        .build()
+        .into()
+}
+
+/// Waits until a condition holds and returns its value.
+///
+/// # Panics
+///
+/// Panics when that takes longer than half a minute.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "waited too long for {what}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+/// Returns a loopback address that nothing listens on.
+///
+/// # Panics
+///
+/// Panics when the machine has no free port.
+#[must_use]
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    listener.local_addr().expect("a bound socket")
+}
+
+/// An upstream's place in the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    /// Instance name of the companion.
+    pub instance: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// The service or model group.
+    pub service: &'a str,
+    /// `engine` or `plain`.
+    pub kind: &'a str,
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
+}
+
+/// The platform's stand-ins and a folder for settings and logs.
+#[derive(Debug)]
+pub struct Fleet {
+    programs: Programs,
+    runtime: Option<Runtime>,
+    work: PathBuf,
+    /// The log service.
+    pub log: Arc<AppendLogStandIn>,
+    /// Base URL of the log service.
+    pub log_url: String,
+    /// The instance list.
+    pub list: Arc<InstanceListStandIn>,
+    /// Base URL of the instance list.
+    pub list_url: String,
+    /// The weight store.
+    pub store: Arc<WeightStoreStandIn>,
+    /// Base URL of the weight store.
+    pub store_url: String,
+}
+
+impl Fleet {
+    /// Starts the platform's stand-ins.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the machine refuses a port, a thread or a folder.
+    #[must_use]
+    pub fn start(programs: Programs) -> Self {
+        Self::with_options(programs, AppendLogOptions::default(), Duration::ZERO)
+    }
+
+    /// Starts the platform's stand-ins with a log and a list of choice.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the machine refuses a port, a thread or a folder.
+    #[must_use]
+    pub fn with_options(programs: Programs, log: AppendLogOptions, list_lag: Duration) -> Self {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let runtime = Runtime::new().expect("a runtime");
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let work = std::env::temp_dir().join(format!("egret-{}-{count}", std::process::id()));
+        std::fs::create_dir_all(&work).expect("a folder for settings and logs");
+        let guard = runtime.enter();
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let (log, log_address) = AppendLogStandIn::start(any, log).expect("a log");
+        let (list, list_address) = InstanceListStandIn::start(any, list_lag).expect("a list");
+        let options = WeightStoreOptions::default();
+        let (store, store_address) = WeightStoreStandIn::start(any, options).expect("a store");
+        drop(guard);
+        Self {
+            programs,
+            runtime: Some(runtime),
+            work,
+            log,
+            log_url: format!("http://{log_address}"),
+            list,
+            list_url: format!("http://{list_address}"),
+            store,
+            store_url: format!("http://{store_address}"),
+        }
+    }
+
+    /// Returns the runtime that the stand-ins run on.
+    ///
+    /// # Panics
+    ///
+    /// Never; the runtime lives as long as the fleet.
+    #[must_use]
+    pub fn handle(&self) -> &Handle {
+        self.runtime.as_ref().expect("a running fleet").handle()
+    }
+
+    /// Starts an engine.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the machine refuses a port.
+    #[must_use]
+    pub fn engine(&self, options: EngineOptions) -> (Arc<EngineStandIn>, SocketAddr) {
+        let _guard = self.handle().enter();
+        EngineStandIn::start(free_address(), options).expect("an engine")
+    }
+
+    /// Starts a plain service.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the machine refuses a port.
+    #[must_use]
+    pub fn plain_service(
+        &self,
+        options: PlainServiceOptions,
+    ) -> (Arc<PlainServiceStandIn>, SocketAddr) {
+        let _guard = self.handle().enter();
+        PlainServiceStandIn::start(free_address(), options).expect("a plain service")
+    }
+
+    /// Starts a companion, waits until it is ready and lists it.
+    #[must_use]
+    pub fn companion(&self, place: &Placement<'_>) -> Program {
+        let address = free_address();
+        let program = self.companion_at(place, address);
+        program.await_ready(true);
+        self.list_companion(place, program.address, "live");
+        program
+    }
+
+    /// Starts a companion at an address without listing it.
+    #[must_use]
+    pub fn companion_at(&self, place: &Placement<'_>, address: SocketAddr) -> Program {
+        let admin = free_address();
+        let settings = format!(
+            "listen = \"{address}\"\n{}\n[upstream]\nservice = \"{}\"\nkind = \"{}\"\naddress = \"{}\"\n",
+            self.process_settings(place.instance, place.zone, admin),
+            place.service,
+            place.kind,
+            place.upstream,
+        );
+        self.launch(
+            self.programs.companion,
+            place.instance,
+            &settings,
+            admin,
+            address,
+        )
+    }
+
+    /// Puts a companion on the instance list.
+    pub fn list_companion(&self, place: &Placement<'_>, address: SocketAddr, state: &str) {
+        let entry = serde_json::json!({
+            "instance": place.instance, "role": "companion", "address": address,
+            "zone": place.zone, "service": place.service, "state": state,
+        });
+        self.list.put(place.instance, entry);
+    }
+
+    /// Starts an entry and waits until it is ready.
+    #[must_use]
+    pub fn entry(&self, instance: &str, zone: &str) -> Program {
+        let program = self.entry_unready(instance, zone);
+        program.await_ready(true);
+        program
+    }
+
+    /// Starts an entry without waiting for it.
+    #[must_use]
+    pub fn entry_unready(&self, instance: &str, zone: &str) -> Program {
+        let (address, admin) = (free_address(), free_address());
+        let settings = format!(
+            "{}\n[callers]\nlisten = \"{address}\"\n",
+            self.process_settings(instance, zone, admin)
+        );
+        self.launch(self.programs.entry, instance, &settings, admin, address)
+    }
+
+    fn process_settings(&self, instance: &str, zone: &str, admin: SocketAddr) -> String {
+        format!(
+            "[process]\ninstance = \"{instance}\"\nzone = \"{zone}\"\nadmin_listen = \"{admin}\"\n\
+             log_url = \"{}\"\nlist_url = \"{}\"\nlink_key = \"test-key\"\n",
+            self.log_url, self.list_url
+        )
+    }
+
+    fn launch(
+        &self,
+        program: &str,
+        name: &str,
+        settings: &str,
+        admin: SocketAddr,
+        address: SocketAddr,
+    ) -> Program {
+        let file = self.work.join(format!("{name}.toml"));
+        std::fs::write(&file, settings).expect("a settings file");
+        let log = self.work.join(format!("{name}-{}.log", address.port()));
+        let stderr = self.work.join(format!("{name}-{}.err", address.port()));
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(File::create(&log).expect("a log file"))
+            .stderr(File::create(stderr).expect("a file for errors"))
+            .spawn()
+            .expect("a process");
+        Program {
+            name: name.to_owned(),
+            child,
+            admin,
+            address,
+            log,
+        }
+    }
+
+    /// Publishes records with `egretctl apply`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when `egretctl` fails.
+    pub fn publish(&self, records: &serde_json::Value) {
+        let file = self.work.join("records.json");
+        std::fs::write(&file, records.to_string()).expect("a file of records");
+        let output = self.control(&["apply", &path_text(&file), "--log", &self.log_url]);
+        assert!(output.status.success(), "egretctl failed: {output:?}");
+    }
+
+    /// Runs `egretctl` and returns what it printed.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the program can't be started.
+    #[must_use]
+    pub fn control(&self, args: &[&str]) -> std::process::Output {
+        let output = Command::new(self.programs.control).args(args).output();
+        output.expect("egretctl runs")
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+        let _ = std::fs::remove_dir_all(&self.work);
+    }
+}
+
+fn path_text(path: &Path) -> String {
+    path.display().to_string()
+}
--- /dev/null
+++ b/crates/egretstage_standins/src/lib.rs
@@ -0,0 +1,27 @@
+//! Stand-ins for the platform, the model engines and the plain services.
+//!
+//! Each stand-in is a small HTTP server that keeps its state in memory and
+//! records what it really did, so that a test can compare that record with
+//! what callers were told. No product crate depends on this one.
+
+pub mod append_log;
+pub mod caller;
+pub mod engine;
+pub mod fleet;
+pub mod instance_list;
+pub mod plain_service;
+pub mod scenario;
+pub mod server;
+pub mod weight_store;
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::append_log::{AppendLogOptions, AppendLogStandIn};
+    pub use crate::caller::{Ask, Told, chat_messages};
+    pub use crate::engine::{EngineOptions, EngineStandIn};
+    pub use crate::fleet::{Fleet, Placement, Program, Programs, free_address, wait_for};
+    pub use crate::instance_list::InstanceListStandIn;
+    pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
+    pub use crate::server::{Reply, StandInHandler, serve};
+    pub use crate::weight_store::{WeightStoreOptions, WeightStoreStandIn};
+}
--- /dev/null
+++ b/crates/egretstage_standins/src/weight_store.rs
@@ -0,0 +1,117 @@
+//! The stand-in for the platform's rate-limited weight store.
+
+use crate::server::{Call, Reply, StandInHandler, serve};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Limits of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightStoreOptions {
+    /// Bytes a second over all transfers.
+    pub bytes_per_second: u64,
+    /// Longest queue, in time, over which the store refuses.
+    pub max_wait: Duration,
+}
+
+impl Default for WeightStoreOptions {
+    fn default() -> Self {
+        Self {
+            bytes_per_second: 1 << 30,
+            max_wait: Duration::from_secs(2),
+        }
+    }
+}
+
+/// A transfer that was done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Transfer {
+    /// The model group.
+    pub group: String,
+    /// The rank that received the weights.
+    pub rank: u16,
+    /// The expert.
+    pub expert: u16,
+    /// Size in bytes.
+    pub bytes: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    free_at: Instant,
+    done: Vec<Transfer>,
+}
+
+/// The stand-in for the platform's rate-limited weight store.
+#[derive(Debug)]
+pub struct WeightStoreStandIn {
+    options: WeightStoreOptions,
+    state: Mutex<State>,
+}
+
+impl WeightStoreStandIn {
+    /// Starts the store on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the address can't be used.
+    pub fn start(
+        address: SocketAddr,
+        options: WeightStoreOptions,
+    ) -> std::io::Result<(Arc<Self>, SocketAddr)> {
+        let store = Arc::new(Self {
+            options,
+            state: Mutex::new(State {
+                free_at: Instant::now(),
+                done: Vec::new(),
+            }),
+        });
+        let address = serve(address, Arc::clone(&store))?;
+        Ok((store, address))
+    }
+
+    /// Returns the transfers that were done.
+    #[must_use]
+    pub fn done(&self) -> Vec<Transfer> {
+        self.lock().done.clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a place in the queue and returns when the transfer is done.
+    fn reserve(&self, bytes: u64) -> Option<Instant> {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let start = state.free_at.max(now);
+        if start - now > self.options.max_wait {
+            return None;
+        }
+        let nanos = u128::from(bytes) * 1_000_000_000 / u128::from(self.options.bytes_per_second);
+        state.free_at = start + Duration::from_nanos(u64::try_from(nanos).unwrap_or(u64::MAX));
+        Some(state.free_at)
+    }
+}
+
+impl StandInHandler for WeightStoreStandIn {
+    async fn answer(&self, call: Call) -> Reply {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/transfers") => Reply::ok(&self.done()),
+            ("POST", "/transfers") => {
+                let transfer: Transfer = match serde_json::from_slice(&call.body) {
+                    Ok(transfer) => transfer,
+                    Err(e) => return Reply::error(400, &e.to_string()),
+                };
+                let Some(done_at) = self.reserve(transfer.bytes) else {
+                    return Reply::error(429, "the store's rate is used up");
+                };
+                tokio::time::sleep_until(done_at.into()).await;
+                self.lock().done.push(transfer);
+                Reply::ok(&serde_json::json!({}))
+            }
+            _ => Reply::error(404, "no such path"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretstage_wire/src/lib.rs
@@ -0,0 +1,33 @@
+//! Messages between the system's own processes and their CBOR codec.
+//!
+//! An entry and a companion share one WebSocket. Each binary message holds one
+//! [`Frame`]. The first frame of each side is a [`Hello`] with the protocol
+//! version; a peer of another version is refused.
+
+mod codec;
+mod frame;
+mod load;
+mod names;
+mod outcome;
+mod stream;
+
+pub use codec::{CodecError, MAX_FRAME_BYTES, decode, encode};
+pub use frame::{
+    AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, PROTOCOL_VERSION, Role, StreamEnd,
+};
+pub use load::LoadReport;
+pub use names::{
+    InstanceId, InvalidName, MAX_NAME_BYTES, ModelName, OrganisationName, RequestId, ServiceName,
+    ZoneName,
+};
+pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use stream::{Incarnation, StreamId, StreamIds};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, Incarnation, InstanceId, LoadReport,
+        ModelName, NotRunReason, OrganisationName, Outcome, RequestId, Role, ServiceName,
+        StreamEnd, StreamId, StreamIds, UnknownReason, ZoneName,
+    };
+}
--- /dev/null
+++ b/crates/egretstage_wire/src/outcome.rs
@@ -0,0 +1,69 @@
+//! What became of a call, in the one form that callers see.
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The upstream's answer is whole.
+    Completed,
+    /// The call was proved not to have run.
+    NotRun {
+        /// Why it was refused.
+        reason: NotRunReason,
+        /// When to come back, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// The call may or may not have run.
+    Unknown {
+        /// What was lost.
+        reason: UnknownReason,
+    },
+}
+
+/// Why a call was refused before it ran.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum NotRunReason {
+    /// No live upstream serves the service.
+    NoUpstream,
+    /// No upstream can finish within the budget.
+    DeadlineTooClose,
+    /// The budget ended before the call was sent to the upstream.
+    DeadlinePassed,
+    /// The organisation or the upstream is over its limit.
+    Overloaded,
+    /// The companion is stopping.
+    Leaving,
+    /// The upstream refused the connection.
+    UpstreamUnreachable,
+    /// The key belongs to another owner.
+    NotOwner,
+    /// The caller hung up before the call was sent.
+    CallerGone,
+    /// The companion can't serve a call of this kind.
+    Unsupported,
+}
+
+/// Why it isn't known whether a call ran.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum UnknownReason {
+    /// The link to the companion was lost after the call was sent.
+    LinkLost,
+    /// The upstream's connection broke after the call was sent.
+    UpstreamCut,
+    /// The deadline passed while the call ran.
+    DeadlinePassed,
+    /// A former owner of the key may have run the call.
+    FormerOwner,
+    /// The answer is no longer held.
+    AnswerForgotten,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,18 @@
+//! A load balancer for expert-parallel model groups and the plain services
+//! beside them.
+//!
+//! The crates of the workspace, under one roof. The programs `egret-entry`,
+//! `egret-companion` and `egretctl` are thin shells around them.
+
+pub use egretstage_companion as companion;
+pub use egretstage_config as config;
+pub use egretstage_control as control;
+pub use egretstage_entry as entry;
+pub use egretstage_link as link;
+pub use egretstage_observe as observe;
+pub use egretstage_platform as platform;
+pub use egretstage_routing as routing;
+pub use egretstage_runtime as runtime;
+pub use egretstage_wire as wire;
+
+pub mod daemon_args;
