Add the fault-injecting proxy and places for the matters to come

Cause: the proofs under failure need one proxy with delay, jitter, silence, cuts and answers lost after their effect; parallel work needs fixed places.

Change: egretstage_standins::fault_proxy, empty crates for balance, group and at-most-once, empty benches, an index of design notes.

The proxy has no test yet.

--- /dev/null
+++ b/benches/slopes.rs
@@ -0,0 +1,3 @@
+//! To be written.
+
+fn main() {}
--- /dev/null
+++ b/crates/egretstage_balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Plans where the experts of a model group run.
--- /dev/null
+++ b/crates/egretstage_group/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lets all ranks of a group use one expert map in every step.
--- /dev/null
+++ b/crates/egretstage_once/src/lib.rs
@@ -0,0 +1,1 @@
+//! Runs what may not be repeated at most once.
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use crate::append_log::{AppendLogOptions, AppendLogStandIn};
 use crate::engine::{EngineOptions, EngineStandIn};
+use crate::fault_proxy::FaultProxy;
 use crate::instance_list::InstanceListStandIn;
 use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
 use crate::weight_store::{WeightStoreOptions, WeightStoreStandIn};
@@ -272,6 +273,16 @@
         self.runtime.as_ref().expect("a running fleet").handle()
     }
 
+    /// Starts a fault-injecting proxy in front of a server.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the machine refuses a port.
+    #[must_use]
+    pub fn proxy(&self, server: SocketAddr, seed: u64) -> FaultProxy {
+        FaultProxy::start(self.handle(), server, seed).expect("a proxy")
+    }
+
     /// Starts an engine.
     ///
     /// # Panics
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod append_log;
 pub mod caller;
 pub mod engine;
+pub mod fault_proxy;
 pub mod fleet;
 pub mod instance_list;
 pub mod plain_service;
@@ -19,6 +20,7 @@
     pub use crate::append_log::{AppendLogOptions, AppendLogStandIn};
     pub use crate::caller::{Ask, Told, chat_messages};
     pub use crate::engine::{EngineOptions, EngineStandIn};
+    pub use crate::fault_proxy::{FaultProxy, LinkFaults};
     pub use crate::fleet::{Fleet, Placement, Program, Programs, free_address, wait_for};
     pub use crate::instance_list::InstanceListStandIn;
     pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,12 +4,15 @@
 //! The crates of the workspace, under one roof. The programs `egret-entry`,
 //! `egret-companion` and `egretctl` are thin shells around them.
 
+pub use egretstage_balance as balance;
 pub use egretstage_companion as companion;
 pub use egretstage_config as config;
 pub use egretstage_control as control;
 pub use egretstage_entry as entry;
+pub use egretstage_group as group;
 pub use egretstage_link as link;
 pub use egretstage_observe as observe;
+pub use egretstage_once as once;
 pub use egretstage_platform as platform;
 pub use egretstage_routing as routing;
 pub use egretstage_runtime as runtime;
