End planned stops by proof, not by waiting

Cause: a companion that was told to stop waited 500 ms for its entries to hear of it. A start frame that was under way longer met a closed link, and the caller of a booking was told 'unknown' although the stop was planned. An entry counted calls, not connections, so a request that was still being read at the end of the drain was lost.

Ruled out: a longer wait (a slow link is always slower than the wait; the test delays the link by 300 ms each way).

Change: an entry answers Leaving with LeavingNoted, its promise that no start frame follows on that link; the companion ends when every open link has promised and nothing runs. An entry accepts what the kernel's backlog holds, serves all open connections to their end and stops with the last one. A start frame carries the entry's clock: what exceeds the least difference seen on the link counts as spent budget, so a companion that was paused doesn't run stale work as if it were fresh.

Proofs: leaving_upstream_gets_no_new_work (SIGTERM with a list that never learns of it, the list, a cut link, a silent link, a paused companion) and planned_stop_cuts_off_no_request. Not seen to fail: lateness not measured, because the cut link cancels the stale call in the same instant; the check stays as a second line.

--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -9,6 +9,7 @@
 use egretstage_wire::{Frame, Hello, Incarnation, PROTOCOL_VERSION, Role};
 use miette::{IntoDiagnostic, WrapErr, miette};
 use std::sync::Arc;
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -49,7 +50,7 @@
         slots: settings.upstream.slots,
     };
     let spawned = EventLoop::spawn("reducer", rx, move || {
-        let reducer = CompanionReducer::new(limits);
+        let reducer = CompanionReducer::new(Instant::now(), limits);
         (reducer, Box::new(move |effect| sink.carry_out(effect)))
     });
     spawned.into_diagnostic()?;
--- a/crates/egretstage_companion/src/lib.rs
+++ b/crates/egretstage_companion/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 mod event;
+mod links;
 mod reducer;
 mod runs;
 mod upstream;
--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -1,5 +1,6 @@
 //! All decisions of a companion.
 
+use crate::links::EntryLinks;
 use crate::runs::{Run, RunState, Runs};
 use crate::{
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
@@ -11,7 +12,7 @@
     AnswerHead, CallStart, Chunk, Frame, LoadReport, NotRunReason, Outcome, Role, StreamEnd,
     StreamId, UnknownReason,
 };
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Bytes of prompt text that make about one token.
@@ -20,9 +21,6 @@
 /// Time between two load reports on a link.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time that "leaving" has to reach the entries before the process ends.
-const LEAVING_GRACE: Duration = Duration::from_millis(500);
-
 /// Limits of a companion's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct CompanionLimits {
@@ -34,23 +32,23 @@
 #[derive(Debug)]
 pub struct CompanionReducer {
     limits: CompanionLimits,
-    links: BTreeMap<LinkKey, u64>,
+    links: EntryLinks,
     runs: Runs,
     next_report: Option<Instant>,
-    leaving_until: Option<Instant>,
+    leaving: bool,
     exited: bool,
 }
 
 impl CompanionReducer {
     /// Starts a companion without links.
     #[must_use]
-    pub fn new(limits: CompanionLimits) -> Self {
+    pub fn new(now: Instant, limits: CompanionLimits) -> Self {
         Self {
             limits,
-            links: BTreeMap::new(),
+            links: EntryLinks::new(now),
             runs: Runs::default(),
             next_report: None,
-            leaving_until: None,
+            leaving: false,
             exited: false,
         }
     }
@@ -62,24 +60,28 @@
         start: Box<CallStart>,
         fx: &mut Vec<CompanionEffect>,
     ) {
-        if let Some(received) = self.links.get_mut(&link) {
-            *received += 1;
-        }
+        let late = self.links.note_start(now, link, start.sent_ms);
         if self.runs.of_stream(start.stream).is_some() {
             return;
         }
-        if self.leaving_until.is_some() {
+        if self.leaving {
             fx.push(self.line(&start, PlacementDecision::RefuseLeaving));
             fx.push(not_run(link, start.stream, NotRunReason::Leaving));
             return;
         }
+        let budget = Duration::from_millis(start.budget_ms).saturating_sub(late);
+        if budget.is_zero() {
+            fx.push(self.line(&start, PlacementDecision::Expire));
+            fx.push(not_run(link, start.stream, NotRunReason::DeadlinePassed));
+            return;
+        }
         let waits = self.runs.running() >= self.limits.slots as usize;
         if waits {
             fx.push(self.line(&start, PlacementDecision::Wait));
         }
         self.runs.enqueue(Run {
             link,
-            deadline: now + Duration::from_millis(start.budget_ms),
+            deadline: now + budget,
             credit: start.credit,
             start,
             state: RunState::Waiting,
@@ -143,6 +145,7 @@
                 };
                 fx.push(end(link, stream, outcome, 0));
             }
+            Frame::LeavingNoted => self.links.note_leaving(link),
             Frame::Hello(_)
             | Frame::Head(_)
             | Frame::Chunk(_)
@@ -252,19 +255,18 @@
     }
 
     fn link_down(&mut self, link: LinkKey, fx: &mut Vec<CompanionEffect>) {
-        self.links.remove(&link);
+        self.links.remove(link);
         for key in self.runs.on_link(link) {
             self.cancel(key, fx);
         }
     }
 
-    fn stop(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
-        if self.leaving_until.is_none() {
-            self.leaving_until = Some(now + LEAVING_GRACE);
+    fn stop(&mut self, fx: &mut Vec<CompanionEffect>) {
+        if !std::mem::replace(&mut self.leaving, true) {
             fx.push(CompanionEffect::Ready(false));
             for link in self.links.keys() {
                 fx.push(CompanionEffect::Send {
-                    link: *link,
+                    link,
                     frame: Frame::Leaving,
                 });
             }
@@ -277,13 +279,13 @@
         }
         self.next_report = Some(now + REPORT_INTERVAL);
         let load = self.load();
-        for (link, received) in &self.links {
+        for (link, received) in self.links.received() {
             let load = LoadReport {
-                received_from_peer: *received,
+                received_from_peer: received,
                 ..load
             };
             fx.push(CompanionEffect::Send {
-                link: *link,
+                link,
                 frame: Frame::Load(load),
             });
         }
@@ -300,9 +302,9 @@
         }
     }
 
-    /// Ends a planned stop once nothing runs any more.
-    fn settle(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
-        let left = self.leaving_until.is_some_and(|until| until <= now);
+    /// Ends a planned stop once nothing runs and no entry will send any more.
+    fn settle(&mut self, fx: &mut Vec<CompanionEffect>) {
+        let left = self.leaving && self.links.all_noted_leaving();
         if left && self.runs.is_empty() && !std::mem::replace(&mut self.exited, true) {
             fx.push(CompanionEffect::Exit);
         }
@@ -317,9 +319,9 @@
         match event {
             CompanionEvent::LinkUp { link, hello } => {
                 if hello.role == Role::Entry {
-                    self.links.insert(link, 0);
+                    self.links.insert(link);
                     self.next_report = Some(now);
-                    if self.leaving_until.is_some() {
+                    if self.leaving {
                         let frame = Frame::Leaving;
                         fx.push(CompanionEffect::Send { link, frame });
                     }
@@ -347,22 +349,21 @@
                 }
             }
             CompanionEvent::UpstreamFailed { run, failure } => self.failed(run, failure, fx),
-            CompanionEvent::Stop => self.stop(now, fx),
+            CompanionEvent::Stop => self.stop(fx),
         }
         self.report(now, fx);
-        self.settle(now, fx);
+        self.settle(fx);
     }
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         self.expire(now, fx);
         self.report(now, fx);
-        self.settle(now, fx);
+        self.settle(fx);
     }
 
     fn next_wake(&self) -> Option<Instant> {
         let report = self.next_report.filter(|_| !self.links.is_empty());
-        let leave = self.leaving_until.filter(|_| !self.exited);
-        [self.runs.next_deadline(), report, leave]
+        [self.runs.next_deadline(), report]
             .into_iter()
             .flatten()
             .min()
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -88,6 +88,14 @@
     /// Longest budget that a request may ask for, in milliseconds.
     #[serde(default = "default_max_budget_ms")]
     pub max_budget_ms: u64,
+    /// Time between "not ready" and the end of accepting at a planned stop,
+    /// in milliseconds; at least the platform balancer's check interval.
+    #[serde(default = "default_not_ready_grace_ms")]
+    pub not_ready_grace_ms: u64,
+}
+
+fn default_not_ready_grace_ms() -> u64 {
+    1_000
 }
 
 fn default_max_connections() -> usize {
--- a/crates/egretstage_entry/src/calls.rs
+++ b/crates/egretstage_entry/src/calls.rs
@@ -38,10 +38,6 @@
 }
 
 impl Calls {
-    pub(crate) fn is_empty(&self) -> bool {
-        self.by_key.is_empty()
-    }
-
     pub(crate) fn insert(&mut self, key: CallKey, call: Call) {
         self.deadlines.insert((call.deadline, key));
         self.by_key.insert(key, call);
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -9,9 +9,10 @@
 use egretstage_routing::LeastPredictedWait;
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
 use egretstage_wire::{Frame, Hello, Incarnation, InstanceId, PROTOCOL_VERSION, Role};
-use miette::{IntoDiagnostic, WrapErr, miette};
+use miette::{IntoDiagnostic, WrapErr};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
@@ -34,7 +35,6 @@
     let health = Health::default();
     let answers = Answers::default();
     let (stop_listening, listening) = watch::channel(false);
-    let (exit, mut exited) = watch::channel(false);
     let identity = LinkIdentity::new(
         hello(settings, incarnation),
         settings.process.link_key.expose(),
@@ -49,12 +49,15 @@
         io: runtime.handle().clone(),
         health: health.clone(),
         stop_listening,
-        exit,
     };
     let zone = settings.process.zone.clone();
+    let limits = EntryLimits {
+        not_ready_grace: Duration::from_millis(settings.callers.not_ready_grace_ms),
+        ..EntryLimits::default()
+    };
     let spawned = EventLoop::spawn("reducer", rx, move || {
         let policy = Box::new(LeastPredictedWait);
-        let reducer = EntryReducer::new(zone, incarnation, EntryLimits::default(), policy);
+        let reducer = EntryReducer::new(Instant::now(), zone, incarnation, limits, policy);
         let mut sink = sink;
         (reducer, Box::new(move |effect| sink.carry_out(effect)))
     });
@@ -72,12 +75,7 @@
             .into_diagnostic()
             .wrap_err_with(|| format!("callers' address {address} can't be used"))?;
         log::info!(address:display = address; "entry started");
-        let server = tokio::spawn(Arc::new(server).run(listener, listening));
-        exited
-            .wait_for(|exit| *exit)
-            .await
-            .map_err(|_| miette!("the reducer ended"))?;
-        server.await.into_diagnostic()?;
+        Arc::new(server).run(listener, listening).await;
         Ok::<_, miette::Report>(())
     })?;
     runtime.shutdown_background();
@@ -142,7 +140,6 @@
     io: Handle,
     health: Health,
     stop_listening: watch::Sender<bool>,
-    exit: watch::Sender<bool>,
 }
 
 impl Sink {
@@ -157,9 +154,6 @@
             EntryEffect::StopListening => {
                 self.stop_listening.send_replace(true);
             }
-            EntryEffect::Exit => {
-                self.exit.send_replace(true);
-            }
         }
     }
 
--- a/crates/egretstage_entry/src/event.rs
+++ b/crates/egretstage_entry/src/event.rs
@@ -100,10 +100,8 @@
     Log(Box<DecisionLine>),
     /// Says whether the entry takes new work.
     Ready(bool),
-    /// Accepts no more connections.
+    /// Accepts no more connections; the process ends with the last one.
     StopListening,
-    /// Ends the process: nothing runs any more.
-    Exit,
 }
 
 /// A part of an answer; `End`, `Cut` and `Refused` are final.
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -41,7 +41,13 @@
 /// Most headers of a request.
 const MAX_HEADERS: usize = 64;
 
-/// Longest wait for the last bytes of answers to leave.
+/// Pause after a connection that couldn't be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Wait for one more connection from the listener's backlog at a stop.
+const BACKLOG_WAIT: Duration = Duration::from_millis(20);
+
+/// Wait for the last bytes of answers beyond their deadline.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 type AnswerSenders = Arc<Mutex<HashMap<CallKey, UnboundedSender<AnswerPart>>>>;
@@ -112,8 +118,8 @@
         }
     }
 
-    /// Accepts connections until told to stop, then waits for their last
-    /// bytes to leave.
+    /// Accepts connections until told to stop, then serves those that are
+    /// open to their end.
     pub(crate) async fn run(
         self: Arc<Self>,
         listener: TcpListener,
@@ -125,23 +131,52 @@
                 accepted = listener.accept() => accepted,
                 () = stopped(&mut stop) => break,
             };
-            let Ok((tcp, _)) = accepted else {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            };
-            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-                log::warn!(limit = self.max_connections; "connection refused: too many");
-                continue;
-            };
-            let server = Arc::clone(&self);
-            let stop = stop.clone();
-            tokio::spawn(async move {
-                server.connection(tcp, stop).await;
-                drop(place);
-            });
+            match accepted {
+                Ok((tcp, _)) => self.start_connection(tcp, &places, &stop),
+                Err(e) => {
+                    log::warn!(error:display = e; "a connection can't be accepted");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
         }
+        self.accept_backlog(&listener, &places, &stop).await;
+        drop(listener);
         let all = u32::try_from(self.max_connections).unwrap_or(u32::MAX);
-        let _ = timeout(FLUSH_TIMEOUT, places.acquire_many(all)).await;
+        let longest = HEADER_TIMEOUT + BODY_TIMEOUT + self.limits.max_budget + FLUSH_TIMEOUT;
+        if timeout(longest, places.acquire_many(all)).await.is_err() {
+            log::warn!("callers that don't read their answers are cut off");
+        }
+    }
+
+    /// Accepts what the kernel holds for the listener, which would be reset
+    /// otherwise.
+    async fn accept_backlog(
+        self: &Arc<Self>,
+        listener: &TcpListener,
+        places: &Arc<Semaphore>,
+        stop: &watch::Receiver<bool>,
+    ) {
+        while let Ok(Ok((tcp, _))) = timeout(BACKLOG_WAIT, listener.accept()).await {
+            self.start_connection(tcp, places, stop);
+        }
+    }
+
+    fn start_connection(
+        self: &Arc<Self>,
+        tcp: TcpStream,
+        places: &Arc<Semaphore>,
+        stop: &watch::Receiver<bool>,
+    ) {
+        let Ok(place) = Arc::clone(places).try_acquire_owned() else {
+            log::warn!(limit = self.max_connections; "connection refused: too many");
+            return;
+        };
+        let server = Arc::clone(self);
+        let stop = stop.clone();
+        tokio::spawn(async move {
+            server.connection(tcp, stop).await;
+            drop(place);
+        });
     }
 
     async fn connection(self: Arc<Self>, tcp: TcpStream, mut stop: watch::Receiver<bool>) {
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -22,20 +22,22 @@
 /// Chunks that a companion may send before the caller has read any.
 pub const INITIAL_CREDIT: u32 = 64;
 
-/// Time between "not ready" and the end of accepting, for the platform's
-/// balancer to notice.
-const NOT_READY_GRACE: Duration = Duration::from_millis(500);
-
 /// Limits of an entry's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
     /// Most times that one request is sent.
     pub max_attempts: u32,
+    /// Time between "not ready" and the end of accepting, for the platform's
+    /// balancer to notice.
+    pub not_ready_grace: Duration,
 }
 
 impl Default for EntryLimits {
     fn default() -> Self {
-        Self { max_attempts: 2 }
+        Self {
+            max_attempts: 2,
+            not_ready_grace: Duration::from_secs(1),
+        }
     }
 }
 
@@ -45,11 +47,11 @@
     No,
     NotReady { until: Instant },
     Draining,
-    Done,
 }
 
 /// Makes all decisions of an entry.
 pub struct EntryReducer {
+    clock_start: Instant,
     zone: ZoneName,
     limits: EntryLimits,
     policy: Box<dyn RoutingPolicy>,
@@ -66,12 +68,14 @@
     /// Starts an entry that knows nothing yet.
     #[must_use]
     pub fn new(
+        now: Instant,
         zone: ZoneName,
         incarnation: Incarnation,
         limits: EntryLimits,
         policy: Box<dyn RoutingPolicy>,
     ) -> Self {
         Self {
+            clock_start: now,
             zone,
             limits,
             policy,
@@ -237,6 +241,7 @@
             kind: call.req.target.kind(),
             key: call.req.key.clone(),
             repeatable: call.repeatable,
+            sent_ms: as_millis(now.saturating_duration_since(self.clock_start)),
             budget_ms: as_millis(call.deadline.saturating_duration_since(now)),
             priority,
             method: call.req.method.clone(),
@@ -277,8 +282,11 @@
                 if let Some(runner) = self.runner_of_link(link) {
                     runner.leaving = true;
                 }
+                let frame = Frame::LeavingNoted;
+                fx.push(EntryEffect::Send { link, frame });
             }
-            Frame::Hello(_)
+            Frame::LeavingNoted
+            | Frame::Hello(_)
             | Frame::Start(_)
             | Frame::Cancel(_)
             | Frame::Credit { .. }
@@ -475,7 +483,7 @@
     fn stop(&mut self, now: Instant) {
         if self.stopping == Stopping::No {
             self.stopping = Stopping::NotReady {
-                until: now + NOT_READY_GRACE,
+                until: now + self.limits.not_ready_grace,
             };
         }
     }
@@ -490,16 +498,11 @@
             self.ready = ready;
             fx.push(EntryEffect::Ready(ready));
         }
-        match self.stopping {
-            Stopping::NotReady { until } if until <= now => {
-                self.stopping = Stopping::Draining;
-                fx.push(EntryEffect::StopListening);
-            }
-            Stopping::Draining if self.calls.is_empty() => {
-                self.stopping = Stopping::Done;
-                fx.push(EntryEffect::Exit);
-            }
-            _ => {}
+        if let Stopping::NotReady { until } = self.stopping
+            && until <= now
+        {
+            self.stopping = Stopping::Draining;
+            fx.push(EntryEffect::StopListening);
         }
     }
 }
--- a/crates/egretstage_standins/src/plain_service.rs
+++ b/crates/egretstage_standins/src/plain_service.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Behaviour of the service.
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,6 +26,8 @@
     pub request: Option<String>,
     /// The body.
     pub body: String,
+    /// When it ran, in milliseconds since the service started.
+    pub at_ms: u64,
 }
 
 /// Faults that a test switches on.
@@ -52,6 +54,7 @@
 #[derive(Debug)]
 pub struct PlainServiceStandIn {
     options: PlainServiceOptions,
+    started: Instant,
     state: Mutex<State>,
 }
 
@@ -67,6 +70,7 @@
     ) -> std::io::Result<(Arc<Self>, SocketAddr)> {
         let service = Arc::new(Self {
             options,
+            started: Instant::now(),
             state: Mutex::default(),
         });
         let address = serve(address, Arc::clone(&service))?;
@@ -79,6 +83,12 @@
         self.lock().ran.clone()
     }
 
+    /// Returns the time since the service started, in milliseconds.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Switches faults on or off.
     pub fn set_faults(&self, faults: PlainServiceFaults) {
         self.lock().faults = faults;
@@ -97,6 +107,7 @@
             key: text("idempotency-key"),
             request: text("egret-request-id"),
             body: String::from_utf8_lossy(&call.body).into_owned(),
+            at_ms: self.now_ms(),
         };
         let mut state = self.lock();
         state.ran.push(ran);
--- a/crates/egretstage_wire/src/frame.rs
+++ b/crates/egretstage_wire/src/frame.rs
@@ -44,6 +44,8 @@
     Load(LoadReport),
     /// Companion to entry: no new work may be sent on this link.
     Leaving,
+    /// Entry to companion: the last [`Frame::Start`] on this link went before.
+    LeavingNoted,
 }
 
 /// What a process says of itself when a link opens.
@@ -106,6 +108,8 @@
     pub repeatable: bool,
     /// Remaining budget in milliseconds when the frame was sent.
     pub budget_ms: u64,
+    /// The entry's own clock when the frame was sent, in milliseconds.
+    pub sent_ms: u64,
     /// Priority; a larger one goes first.
     pub priority: u8,
     /// HTTP method.
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -2,3 +2,6 @@
 //!
 //! One module for each point; each compares what the stand-ins really ran
 //! with what callers were told.
+
+mod leaving_upstream_gets_no_new_work;
+mod planned_stop_cuts_off_no_request;
