Measure the path, and write decision lines off the deciding thread

Cause: every route and place line was formatted and written inside the loop that decides, so a burst of 100 drafts waited for 200 lines of JSON.

--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -4,7 +4,9 @@
 use crate::{CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, PlacementLine};
 use egretstage_config::settings::CompanionSettings;
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, serve};
-use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
+use egretstage_observe::{
+    AdminServer, DecisionLog, DecisionRecord, DecisionWriter, Health, Metrics,
+};
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
 use egretstage_wire::{Frame, Hello, Incarnation, PROTOCOL_VERSION, Role};
 use miette::{IntoDiagnostic, WrapErr, miette};
@@ -29,6 +31,7 @@
         .into_diagnostic()?;
     let (events, rx) = EventLoop::channel();
     let health = Health::default();
+    let decisions = DecisionLog::<PlacementLine>::start().into_diagnostic()?;
     let table = LinkTable::default();
     let ready = health.clone();
     let links = table.clone();
@@ -42,6 +45,7 @@
     );
     let mut sink = Sink {
         client,
+        decisions: decisions.writer(),
         table: table.clone(),
         health: health.clone(),
         exit,
@@ -76,6 +80,7 @@
         Ok::<_, miette::Report>(())
     })?;
     runtime.shutdown_background();
+    decisions.finish();
     log::info!("companion stopped");
     Ok(())
 }
@@ -114,6 +119,7 @@
 /// Carries out the reducer's effects.
 struct Sink {
     client: UpstreamClient,
+    decisions: DecisionWriter<PlacementLine>,
     table: LinkTable,
     health: Health,
     exit: watch::Sender<bool>,
@@ -127,7 +133,7 @@
             CompanionEffect::StartUpstream { run, req } => self.client.start(run, *req),
             CompanionEffect::ReadUpstream { run, chunks } => self.client.read_more(run, chunks),
             CompanionEffect::CancelUpstream(run) => self.client.cancel(run),
-            CompanionEffect::Log(line) => log_placement(&line),
+            CompanionEffect::Log(line) => self.decisions.write(line),
             CompanionEffect::Ready(ready) => self.health.set_ready(ready),
             CompanionEffect::Exit => {
                 self.exit.send_replace(true);
@@ -136,6 +142,8 @@
     }
 }
 
-fn log_placement(line: &PlacementLine) {
-    log::info!(target: DECISION_TARGET, decision:serde = line; "place");
+impl DecisionRecord for PlacementLine {
+    fn verb(&self) -> &'static str {
+        "place"
+    }
 }
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -4,7 +4,9 @@
 use crate::{DecisionLine, EntryEffect, EntryEvent, EntryLimits, EntryReducer, feeds};
 use egretstage_config::settings::EntrySettings;
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
-use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
+use egretstage_observe::{
+    AdminServer, DecisionLog, DecisionRecord, DecisionWriter, Health, Metrics,
+};
 use egretstage_platform::{HttpAppendLog, HttpInstanceList};
 use egretstage_routing::LeastPredictedWait;
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
@@ -33,6 +35,7 @@
     let incarnation = Incarnation(rand::random());
     let (events, rx) = EventLoop::channel();
     let health = Health::default();
+    let decisions = DecisionLog::<DecisionLine>::start().into_diagnostic()?;
     let answers = Answers::default();
     let (stop_listening, listening) = watch::channel(false);
     let identity = LinkIdentity::new(
@@ -42,6 +45,7 @@
     .into_diagnostic()?;
     let sink = Sink {
         answers: answers.clone(),
+        decisions: decisions.writer(),
         table: LinkTable::default(),
         identity: Arc::new(identity),
         observer: Arc::new(Observer(events.clone())),
@@ -79,6 +83,7 @@
         Ok::<_, miette::Report>(())
     })?;
     runtime.shutdown_background();
+    decisions.finish();
     log::info!("entry stopped");
     Ok(())
 }
@@ -133,6 +138,7 @@
 /// Carries out the reducer's effects.
 struct Sink {
     answers: Answers,
+    decisions: DecisionWriter<DecisionLine>,
     table: LinkTable,
     identity: Arc<LinkIdentity>,
     observer: Arc<Observer>,
@@ -149,7 +155,7 @@
             EntryEffect::Send { link, frame } => self.table.send(link, frame),
             EntryEffect::Dial { instance, address } => self.dial(instance, address),
             EntryEffect::Close(link) => self.table.close(link),
-            EntryEffect::Log(line) => log_decision(&line),
+            EntryEffect::Log(line) => self.decisions.write(line),
             EntryEffect::Ready(ready) => self.health.set_ready(ready),
             EntryEffect::StopListening => {
                 self.stop_listening.send_replace(true);
@@ -171,11 +177,12 @@
     }
 }
 
-fn log_decision(line: &DecisionLine) {
-    let message = if line.refused.is_some() {
-        "refuse"
-    } else {
-        "route"
-    };
-    log::info!(target: DECISION_TARGET, decision:serde = line; "{message}");
+impl DecisionRecord for DecisionLine {
+    fn verb(&self) -> &'static str {
+        if self.refused.is_some() {
+            "refuse"
+        } else {
+            "route"
+        }
+    }
 }
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -75,6 +75,16 @@
         self.child.id()
     }
 
+    /// Returns the memory that the process holds, in KiB; 0 when it has ended.
+    #[must_use]
+    pub fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.and_then(|kib| kib.parse().ok()).unwrap_or(0)
+    }
+
     /// Kills the process at once and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -339,12 +349,27 @@
         program
     }
 
+    /// Starts a companion whose upstream may run many calls at once, waits
+    /// until it is ready and lists it.
+    #[must_use]
+    pub fn companion_with_slots(&self, place: &Placement<'_>, slots: u32) -> Program {
+        let address = free_address();
+        let program = self.launch_companion(place, address, &format!("slots = {slots}\n"));
+        program.await_ready(true);
+        self.list_companion(place, program.address, "live");
+        program
+    }
+
     /// Starts a companion at an address without listing it.
     #[must_use]
     pub fn companion_at(&self, place: &Placement<'_>, address: SocketAddr) -> Program {
+        self.launch_companion(place, address, "")
+    }
+
+    fn launch_companion(&self, place: &Placement<'_>, address: SocketAddr, more: &str) -> Program {
         let admin = free_address();
         let settings = format!(
-            "listen = \"{address}\"\n{}\n[upstream]\nservice = \"{}\"\nkind = \"{}\"\naddress = \"{}\"\n",
+            "listen = \"{address}\"\n{}\n[upstream]\nservice = \"{}\"\nkind = \"{}\"\naddress = \"{}\"\n{more}",
             self.process_settings(place.instance, place.zone, admin),
             place.service,
             place.kind,
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod plain_service;
 pub mod scenario;
 pub mod server;
+pub mod stream_load;
 pub mod weight_store;
 
 /// The items that most users of this crate need.
@@ -25,5 +26,6 @@
     pub use crate::instance_list::InstanceListStandIn;
     pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
     pub use crate::server::{Reply, StandInHandler, serve};
+    pub use crate::stream_load::{Burst, StreamTimes, send_burst};
     pub use crate::weight_store::{WeightStoreOptions, WeightStoreStandIn};
 }
