Count answers and calls, and refuse bad peers with a logged reason

Cause: /metrics was empty; a link that was refused left no trace at the companion, and a wrong key looked like any failed handshake.

Change: opentelemetry counters and gauges where effects are carried out; a refused link is logged with its peer and reason, the wrong key by name.

--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The companion as a process.
 
+use crate::meters::CompanionMeters;
 use crate::upstream::UpstreamClient;
 use crate::{CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, PlacementLine};
 use egretstage_config::settings::CompanionSettings;
@@ -31,6 +32,7 @@
         .into_diagnostic()?;
     let (events, rx) = EventLoop::channel();
     let health = Health::default();
+    let metrics = Metrics::new().into_diagnostic()?;
     let decisions = DecisionLog::<PlacementLine>::start().into_diagnostic()?;
     let table = LinkTable::default();
     let ready = health.clone();
@@ -45,6 +47,7 @@
     );
     let mut sink = Sink {
         client,
+        meters: CompanionMeters::new(&metrics),
         decisions: decisions.writer(),
         table: table.clone(),
         health: health.clone(),
@@ -59,7 +62,6 @@
     });
     spawned.into_diagnostic()?;
     let admin = settings.process.admin_listen;
-    let metrics = Metrics::new().into_diagnostic()?;
     AdminServer::start(admin, health, metrics, Box::new(|| "{}".to_owned())).into_diagnostic()?;
     let tx = events.clone();
     on_stop_signal(move || tx.send(CompanionEvent::Stop)).into_diagnostic()?;
@@ -119,6 +121,7 @@
 /// Carries out the reducer's effects.
 struct Sink {
     client: UpstreamClient,
+    meters: CompanionMeters,
     decisions: DecisionWriter<PlacementLine>,
     table: LinkTable,
     health: Health,
@@ -127,6 +130,7 @@
 
 impl Sink {
     fn carry_out(&mut self, effect: CompanionEffect) {
+        self.meters.count(&effect);
         match effect {
             CompanionEffect::Send { link, frame } => self.table.send(link, frame),
             CompanionEffect::Close(link) => self.table.close(link),
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -1,6 +1,7 @@
 //! The entry as a process.
 
 use crate::http::{Answers, CallerServer, bind};
+use crate::meters::EntryMeters;
 use crate::{DecisionLine, EntryEffect, EntryEvent, EntryLimits, EntryReducer, feeds};
 use egretstage_config::settings::EntrySettings;
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
@@ -35,6 +36,7 @@
     let incarnation = Incarnation(rand::random());
     let (events, rx) = EventLoop::channel();
     let health = Health::default();
+    let metrics = Metrics::new().into_diagnostic()?;
     let decisions = DecisionLog::<DecisionLine>::start().into_diagnostic()?;
     let answers = Answers::default();
     let (stop_listening, listening) = watch::channel(false);
@@ -45,6 +47,7 @@
     .into_diagnostic()?;
     let sink = Sink {
         answers: answers.clone(),
+        meters: EntryMeters::new(&metrics),
         decisions: decisions.writer(),
         table: LinkTable::default(),
         identity: Arc::new(identity),
@@ -67,7 +70,6 @@
     });
     spawned.into_diagnostic()?;
     let admin = settings.process.admin_listen;
-    let metrics = Metrics::new().into_diagnostic()?;
     AdminServer::start(admin, health, metrics, Box::new(|| "{}".to_owned())).into_diagnostic()?;
     start_feeds(settings, &events)?;
     let tx = events.clone();
@@ -138,6 +140,7 @@
 /// Carries out the reducer's effects.
 struct Sink {
     answers: Answers,
+    meters: EntryMeters,
     decisions: DecisionWriter<DecisionLine>,
     table: LinkTable,
     identity: Arc<LinkIdentity>,
@@ -150,6 +153,7 @@
 
 impl Sink {
     fn carry_out(&mut self, effect: EntryEffect) {
+        self.meters.count(&effect);
         match effect {
             EntryEffect::Answer { call, part } => self.answers.send(call, part),
             EntryEffect::Send { link, frame } => self.table.send(link, frame),
--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod event;
 mod feeds;
 mod http;
+mod meters;
 mod reducer;
 mod request;
 mod runners;
--- a/crates/egretstage_link/src/handshake.rs
+++ b/crates/egretstage_link/src/handshake.rs
@@ -36,6 +36,9 @@
     /// The peer's first message isn't a `Hello`.
     #[error("peer's first message is not a hello: {0}")]
     NoHello(String),
+    /// The peer doesn't have the shared key.
+    #[error("wrong link key")]
+    WrongKey,
     /// The shared key can't stand in a header.
     #[error("the link key has a character that a header can't hold")]
     Key,
@@ -43,7 +46,12 @@
 
 impl From<tungstenite::Error> for LinkError {
     fn from(e: tungstenite::Error) -> Self {
-        Self::Handshake(Box::new(e))
+        match e {
+            tungstenite::Error::Http(resp) if resp.status() == StatusCode::UNAUTHORIZED => {
+                Self::WrongKey
+            }
+            e => Self::Handshake(Box::new(e)),
+        }
     }
 }
 
@@ -116,14 +124,15 @@
     observer: Arc<dyn LinkObserver>,
 ) -> std::io::Result<()> {
     loop {
-        let (tcp, _) = listener.accept().await?;
+        let (tcp, peer) = listener.accept().await?;
         let identity = Arc::clone(&identity);
         let table = table.clone();
         let observer = Arc::clone(&observer);
         tokio::spawn(async move {
             let accepted = timeout(SILENCE_LIMIT, accept(tcp, &identity)).await;
-            if let Ok(Ok((socket, hello))) = accepted {
-                run(socket, hello, &table, observer.as_ref()).await;
+            match accepted.unwrap_or(Err(LinkError::Timeout)) {
+                Ok((socket, hello)) => run(socket, hello, &table, observer.as_ref()).await,
+                Err(e) => log::warn!(peer:display = peer, reason:display = e; "link refused"),
             }
         });
     }
