Plan expert moves that pay, and level shares each minute

Re-planning from scratch moves most replicas, and the age of the loads costs more than imperfect packing.

Change: egretstage_balance with the expert map, a load forecast, four planners (never move, full re-plan, greedy swaps, incremental) and an executor that carries plans out in batches sized by the store's rate.

Seen: the property tests failed first on a plan that overwrote a replica and copied it back; the planner no longer does.

--- a/crates/egretstage_balance/src/lib.rs
+++ b/crates/egretstage_balance/src/lib.rs
@@ -1,1 +1,38 @@
 //! Plans where the experts of a model group run.
+//!
+//! A [`Planner`] sees the map in force and a forecast of each expert's load
+//! and returns a [`Plan`]: a target map and the weight moves that lead to it.
+//! The [`MoveExecutor`] carries a plan out in small batches through the
+//! rate-limited weight store. Nothing here does I/O or reads a clock.
+
+mod executor;
+mod forecast;
+mod level;
+mod map;
+mod pack;
+mod plan;
+mod planners;
+mod trade;
+
+pub use executor::{
+    DropReason, ExecutorEffect, ExecutorEvent, ExecutorLimits, GroupPlan, LayerMove, MapVersion,
+    MoveExecutor, TransferId, TransferResult,
+};
+pub use forecast::LoadForecast;
+pub use level::{Sharing, level_shares};
+pub use map::{
+    ExpertId, ExpertMap, InvalidMap, LayerMap, LayerShape, RankId, RawLayerMap, Replica, Share,
+    skew,
+};
+pub use pack::replicate_and_pack;
+pub use plan::{Move, Plan, PlanContext, Planner, with_moves, without_victims};
+pub use planners::{FullReplan, GreedySwaps, IncrementalPlanner, NeverMove};
+pub use trade::{BalanceTrade, InvalidTrade, RawBalanceTrade};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        BalanceTrade, ExpertId, ExpertMap, IncrementalPlanner, LayerMap, LayerShape, LoadForecast,
+        Move, MoveExecutor, Plan, PlanContext, Planner, RankId, Replica, Share, Sharing, skew,
+    };
+}
--- /dev/null
+++ b/crates/egretstage_balance/src/planners/never.rs
@@ -0,0 +1,13 @@
+//! The baseline that keeps the first map.
+
+use crate::{Plan, PlanContext, Planner};
+
+/// Keeps the map in force, shares included.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NeverMove;
+
+impl Planner for NeverMove {
+    fn plan(&mut self, cx: &PlanContext<'_>) -> Plan {
+        Plan::weights_only(cx.map.clone())
+    }
+}
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -5,8 +5,10 @@
 //! what callers were told. No product crate depends on this one.
 
 pub mod append_log;
+pub mod balance_run;
 pub mod caller;
 pub mod engine;
+pub mod expert_demand;
 pub mod fault_proxy;
 pub mod fleet;
 pub mod instance_list;
