Decide for a group by claims, generations and granted steps

A group had no decider. All ranks must use one expert map in every step, with ranks frozen or replaced, messages late, and the deciding process dead at any point.

Ruled out: activation at a named step (a rank that misses the message runs past it with the old map), leases by time (a paused holder runs on), a log record for each switch (the log's outage would stop balance), and keeping the granted steps across a takeover (it needs the highest grant of every rank, also of a replaced one, which nobody can know).

The change: a claim's offset on the log is the fencing number. A decider forms a generation: all ranks leave the earlier ones, which drops what they were granted and had not begun, and report the last step begun; the generation starts above the highest. Within it the one decider grants ranges of steps, each with its map; a switch is decided by the first grant beyond what was granted before. The reducers do no I/O.

The fold agrees for readers that come after records have expired: 5,000 cases in tests/claims_fold.rs.

--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -151,7 +151,8 @@
             | Frame::Chunk(_)
             | Frame::End(_)
             | Frame::Load(_)
-            | Frame::Leaving => fx.push(CompanionEffect::Close(link)),
+            | Frame::Leaving
+            | Frame::Group(_) => fx.push(CompanionEffect::Close(link)),
         }
     }
 
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -290,7 +290,8 @@
             | Frame::Start(_)
             | Frame::Cancel(_)
             | Frame::Credit { .. }
-            | Frame::Resume { .. } => fx.push(EntryEffect::Close(link)),
+            | Frame::Resume { .. }
+            | Frame::Group(_) => fx.push(EntryEffect::Close(link)),
         }
     }
 
--- /dev/null
+++ b/crates/egretstage_group/tests/claims_fold.rs
@@ -0,0 +1,107 @@
+//! All readers of a claims stream accept the same claims.
+
+use egretstage_group::{ClaimRecord, ClaimVerdict, Claims};
+use egretstage_wire::{Fence, Incarnation, InstanceId};
+use proptest::prelude::*;
+use std::net::SocketAddr;
+
+fn record(writer: u64, base: u64, renews: Option<Fence>) -> ClaimRecord {
+    ClaimRecord {
+        instance: InstanceId::try_from(format!("c{writer}").as_str()).expect("a name"),
+        incarnation: Incarnation(writer),
+        address: SocketAddr::from(([127, 0, 0, 1], 1_000)),
+        base,
+        renews,
+    }
+}
+
+/// What a writer does, seen from the claim that holds.
+#[derive(Clone, Copy, Debug)]
+enum Write {
+    /// Claims on the base of what holds now.
+    Claim(u64),
+    /// Claims on the base of an earlier claim: it lost a race.
+    Late(u64, prop::sample::Index),
+    /// Appends the holder's claim again.
+    Renew,
+}
+
+fn write() -> impl Strategy<Value = Write> {
+    prop_oneof![
+        (0..4_u64).prop_map(Write::Claim),
+        (0..4_u64, any::<prop::sample::Index>()).prop_map(|(writer, at)| Write::Late(writer, at)),
+        Just(Write::Renew),
+    ]
+}
+
+/// Folds the writes and returns the records, as the log holds them.
+fn records(writes: &[Write], claims: &mut Claims) -> Vec<ClaimRecord> {
+    let mut records = Vec::new();
+    let mut accepted = vec![0];
+    for (write, offset) in writes.iter().zip(1..) {
+        let now = claims.current().cloned();
+        let base = now.as_ref().map_or(0, |claim| claim.offset);
+        let record = match (write, now) {
+            (Write::Claim(from), _) => record(*from, base, None),
+            (Write::Late(from, at), _) => record(*from, *at.get(&accepted), None),
+            (Write::Renew, Some(claim)) => record(claim.incarnation.0, base, Some(claim.fence)),
+            (Write::Renew, None) => record(0, base, None),
+        };
+        if claims.apply(offset, 1, record.clone()) == ClaimVerdict::Accepted {
+            accepted.push(offset);
+        }
+        records.push(record);
+    }
+    records
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 5_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn a_reader_that_comes_after_records_expired_agrees(
+        writes in prop::collection::vec(write(), 1..30),
+        first in any::<prop::sample::Index>(),
+    ) {
+        let mut whole = Claims::default();
+        let records = records(&writes, &mut whole);
+        let held = whole.current().expect("the first write is accepted").offset;
+        let first = 1 + first.index(usize::try_from(held).expect("a short log")) as u64;
+        let mut late = Claims::default();
+        for (record, offset) in records.into_iter().zip(1..).filter(|(_, at)| *at >= first) {
+            late.apply(offset, first, record);
+        }
+        prop_assert_eq!(late.current(), whole.current());
+    }
+
+    #[test]
+    fn fencing_numbers_only_grow(writes in prop::collection::vec(write(), 1..30)) {
+        let mut claims = Claims::default();
+        let records = records(&writes, &mut claims);
+        let (mut again, mut last) = (Claims::default(), Fence(0));
+        for (record, offset) in records.into_iter().zip(1..) {
+            again.apply(offset, 1, record);
+            let fence = again.current().expect("a claim").fence;
+            prop_assert!(fence >= last);
+            last = fence;
+        }
+    }
+}
+
+#[test]
+fn a_repeated_record_changes_nothing() {
+    let mut claims = Claims::default();
+    assert_eq!(
+        claims.apply(1, 1, record(1, 0, None)),
+        ClaimVerdict::Accepted
+    );
+    assert_eq!(
+        claims.apply(1, 1, record(2, 0, None)),
+        ClaimVerdict::Repeated
+    );
+    assert_eq!(
+        claims.apply(2, 1, record(1, 0, None)),
+        ClaimVerdict::Superseded
+    );
+    assert_eq!(claims.current().map(|claim| claim.fence), Some(Fence(1)));
+}
--- a/crates/egretstage_wire/src/lib.rs
+++ b/crates/egretstage_wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod codec;
 mod frame;
+mod group;
 mod load;
 mod names;
 mod outcome;
@@ -15,6 +16,10 @@
 pub use frame::{
     AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, PROTOCOL_VERSION, Role, StreamEnd,
 };
+pub use group::{
+    EngineBoot, EngineOrder, Fence, Generation, Grant, GroupFrame, MapVersion, OrderAction,
+    RankIndex, RankState, Segment, Step, VersionedMap,
+};
 pub use load::LoadReport;
 pub use names::{
     InstanceId, InvalidName, MAX_NAME_BYTES, ModelName, OrganisationName, RequestId, ServiceName,
