--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -4,12 +4,13 @@
 use crate::{CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, PlacementLine};
 use egretstage_config::settings::CompanionSettings;
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, serve};
-use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
+use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics, NodeStatus, StatusBoard};
+use egretstage_relay::{Relay, RelayNews};
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
 use egretstage_wire::{Frame, Hello, Incarnation, PROTOCOL_VERSION, Role};
 use miette::{IntoDiagnostic, WrapErr, miette};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -33,16 +34,23 @@
     let ready = health.clone();
     let links = table.clone();
     let (exit, mut exited) = watch::channel(false);
-    let identity = LinkIdentity::new(hello(settings), settings.process.link_key.expose());
+    let incarnation = Incarnation(rand::random());
+    let identity = LinkIdentity::new(
+        hello(settings, incarnation),
+        settings.process.link_key.expose(),
+    );
     let identity = Arc::new(identity.into_diagnostic()?);
     let client = UpstreamClient::new(
         settings.upstream.address,
         runtime.handle().clone(),
         events.clone(),
     );
+    let board = StatusBoard::new(first_status(settings, incarnation));
+    let relay = start_relay(&events, &table, &board)?;
     let mut sink = Sink {
         client,
         table: table.clone(),
+        board: board.clone(),
         health: health.clone(),
         exit,
     };
@@ -56,7 +64,7 @@
     spawned.into_diagnostic()?;
     let admin = settings.process.admin_listen;
     let metrics = Metrics::new().into_diagnostic()?;
-    AdminServer::start(admin, health, metrics, Box::new(|| "{}".to_owned())).into_diagnostic()?;
+    AdminServer::start(admin, health, metrics, board.page()).into_diagnostic()?;
     let tx = events.clone();
     on_stop_signal(move || tx.send(CompanionEvent::Stop)).into_diagnostic()?;
     runtime.block_on(async move {
@@ -67,7 +75,8 @@
             .wrap_err_with(|| format!("link address {address} can't be used"))?;
         log::info!(address:display = address; "companion started");
         ready.set_ready(true);
-        tokio::spawn(serve(listener, identity, table, Arc::new(Observer(events))));
+        let observer = Arc::new(Observer { events, relay });
+        tokio::spawn(serve(listener, identity, table, observer));
         exited
             .wait_for(|exit| *exit)
             .await
@@ -80,34 +89,75 @@
     Ok(())
 }
 
-fn hello(settings: &CompanionSettings) -> Hello {
+fn first_status(settings: &CompanionSettings, incarnation: Incarnation) -> NodeStatus {
+    NodeStatus::starting(
+        settings.process.instance.clone(),
+        Role::Companion,
+        settings.process.zone.clone(),
+        Some(settings.upstream.service.clone()),
+        incarnation,
+    )
+}
+
+/// Starts to follow the entries that are linked to the companion.
+fn start_relay(
+    events: &EventSender<CompanionEvent>,
+    table: &LinkTable,
+    board: &StatusBoard,
+) -> miette::Result<Relay> {
+    let tx = events.clone();
+    let tell = move |news| {
+        if let RelayNews::Configured {
+            offset,
+            configuration,
+        } = news
+        {
+            tx.send(CompanionEvent::Configured {
+                offset,
+                configuration,
+            });
+        }
+    };
+    let no_checkpoints = Duration::MAX;
+    Relay::start(None, no_checkpoints, table.clone(), board.clone(), tell).into_diagnostic()
+}
+
+fn hello(settings: &CompanionSettings, incarnation: Incarnation) -> Hello {
     Hello {
         version: PROTOCOL_VERSION,
         role: Role::Companion,
         instance: settings.process.instance.clone(),
-        incarnation: Incarnation(rand::random()),
+        incarnation,
         zone: settings.process.zone.clone(),
         service: Some(settings.upstream.service.clone()),
     }
 }
 
 /// Turns what happens on links into events.
-struct Observer(EventSender<CompanionEvent>);
+struct Observer {
+    events: EventSender<CompanionEvent>,
+    relay: Relay,
+}
 
 impl LinkObserver for Observer {
     fn link_up(&self, link: LinkKey, hello: Hello) {
         log::info!(link = link.0, peer = hello.instance.as_str(); "link up");
         let hello = Box::new(hello);
-        self.0.send(CompanionEvent::LinkUp { link, hello });
+        self.events.send(CompanionEvent::LinkUp { link, hello });
+        self.relay.link_up(link);
     }
 
     fn frame(&self, link: LinkKey, frame: Frame) {
-        self.0.send(CompanionEvent::Frame { link, frame });
+        match frame {
+            Frame::Configuration(frame) => self.relay.frame(link, frame),
+            frame => self.events.send(CompanionEvent::Frame { link, frame }),
+        }
     }
 
     fn link_down(&self, link: LinkKey, reason: String) {
         log::info!(link = link.0, reason = reason.as_str(); "link down");
-        self.0.send(CompanionEvent::LinkDown { link });
+        self.events.send(CompanionEvent::LinkDown { link });
+        self.relay.link_down(link);
     }
 }
 
@@ -115,6 +165,7 @@
 struct Sink {
     client: UpstreamClient,
     table: LinkTable,
+    board: StatusBoard,
     health: Health,
     exit: watch::Sender<bool>,
 }
@@ -129,6 +180,7 @@
             CompanionEffect::CancelUpstream(run) => self.client.cancel(run),
             CompanionEffect::Log(line) => log_placement(&line),
             CompanionEffect::Ready(ready) => self.health.set_ready(ready),
+            CompanionEffect::Status(status) => self.board.set_work(*status),
             CompanionEffect::Exit => {
                 self.exit.send_replace(true);
             }
--- a/crates/egretstage_companion/src/event.rs
+++ b/crates/egretstage_companion/src/event.rs
@@ -1,10 +1,13 @@
 //! What happens to a companion and what it does.
 
 use compact_str::CompactString;
+use egretstage_config::{Configuration, Offset};
 use egretstage_link::LinkKey;
+use egretstage_observe::WorkStatus;
 use egretstage_wire::{Frame, Hello, RequestId, StreamId};
 use serde::Serialize;
 use slotmap::new_key_type;
+use std::sync::Arc;
 
 new_key_type! {
     /// Key of a run in a companion's arena.
@@ -21,6 +24,13 @@
         /// What the entry says of itself.
         hello: Box<Hello>,
     },
+    /// The configuration has changed.
+    Configured {
+        /// Offset of the last record folded.
+        offset: Offset,
+        /// The configuration in force.
+        configuration: Arc<Configuration>,
+    },
     /// A link has ended.
     LinkDown {
         /// The link.
@@ -106,6 +116,8 @@
     Log(Box<PlacementLine>),
     /// Says whether the companion takes new work.
     Ready(bool),
+    /// Shows the state of the companion to operators.
+    Status(Box<WorkStatus>),
     /// Ends the process: nothing runs any more.
     Exit,
 }
--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -6,13 +6,16 @@
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
     UpstreamRequest,
 };
+use egretstage_config::Configuration;
 use egretstage_link::LinkKey;
+use egretstage_observe::{StatusCadence, WorkStatus};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
     AnswerHead, CallStart, Chunk, Frame, LoadReport, NotRunReason, Outcome, Role, StreamEnd,
     StreamId, UnknownReason,
 };
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Bytes of prompt text that make about one token.
@@ -37,6 +40,8 @@
     next_report: Option<Instant>,
     leaving: bool,
     exited: bool,
+    configuration: Option<Arc<Configuration>>,
+    status: StatusCadence,
 }
 
 impl CompanionReducer {
@@ -50,9 +55,17 @@
             next_report: None,
             leaving: false,
             exited: false,
+            configuration: None,
+            status: StatusCadence::default(),
         }
     }
 
+    /// Returns the configuration in force, once an entry has passed it on.
+    #[must_use]
+    pub fn configuration(&self) -> Option<&Configuration> {
+        self.configuration.as_deref()
+    }
+
     fn start(
         &mut self,
         now: Instant,
@@ -152,6 +165,7 @@
             | Frame::End(_)
             | Frame::Load(_)
             | Frame::Leaving => fx.push(CompanionEffect::Close(link)),
+            Frame::Configuration(_) => {}
         }
     }
 
@@ -302,6 +316,23 @@
         }
     }
 
+    /// Shows the state of the companion to operators.
+    fn show(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        if !self.status.take_due(now) {
+            return;
+        }
+        let leaving = self.leaving;
+        let status = WorkStatus {
+            ready: !leaving,
+            not_ready_because: leaving.then(|| "stopping".into()).into_iter().collect(),
+            load: Some(self.load()),
+            ..WorkStatus::default()
+        };
+        if let Some(status) = self.status.changed(status) {
+            fx.push(CompanionEffect::Status(Box::new(status)));
+        }
+    }
+
     /// Ends a planned stop once nothing runs and no entry will send any more.
     fn settle(&mut self, fx: &mut Vec<CompanionEffect>) {
         let left = self.leaving && self.links.all_noted_leaving();
@@ -329,6 +360,9 @@
                     fx.push(CompanionEffect::Close(link));
                 }
             }
+            CompanionEvent::Configured { configuration, .. } => {
+                self.configuration = Some(configuration);
+            }
             CompanionEvent::LinkDown { link } => self.link_down(link, fx),
             CompanionEvent::Frame { link, frame } => self.frame(now, link, frame, fx),
             CompanionEvent::UpstreamHead {
@@ -352,18 +386,21 @@
             CompanionEvent::Stop => self.stop(fx),
         }
         self.report(now, fx);
+        self.show(now, fx);
         self.settle(fx);
     }
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         self.expire(now, fx);
         self.report(now, fx);
+        self.show(now, fx);
         self.settle(fx);
     }
 
     fn next_wake(&self) -> Option<Instant> {
         let report = self.next_report.filter(|_| !self.links.is_empty());
-        [self.runs.next_deadline(), report]
+        let status = self.status.next_due();
+        [self.runs.next_deadline(), report, status]
             .into_iter()
             .flatten()
             .min()
--- a/crates/egretstage_config/src/body.rs
+++ b/crates/egretstage_config/src/body.rs
@@ -1,9 +1,7 @@
-//! The bodies of configuration records, schema version 1.
+//! The checked bodies of configuration records.
 
-use crate::RecordKind;
 use compact_str::CompactString;
 use egretstage_wire::{ModelName, OrganisationName, ServiceName, ZoneName};
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use smallvec::SmallVec;
@@ -101,44 +99,6 @@
     pub zones: SmallVec<[ZoneName; 3]>,
 }
 
-impl RecordBody {
-    pub(crate) fn parse(
-        kind: RecordKind,
-        name: &str,
-        body: &serde_json::Value,
-    ) -> Result<Self, String> {
-        match kind {
-            RecordKind::Organisation => {
-                let body: OrganisationBody = read(body)?;
-                if !(body.weight.is_finite() && body.weight > 0.0) {
-                    return Err(format!("weight {} is not a number above 0", body.weight));
-                }
-                Ok(Self::Organisation(checked(name)?, body))
-            }
-            RecordKind::Service => Ok(Self::Service(checked(name)?, read(body)?)),
-            RecordKind::ModelGroup => {
-                let body: ModelGroupBody = read(body)?;
-                if body.ranks == 0 {
-                    return Err("ranks 0 is not allowed, allowed are 1 to 65535".to_owned());
-                }
-                Ok(Self::ModelGroup(checked(name)?, body))
-            }
-            RecordKind::PlacementRule => Ok(Self::PlacementRule(name.into(), read(body)?)),
-        }
-    }
-}
-
-fn read<T: DeserializeOwned>(body: &serde_json::Value) -> Result<T, String> {
-    T::deserialize(body).map_err(|e| e.to_string())
-}
-
-fn checked<'a, T: TryFrom<&'a str>>(name: &'a str) -> Result<T, String>
-where
-    T::Error: ToString,
-{
-    T::try_from(name).map_err(|e| e.to_string())
-}
-
 /// Returns the digest under which a bearer token is published.
 #[must_use]
 pub fn token_digest(token: &str) -> CompactString {
--- a/crates/egretstage_config/src/fold.rs
+++ b/crates/egretstage_config/src/fold.rs
@@ -1,10 +1,20 @@
 //! The fold of configuration records into the configuration in force.
 
-use crate::{Envelope, Offset, Record, RecordBody, RecordKind};
-use crate::{ModelGroupBody, OrganisationBody, PlacementRuleBody, ServiceBody};
-use compact_str::CompactString;
-use egretstage_wire::{ModelName, OrganisationName, ServiceName};
-use std::collections::{BTreeMap, HashMap, HashSet};
+mod objects;
+
+use crate::{BodyReader, Configuration, Record, read_body};
+use egretstage_wire::{
+    ChangeId, KindName, ObjectName, ObjectState, Offset, SeenChange, StateDigest,
+};
+use objects::Objects;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// How many offsets back a change's identity is remembered.
+///
+/// Repeats that come later are refused too, because their base has passed;
+/// the memory only tells a repeat from a conflict.
+pub const SEEN_OFFSETS: u64 = 1024;
 
 /// What the fold made of a record.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -23,100 +33,33 @@
     OutOfOrder,
 }
 
-/// One object of the configuration.
-#[derive(Clone, Debug)]
-struct Object {
-    revision: Offset,
-    body: Option<RecordBody>,
+/// All that has changed between two offsets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StateDelta {
+    /// The receiver must hold at least this offset.
+    pub since: Offset,
+    /// Offset that the receiver holds afterwards.
+    pub through: Offset,
+    /// Digest of the state at `through`.
+    pub digest: StateDigest,
+    /// Objects with a revision above `since`, by revision.
+    pub objects: Vec<ObjectState>,
+    /// Changes seen above `since`, by offset.
+    pub seen: Vec<SeenChange>,
 }
 
-/// The configuration that a node has read.
-#[derive(Clone, Debug, Default)]
-pub struct Configuration {
-    organisations_by_token: HashMap<CompactString, OrganisationName>,
-    organisations: HashMap<OrganisationName, OrganisationBody>,
-    services: HashMap<ServiceName, ServiceBody>,
-    model_groups: HashMap<ServiceName, ModelGroupBody>,
-    groups_by_model: HashMap<ModelName, ServiceName>,
-    placement_rules: BTreeMap<CompactString, PlacementRuleBody>,
-}
-
-impl Configuration {
-    /// Returns the organisation that holds a token, by the token's digest.
-    #[must_use]
-    pub fn organisation_of_token(&self, digest: &str) -> Option<&OrganisationName> {
-        self.organisations_by_token.get(digest)
-    }
-
-    /// Returns an organisation's settings.
-    #[must_use]
-    pub fn organisation(&self, name: &OrganisationName) -> Option<&OrganisationBody> {
-        self.organisations.get(name)
-    }
-
-    /// Returns a plain service's settings.
-    #[must_use]
-    pub fn service(&self, name: &ServiceName) -> Option<&ServiceBody> {
-        self.services.get(name)
-    }
-
-    /// Returns a model group's settings.
-    #[must_use]
-    pub fn model_group(&self, name: &ServiceName) -> Option<&ModelGroupBody> {
-        self.model_groups.get(name)
-    }
-
-    /// Returns the group that serves a model.
-    #[must_use]
-    pub fn group_of_model(&self, model: &ModelName) -> Option<&ServiceName> {
-        self.groups_by_model.get(model)
-    }
-
-    /// Returns the first rule, by name, that covers an organisation's work.
-    #[must_use]
-    pub fn placement_rule(
-        &self,
-        organisation: &OrganisationName,
-        service: &ServiceName,
-    ) -> Option<(&CompactString, &PlacementRuleBody)> {
-        let matches = |own: bool| {
-            self.placement_rules.iter().find(move |(_, rule)| {
-                rule.service == *service
-                    && match &rule.organisation {
-                        Some(name) => own && name == organisation,
-                        None => !own,
-                    }
-            })
-        };
-        matches(true).or_else(|| matches(false))
-    }
-
-    fn rebuild(objects: &BTreeMap<(RecordKind, CompactString), Object>) -> Self {
-        let mut cfg = Self::default();
-        for object in objects.values() {
-            match object.body.clone() {
-                Some(RecordBody::Organisation(name, body)) => {
-                    for digest in &body.token_digests {
-                        cfg.organisations_by_token
-                            .insert(digest.clone(), name.clone());
-                    }
-                    cfg.organisations.insert(name, body);
-                }
-                Some(RecordBody::Service(name, body)) => {
-                    cfg.services.insert(name, body);
-                }
-                Some(RecordBody::ModelGroup(name, body)) => {
-                    cfg.groups_by_model.insert(body.model.clone(), name.clone());
-                    cfg.model_groups.insert(name, body);
-                }
-                Some(RecordBody::PlacementRule(name, body)) => {
-                    cfg.placement_rules.insert(name, body);
-                }
-                None => {}
-            }
-        }
-        cfg
-    }
+/// What a merge of a [`StateDelta`] did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Merge {
+    /// The fold now holds the delta's `through` offset.
+    Advanced,
+    /// The fold held that much before.
+    Older,
+    /// The delta starts above what the fold holds; nothing was changed.
+    Gap,
+    /// The fold now holds the delta's `through` offset, but the digests
+    /// differ: the peer has folded the same records differently.
+    Diverged,
 }
 
 /// Folds records in the order of their offsets.
@@ -124,15 +67,36 @@
 /// Acceptance is a compare-and-set on the object's revision and reads only the
 /// envelope. An accepted body that this release can't read takes the object
 /// out of use; the fold never falls back to an older body.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct ConfigurationFold {
-    objects: BTreeMap<(RecordKind, CompactString), Object>,
-    seen: HashSet<CompactString>,
+    reader: BodyReader,
+    objects: Objects,
+    seen: HashMap<ChangeId, Offset>,
+    seen_by_offset: BTreeMap<Offset, ChangeId>,
     offset: Offset,
-    configuration: Configuration,
+    configuration: Arc<Configuration>,
+}
+
+impl Default for ConfigurationFold {
+    fn default() -> Self {
+        Self::with_reader(read_body)
+    }
 }
 
 impl ConfigurationFold {
+    /// Starts an empty fold with a reader of bodies.
+    #[must_use]
+    pub fn with_reader(reader: BodyReader) -> Self {
+        Self {
+            reader,
+            objects: Objects::default(),
+            seen: HashMap::new(),
+            seen_by_offset: BTreeMap::new(),
+            offset: Offset(0),
+            configuration: Arc::default(),
+        }
+    }
+
     /// Returns the offset of the last record folded.
     #[must_use]
     pub fn offset(&self) -> Offset {
@@ -141,20 +105,40 @@
 
     /// Returns the configuration in force.
     #[must_use]
-    pub fn configuration(&self) -> &Configuration {
+    pub fn configuration(&self) -> &Arc<Configuration> {
         &self.configuration
     }
 
+    /// Returns the digest over all accepted revisions.
+    #[must_use]
+    pub fn digest(&self) -> StateDigest {
+        self.objects.digest()
+    }
+
     /// Returns the accepted revision of an object, 0 for none.
     #[must_use]
-    pub fn revision(&self, kind: RecordKind, name: &str) -> Offset {
-        let key = (kind, CompactString::from(name));
-        self.objects.get(&key).map_or(Offset(0), |o| o.revision)
+    pub fn revision(&self, kind: &KindName, name: &ObjectName) -> Offset {
+        self.objects
+            .get(kind, name)
+            .map_or(Offset(0), |object| object.revision)
+    }
+
+    /// Returns an object, also one that was removed.
+    #[must_use]
+    pub fn object(&self, kind: &KindName, name: &ObjectName) -> Option<&ObjectState> {
+        self.objects.get(kind, name)
+    }
+
+    /// Returns all objects by revision, also those that were removed.
+    pub fn objects(&self) -> impl Iterator<Item = &ObjectState> {
+        self.objects.since(Offset(0))
     }
 
     /// Passes over an offset that holds no configuration record.
     pub fn skip(&mut self, offset: Offset) {
-        self.offset = self.offset.max(offset);
+        if offset > self.offset {
+            self.advance(offset);
+        }
     }
 
     /// Folds the record at an offset.
@@ -162,24 +146,98 @@
         if offset <= self.offset {
             return Verdict::OutOfOrder;
         }
-        self.offset = offset;
-        let Envelope { id, kind, name, .. } = &record.envelope;
-        if !self.seen.insert(id.clone()) {
+        self.advance(offset);
+        let envelope = &record.envelope;
+        if self.seen.contains_key(&envelope.id) {
             return Verdict::Repeated;
         }
-        let current = self.revision(*kind, name);
-        if record.envelope.base != current {
+        self.remember(offset, envelope.id.clone());
+        let current = self.revision(&envelope.kind, &envelope.name);
+        if envelope.base != current {
             return Verdict::Conflict { current };
         }
-        let body = (!record.envelope.removed)
-            .then(|| RecordBody::try_from(record))
-            .and_then(Result::ok);
-        let object = Object {
+        self.install(ObjectState {
             revision: offset,
-            body,
-        };
-        self.objects.insert((*kind, name.clone()), object);
-        self.configuration = Configuration::rebuild(&self.objects);
+            envelope: envelope.clone(),
+            body: record.body.clone(),
+        });
         Verdict::Accepted
     }
+
+    /// Returns all that has changed since an offset; since 0 it is the whole
+    /// state.
+    #[must_use]
+    pub fn delta(&self, since: Offset) -> StateDelta {
+        let seen = self.seen_by_offset.range(since.next()..);
+        StateDelta {
+            since,
+            through: self.offset,
+            digest: self.digest(),
+            objects: self.objects.since(since).cloned().collect(),
+            seen: seen
+                .map(|(offset, id)| SeenChange {
+                    offset: *offset,
+                    id: id.clone(),
+                })
+                .collect(),
+        }
+    }
+
+    /// Takes over what another fold of the same records has found.
+    ///
+    /// The result is the same as that of folding the records up to the
+    /// delta's `through`. The offset never goes back.
+    pub fn merge(&mut self, delta: StateDelta) -> Merge {
+        if delta.through <= self.offset {
+            return Merge::Older;
+        }
+        if delta.since > self.offset {
+            return Merge::Gap;
+        }
+        for object in delta.objects {
+            if object.revision > self.offset {
+                self.install(object);
+            }
+        }
+        for change in delta.seen {
+            if change.offset > self.offset {
+                self.remember(change.offset, change.id);
+            }
+        }
+        self.advance(delta.through);
+        if self.digest() == delta.digest {
+            Merge::Advanced
+        } else {
+            Merge::Diverged
+        }
+    }
+
+    fn advance(&mut self, offset: Offset) {
+        self.offset = offset;
+        let oldest = Offset((offset.0 + 1).saturating_sub(SEEN_OFFSETS));
+        while let Some(first) = self.seen_by_offset.first_entry() {
+            if *first.key() >= oldest {
+                return;
+            }
+            self.seen.remove(&first.remove());
+        }
+    }
+
+    fn remember(&mut self, offset: Offset, id: ChangeId) {
+        self.seen.insert(id.clone(), offset);
+        self.seen_by_offset.insert(offset, id);
+    }
+
+    fn install(&mut self, object: ObjectState) {
+        let envelope = &object.envelope;
+        let configuration = Arc::make_mut(&mut self.configuration);
+        configuration.withdraw(&envelope.kind, &envelope.name);
+        if !envelope.removed {
+            match (self.reader)(envelope, &object.body) {
+                Ok(body) => configuration.install(body),
+                Err(unreadable) => configuration.install_unreadable(unreadable),
+            }
+        }
+        self.objects.put(object);
+    }
 }
--- a/crates/egretstage_config/src/lib.rs
+++ b/crates/egretstage_config/src/lib.rs
@@ -2,28 +2,40 @@
 //!
 //! Operators publish [`Record`]s on the log's `configuration` stream. Every
 //! node folds the same records in the order of their offsets with a
-//! [`ConfigurationFold`], so all accept the same changes. Process settings are
-//! TOML files, checked by [`settings`].
+//! [`ConfigurationFold`], so all accept the same changes. What a fold holds
+//! can be handed on as a [`StateDelta`]: to a peer that is behind, or to the
+//! log as a checkpoint. Process settings are TOML files, checked by
+//! [`settings`].
 
 mod body;
+mod chunks;
+mod configuration;
 mod fold;
+mod kind;
 mod record;
+mod schema;
 pub mod settings;
+pub mod suggest;
 
 pub use body::{
     ModelGroupBody, OrganisationBody, PlacementRuleBody, RecordBody, RepeatableRule, ServiceBody,
     token_digest,
 };
-pub use fold::{Configuration, ConfigurationFold, Verdict};
+pub use chunks::{ChunkJoiner, MAX_CHUNK_BYTES};
+pub use configuration::Configuration;
+pub use egretstage_wire::{Envelope, Offset};
+pub use fold::{ConfigurationFold, Merge, SEEN_OFFSETS, StateDelta, Verdict};
+pub use kind::{RecordKind, UnknownKind};
 pub use record::{
-    CONFIGURATION_STREAM, Envelope, InvalidRecord, Offset, Record, RecordKind, SCHEMA_VERSION,
+    BodyReader, CONFIGURATION_STREAM, InvalidReason, InvalidRecord, Record, read_body,
 };
+pub use schema::write_newest;
 
 /// The items that most users of this crate need.
 pub mod prelude {
     pub use crate::{
         CONFIGURATION_STREAM, Configuration, ConfigurationFold, Envelope, InvalidRecord,
         ModelGroupBody, Offset, OrganisationBody, PlacementRuleBody, Record, RecordBody,
-        RecordKind, RepeatableRule, ServiceBody, Verdict, token_digest,
+        RecordKind, RepeatableRule, ServiceBody, StateDelta, Verdict, token_digest,
     };
 }
--- a/crates/egretstage_config/src/record.rs
+++ b/crates/egretstage_config/src/record.rs
@@ -1,72 +1,13 @@
-//! The envelope of a configuration record, which decides its acceptance.
+//! Configuration records as they stand on the log.
 
-use crate::body::RecordBody;
+use crate::{RecordBody, RecordKind, schema, suggest};
 use compact_str::CompactString;
+use egretstage_wire::{Envelope, KindName, ObjectName};
 use serde::{Deserialize, Serialize};
-use strum::{Display, EnumString, IntoStaticStr};
 
 /// The log stream that holds configuration records.
 pub const CONFIGURATION_STREAM: &str = "configuration";
 
-/// Newest schema version of record bodies that this release reads.
-pub const SCHEMA_VERSION: u16 = 1;
-
-/// Position of a record in a log stream; the first is 1.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
-pub struct Offset(pub u64);
-
-/// Kind of the object that a record describes.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    Hash,
-    PartialOrd,
-    Ord,
-    Serialize,
-    Deserialize,
-    Display,
-    EnumString,
-    IntoStaticStr,
-)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum RecordKind {
-    /// A customer with its tokens and shares.
-    Organisation,
-    /// A plain service.
-    Service,
-    /// A group of ranks that serves one model.
-    ModelGroup,
-    /// Which organisation's work may run where.
-    PlacementRule,
-}
-
-/// The part of a record that every release reads alike.
-///
-/// Acceptance depends on the envelope alone, so a node of an older release
-/// accepts exactly what a newer one does.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Envelope {
-    /// Unique identity of the change; a repeat is dropped.
-    pub id: CompactString,
-    /// Kind of the object.
-    pub kind: RecordKind,
-    /// Name of the object.
-    pub name: CompactString,
-    /// Offset of the accepted record that this one replaces; 0 for none.
-    pub base: Offset,
-    /// Schema version of the body.
-    pub schema: u16,
-    /// Whether the object is removed.
-    #[serde(default)]
-    pub removed: bool,
-}
-
 /// A configuration record as it stands on the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -78,49 +19,85 @@
     pub body: serde_json::Value,
 }
 
-/// Why a record can't be used.
+/// Reads a checked body out of a record.
+///
+/// Acceptance never depends on it, so releases with different readers accept
+/// the same changes.
+pub type BodyReader = fn(&Envelope, &serde_json::Value) -> Result<RecordBody, InvalidRecord>;
+
+/// A record whose body can't be used by this release.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum InvalidRecord {
+#[error("{kind} {name}: {reason}")]
+pub struct InvalidRecord {
+    /// Kind of the object.
+    pub kind: KindName,
+    /// Name of the object.
+    pub name: ObjectName,
+    /// What is wrong.
+    pub reason: InvalidReason,
+}
+
+/// What is wrong with a record.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidReason {
+    /// The kind isn't known to this release.
+    #[error("kind: {0:?} is not known, allowed are {1}")]
+    UnknownKind(CompactString, CompactString),
     /// The schema version is newer than this release reads.
-    #[error("{kind} {name:?}: schema {schema} is not supported, allowed are 1 to {SCHEMA_VERSION}")]
+    #[error("schema: version {schema} is not supported, allowed are 1 to {newest}")]
     UnsupportedSchema {
-        /// Kind of the object.
-        kind: RecordKind,
-        /// Name of the object.
-        name: CompactString,
         /// The record's schema version.
         schema: u16,
+        /// The newest version that this release reads.
+        newest: u16,
     },
+    /// The object's name isn't valid for its kind.
+    #[error("name: {0}")]
+    Name(CompactString),
     /// A field is missing, unknown or has a value that isn't allowed.
-    #[error("{kind} {name:?}: {reason}")]
-    Body {
-        /// Kind of the object.
-        kind: RecordKind,
-        /// Name of the object.
-        name: CompactString,
-        /// The field and what is allowed.
-        reason: String,
+    #[error("{field}: {reason}")]
+    Field {
+        /// Path of the field, such as `body.weight`.
+        field: CompactString,
+        /// What is allowed.
+        reason: CompactString,
     },
 }
 
+impl InvalidReason {
+    pub(crate) fn field(field: &str, reason: &str) -> Self {
+        Self::Field {
+            field: field.into(),
+            reason: reason.into(),
+        }
+    }
+}
+
+/// Reads a body in any schema version that this release supports.
+///
+/// # Errors
+///
+/// Returns an error that names the record, the field and what is allowed.
+pub fn read_body(
+    envelope: &Envelope,
+    body: &serde_json::Value,
+) -> Result<RecordBody, InvalidRecord> {
+    let invalid = |reason| InvalidRecord {
+        kind: envelope.kind.clone(),
+        name: envelope.name.clone(),
+        reason,
+    };
+    let kind = RecordKind::try_from(&envelope.kind).map_err(|e| {
+        let allowed = suggest::allowed(e.0.as_str(), RecordKind::names());
+        invalid(InvalidReason::UnknownKind(e.0.into(), allowed))
+    })?;
+    schema::parse(kind, envelope.schema, &envelope.name, body).map_err(invalid)
+}
+
 impl TryFrom<&Record> for RecordBody {
     type Error = InvalidRecord;
 
     fn try_from(record: &Record) -> Result<Self, InvalidRecord> {
-        let Envelope {
-            kind, name, schema, ..
-        } = &record.envelope;
-        if !(1..=SCHEMA_VERSION).contains(schema) {
-            return Err(InvalidRecord::UnsupportedSchema {
-                kind: *kind,
-                name: name.clone(),
-                schema: *schema,
-            });
-        }
-        RecordBody::parse(*kind, name, &record.body).map_err(|reason| InvalidRecord::Body {
-            kind: *kind,
-            name: name.clone(),
-            reason,
-        })
+        read_body(&record.envelope, &record.body)
     }
 }
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -1,46 +1,23 @@
 //! Process settings: TOML files, checked at start.
 
+mod bounded;
+mod parse;
+
+pub use bounded::{Bounded, OutOfRange};
+pub use parse::{Clash, InvalidSetting, SettingsError, SettingsFile, load, parse};
+
+use bounded::bounded;
+use compact_str::format_compact;
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
-use miette::{Diagnostic, NamedSource, SourceSpan};
 use serde::Deserialize;
-use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use std::path::Path;
-
-/// Why a settings file can't be used.
-#[derive(Debug, thiserror::Error, Diagnostic)]
-pub enum SettingsError {
-    /// The file can't be read.
-    #[error("can't read {path}: {source}")]
-    Unreadable {
-        /// The file.
-        path: String,
-        /// The system's error.
-        source: std::io::Error,
-    },
-    /// A key is missing, unknown or has a value that isn't allowed.
-    #[error(transparent)]
-    #[diagnostic(transparent)]
-    Invalid(Box<InvalidSetting>),
-}
-
-/// A key that is missing, unknown or has a value that isn't allowed.
-#[derive(Debug, thiserror::Error, Diagnostic)]
-#[error("{path}:{line}: {message}")]
-pub struct InvalidSetting {
-    /// The file.
-    path: String,
-    /// The line, counted from 1.
-    line: usize,
-    /// The key and what is allowed.
-    message: String,
-    /// The file's text.
-    #[source_code]
-    text: NamedSource<String>,
-    /// The place in the text.
-    #[label("here")]
-    span: SourceSpan,
-}
+use std::time::Duration;
+
+/// Seconds between two checkpoints: at most a week.
+pub type CheckpointSeconds = Bounded<1, 604_800>;
+
+/// Longest budget that settings may allow, in milliseconds: a day.
+const MAX_BUDGET_MS: u64 = 86_400_000;
 
 /// Settings that every daemon has.
 #[derive(Clone, Debug, Deserialize)]
@@ -68,6 +45,98 @@
     pub process: ProcessSettings,
     /// Callers' side.
     pub callers: CallerSettings,
+    /// How the configuration is kept.
+    #[serde(default)]
+    pub configuration: ConfigurationSettings,
+}
+
+/// How an entry keeps the configuration.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigurationSettings {
+    /// Time between two checkpoints in seconds; less than half of the log's
+    /// retention.
+    pub checkpoint_interval_s: CheckpointSeconds,
+}
+
+/// Seconds between two checkpoints unless the settings say otherwise.
+const DEFAULT_CHECKPOINT_INTERVAL_S: i64 = 3_600;
+
+impl Default for ConfigurationSettings {
+    fn default() -> Self {
+        Self {
+            checkpoint_interval_s: CheckpointSeconds::try_from(DEFAULT_CHECKPOINT_INTERVAL_S)
+                .expect("the default is in range"),
+        }
+    }
+}
+
+impl SettingsFile for EntrySettings {
+    fn check(&self) -> Result<(), Clash> {
+        check_process(&self.process)?;
+        let callers = &self.callers;
+        if callers.default_budget_ms > callers.max_budget_ms {
+            return Err(Clash {
+                key: "default_budget_ms",
+                message: format_compact!(
+                    "{} is not allowed, allowed are 1 to max_budget_ms, which is {}",
+                    callers.default_budget_ms,
+                    callers.max_budget_ms
+                ),
+            });
+        }
+        check_port("listen", callers.listen)
+    }
+}
+
+impl SettingsFile for CompanionSettings {
+    fn check(&self) -> Result<(), Clash> {
+        check_process(&self.process)?;
+        check_port("listen", self.listen)?;
+        check_port("address", self.upstream.address)
+    }
+}
+
+fn check_process(process: &ProcessSettings) -> Result<(), Clash> {
+    check_port("admin_listen", process.admin_listen)?;
+    check_url("log_url", &process.log_url)?;
+    check_url("list_url", &process.list_url)?;
+    if process.link_key.expose().is_empty() {
+        return Err(Clash {
+            key: "link_key",
+            message: "an empty key is not allowed".into(),
+        });
+    }
+    Ok(())
+}
+
+/// Peers and operators must know the port, so it can't be left to the system.
+fn check_port(key: &'static str, address: SocketAddr) -> Result<(), Clash> {
+    if address.port() == 0 {
+        return Err(Clash {
+            key,
+            message: "port 0 is not allowed, allowed are 1 to 65535".into(),
+        });
+    }
+    Ok(())
+}
+
+fn check_url(key: &'static str, url: &str) -> Result<(), Clash> {
+    if url.starts_with("http://") || url.starts_with("https://") {
+        return Ok(());
+    }
+    Err(Clash {
+        key,
+        message: format_compact!("{url:?} is not allowed, allowed are http:// and https:// URLs"),
+    })
+}
+
+impl ConfigurationSettings {
+    /// Returns the time between two checkpoints.
+    #[must_use]
+    pub fn checkpoint_interval(&self) -> Duration {
+        Duration::from_secs(self.checkpoint_interval_s.get())
+    }
 }
 
 /// Limits on the callers' side of an entry.
@@ -77,20 +146,35 @@
     /// Address that callers connect to.
     pub listen: SocketAddr,
     /// Most connections at once.
-    #[serde(default = "default_max_connections")]
+    #[serde(
+        default = "default_max_connections",
+        deserialize_with = "bounded::<_, _, 1, 1_000_000>"
+    )]
     pub max_connections: usize,
     /// Largest request body in bytes.
-    #[serde(default = "default_max_body_bytes")]
+    #[serde(
+        default = "default_max_body_bytes",
+        deserialize_with = "bounded::<_, _, 1, 3_145_728>"
+    )]
     pub max_body_bytes: usize,
     /// Budget of a request that names none, in milliseconds.
-    #[serde(default = "default_budget_ms")]
+    #[serde(
+        default = "default_budget_ms",
+        deserialize_with = "bounded::<_, _, 1, MAX_BUDGET_MS>"
+    )]
     pub default_budget_ms: u64,
     /// Longest budget that a request may ask for, in milliseconds.
-    #[serde(default = "default_max_budget_ms")]
+    #[serde(
+        default = "default_max_budget_ms",
+        deserialize_with = "bounded::<_, _, 1, MAX_BUDGET_MS>"
+    )]
     pub max_budget_ms: u64,
     /// Time between "not ready" and the end of accepting at a planned stop,
     /// in milliseconds; at least the platform balancer's check interval.
-    #[serde(default = "default_not_ready_grace_ms")]
+    #[serde(
+        default = "default_not_ready_grace_ms",
+        deserialize_with = "bounded::<_, _, 0, 60_000>"
+    )]
     pub not_ready_grace_ms: u64,
 }
 
@@ -137,7 +221,10 @@
     /// Its HTTP address.
     pub address: SocketAddr,
     /// Calls that it may run at once.
-    #[serde(default = "default_slots")]
+    #[serde(
+        default = "default_slots",
+        deserialize_with = "bounded::<_, _, 1, 65_536>"
+    )]
     pub slots: u32,
 }
 
@@ -173,36 +260,3 @@
         f.write_str("Secret(..)")
     }
 }
-
-/// Reads and checks a settings file.
-///
-/// # Errors
-///
-/// Returns an error that names the file, the line, the key and what is
-/// allowed.
-pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
-    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
-        path: path.display().to_string(),
-        source,
-    })?;
-    parse(&path.display().to_string(), &text)
-}
-
-/// Checks the text of a settings file.
-///
-/// # Errors
-///
-/// Returns an error that names the file, the line, the key and what is
-/// allowed.
-pub fn parse<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, SettingsError> {
-    toml::from_str(text).map_err(|e| {
-        let span = e.span().unwrap_or(0..0);
-        SettingsError::Invalid(Box::new(InvalidSetting {
-            path: path.to_owned(),
-            line: text[..span.start.min(text.len())].matches('\n').count() + 1,
-            message: e.message().to_owned(),
-            text: NamedSource::new(path, text.to_owned()),
-            span: span.into(),
-        }))
-    })
-}
--- a/crates/egretstage_control/src/apply.rs
+++ b/crates/egretstage_control/src/apply.rs
@@ -1,184 +1,225 @@
 //! Publishes configuration records and finds out what became of them.
 
-use compact_str::CompactString;
-use egretstage_config::{
-    CONFIGURATION_STREAM, ConfigurationFold, Envelope, Offset, Record, RecordBody, RecordKind,
-    Verdict,
-};
-use egretstage_platform::{AppendLog, AppendRequest, PlatformError};
-use miette::{IntoDiagnostic, WrapErr};
-use serde::Deserialize;
+use crate::RecordFile;
+use crate::log_view::{FoldedRecord, LogView, ViewError};
+use compact_str::format_compact;
+use egretstage_config::{CONFIGURATION_STREAM, Offset, Record, Verdict};
+use egretstage_platform::{AppendRequest, PlatformError};
+use egretstage_wire::{ChangeId, KindName, ObjectName};
+use serde::Serialize;
 use std::fmt;
-use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// One record in a file of the operator's.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct RecordFile {
-    /// Kind of the object.
-    pub kind: RecordKind,
-    /// Name of the object.
-    pub name: CompactString,
-    /// Schema version of the body.
-    pub schema: u16,
-    /// Revision that the record replaces; the newest one if it is left out.
-    #[serde(default)]
-    pub base: Option<Offset>,
-    /// Whether the object is removed.
-    #[serde(default)]
-    pub removed: bool,
-    /// The object's settings.
-    #[serde(default)]
-    pub body: serde_json::Value,
-}
+/// Longest time in which a record is tried again.
+const PATIENCE: Duration = Duration::from_secs(20);
 
-impl RecordFile {
-    fn into_record(self, id: CompactString, newest: Offset) -> Record {
-        Record {
-            envelope: Envelope {
-                id,
-                kind: self.kind,
-                name: self.name,
-                base: self.base.unwrap_or(newest),
-                schema: self.schema,
-                removed: self.removed,
-            },
-            body: self.body,
-        }
-    }
-}
+/// Pause between two tries.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// What became of one record.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Applied {
     /// Kind of the object.
-    pub kind: RecordKind,
+    pub kind: KindName,
     /// Name of the object.
-    pub name: CompactString,
-    /// Where the record stands on the log.
-    pub offset: Offset,
+    pub name: ObjectName,
+    /// Identity of the change; none if nothing was published.
+    pub id: Option<ChangeId>,
     /// What every node makes of it.
-    pub verdict: Verdict,
+    pub fate: Fate,
 }
 
-impl Applied {
-    /// Tells whether another change came first.
-    #[must_use]
-    pub fn is_conflict(&self) -> bool {
-        matches!(self.verdict, Verdict::Conflict { .. })
-    }
+/// What every node makes of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fate {
+    /// It is in force from an offset on.
+    Accepted {
+        /// The offset, which is the object's revision.
+        revision: Offset,
+    },
+    /// The object had these settings before; nothing was published.
+    Unchanged {
+        /// The object's revision.
+        revision: Offset,
+    },
+    /// Another change came first.
+    Conflict {
+        /// The revision that the record would have replaced.
+        base: Offset,
+        /// The object's revision.
+        current: Offset,
+    },
+    /// The log can't be read; the record may come into force.
+    Unknown,
 }
 
 impl fmt::Display for Applied {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            kind,
-            name,
-            offset,
-            verdict,
-        } = self;
-        write!(f, "{kind} {name}: {verdict} at offset {}", offset.0)
+        write!(f, "{} {}: ", self.kind, self.name)?;
+        match self.fate {
+            Fate::Accepted { revision } => write!(f, "accepted at offset {}", revision.0),
+            Fate::Unchanged { revision } => {
+                write!(f, "unchanged, accepted before at offset {}", revision.0)
+            }
+            Fate::Conflict { base, current } => write!(
+                f,
+                "conflict: another change came first; the current revision is {}, the record replaces {}",
+                current.0, base.0
+            ),
+            Fate::Unknown => f.write_str(
+                "unknown: the log did not answer; apply the same file again to find out, which does no harm",
+            ),
+        }
     }
 }
 
-/// Why records couldn't be published.
+/// Why a record couldn't be published.
 #[derive(Debug, thiserror::Error)]
 pub enum ApplyError {
-    /// The log can't be used.
+    /// The log can't be read.
     #[error(transparent)]
-    Log(#[from] PlatformError),
-    /// The record isn't on the log.
-    #[error("the record of {0} can't be found on the log")]
-    Missing(CompactString),
+    View(#[from] ViewError),
+    /// The log refused the record; it took no effect.
+    #[error("{kind} {name} was not published: {source}")]
+    Refused {
+        /// Kind of the object.
+        kind: KindName,
+        /// Name of the object.
+        name: ObjectName,
+        /// Why.
+        source: PlatformError,
+    },
 }
 
-/// Reads and checks a file of records: a JSON array.
+/// Publishes one record and reads on until its fate is known.
 ///
-/// # Errors
-///
-/// Returns an error that names the record, the field and what is allowed.
-pub fn read_records(path: &Path) -> miette::Result<Vec<RecordFile>> {
-    let name = path.display();
-    let text = std::fs::read_to_string(path)
-        .into_diagnostic()
-        .wrap_err_with(|| format!("can't read {name}"))?;
-    let records: Vec<RecordFile> = serde_json::from_str(&text)
-        .into_diagnostic()
-        .wrap_err_with(|| format!("{name} is not an array of records"))?;
-    for (index, record) in records.iter().enumerate() {
-        let record = record.clone().into_record("check".into(), Offset(0));
-        if !record.envelope.removed {
-            RecordBody::try_from(&record)
-                .into_diagnostic()
-                .wrap_err_with(|| format!("{name}: record {}", index + 1))?;
-        }
-    }
-    Ok(records)
-}
-
-/// Publishes records one by one and reads on until the fate of each is known.
+/// The record keeps its identity through all tries, so that it takes effect at
+/// most once.
 ///
 /// # Errors
 ///
-/// Returns an error when the log can't be used.
-pub fn apply(log: &dyn AppendLog, records: &[RecordFile]) -> Result<Vec<Applied>, ApplyError> {
-    let mut fold = ConfigurationFold::default();
-    read_on(log, &mut fold, None)?;
-    records
-        .iter()
-        .map(|record| publish(log, &mut fold, record.clone()))
-        .collect()
-}
-
-fn publish(
-    log: &dyn AppendLog,
-    fold: &mut ConfigurationFold,
-    file: RecordFile,
-) -> Result<Applied, ApplyError> {
-    let id = compact_str::format_compact!("{:032x}", rand::random::<u128>());
-    let newest = fold.revision(file.kind, &file.name);
-    let record = file.into_record(id.clone(), newest);
-    let req = AppendRequest {
-        id: id.clone(),
-        data: serde_json::to_value(&record).expect("records are plain data"),
-    };
-    match log.append(CONFIGURATION_STREAM, &req) {
-        Ok(_) | Err(PlatformError::NoAnswer { .. }) => {}
-        Err(e) => return Err(e.into()),
+/// Returns an error when the log refuses the record for good.
+pub fn publish(view: &mut LogView<'_>, file: RecordFile) -> Result<Applied, ApplyError> {
+    let newest = view.fold().revision(&file.kind, &file.name);
+    if let Some(applied) = unchanged(view, &file) {
+        return Ok(applied);
+    }
+    let record = file.into_record(new_id(), newest);
+    if record.envelope.base > view.fold().offset() {
+        return Ok(Applied {
+            fate: Fate::Conflict {
+                base: record.envelope.base,
+                current: newest,
+            },
+            kind: record.envelope.kind,
+            name: record.envelope.name,
+            id: None,
+        });
     }
-    let (offset, verdict) =
-        read_on(log, fold, Some(&id))?.ok_or(ApplyError::Missing(record.envelope.name.clone()))?;
+    let mut attempt = Attempt {
+        record: &record,
+        may_be_published: false,
+        deadline: Instant::now() + PATIENCE,
+    };
+    let fate = attempt.run(view)?;
     Ok(Applied {
         kind: record.envelope.kind,
         name: record.envelope.name,
-        offset,
-        verdict,
+        id: Some(record.envelope.id),
+        fate,
     })
 }
 
-/// Folds what the log holds and returns the verdict on the record sought.
-fn read_on(
-    log: &dyn AppendLog,
-    fold: &mut ConfigurationFold,
-    sought: Option<&CompactString>,
-) -> Result<Option<(Offset, Verdict)>, PlatformError> {
-    let mut found = None;
-    loop {
-        let from = fold.offset().0 + 1;
-        let page = log.read(CONFIGURATION_STREAM, from, Duration::ZERO)?;
-        if page.records.is_empty() {
-            return Ok(found);
-        }
-        for held in page.records {
-            let Ok(record) = serde_json::from_value::<Record>(held.data) else {
-                fold.skip(Offset(held.offset));
-                continue;
-            };
-            let verdict = fold.apply(Offset(held.offset), &record);
-            if sought == Some(&record.envelope.id) && found.is_none() {
-                found = Some((Offset(held.offset), verdict));
+/// Tells whether a record without a base asks for what is in force.
+fn unchanged(view: &LogView<'_>, file: &RecordFile) -> Option<Applied> {
+    let held = view.fold().object(&file.kind, &file.name)?;
+    let same_body = file.removed || held.body == file.body;
+    let envelope = &held.envelope;
+    let same = envelope.removed == file.removed && same_body && envelope.schema == file.schema;
+    (file.base.is_none() && same).then(|| Applied {
+        kind: file.kind.clone(),
+        name: file.name.clone(),
+        id: None,
+        fate: Fate::Unchanged {
+            revision: held.revision,
+        },
+    })
+}
+
+fn new_id() -> ChangeId {
+    let text = format_compact!("{:032x}", rand::random::<u128>());
+    ChangeId::try_from(text).expect("hexadecimal digits are valid")
+}
+
+/// The tries to publish one record.
+struct Attempt<'a> {
+    record: &'a Record,
+    may_be_published: bool,
+    deadline: Instant,
+}
+
+impl Attempt<'_> {
+    fn run(&mut self, view: &mut LogView<'_>) -> Result<Fate, ApplyError> {
+        let req = AppendRequest {
+            id: self.record.envelope.id.as_str().into(),
+            data: serde_json::to_value(self.record).expect("records are plain data"),
+        };
+        loop {
+            match view.log().append(CONFIGURATION_STREAM, &req) {
+                Ok(_) | Err(PlatformError::NoAnswer { .. } | PlatformError::Malformed { .. }) => {
+                    self.may_be_published = true;
+                }
+                Err(source) if self.is_over() && !self.may_be_published => {
+                    return Err(self.refused(source));
+                }
+                Err(PlatformError::Refused { .. }) => {}
             }
+            if self.may_be_published
+                && let Ok(folded) = view.read_on()
+                && let Some(fate) = self.find(view, &folded)
+            {
+                return Ok(fate);
+            }
+            if self.is_over() && self.may_be_published {
+                return Ok(Fate::Unknown);
+            }
+            std::thread::sleep(RETRY_DELAY);
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.deadline <= Instant::now()
+    }
+
+    fn refused(&self, source: PlatformError) -> ApplyError {
+        ApplyError::Refused {
+            kind: self.record.envelope.kind.clone(),
+            name: self.record.envelope.name.clone(),
+            source,
+        }
+    }
+
+    /// Finds the record's fate; its first place on the log decides.
+    fn find(&self, view: &LogView<'_>, folded: &[FoldedRecord]) -> Option<Fate> {
+        let envelope = &self.record.envelope;
+        let own = folded
+            .iter()
+            .find(|held| held.record.envelope.id == envelope.id);
+        if let Some(held) = own {
+            return Some(match held.verdict {
+                Verdict::Conflict { current } => Fate::Conflict {
+                    base: envelope.base,
+                    current,
+                },
+                Verdict::Accepted | Verdict::Repeated | Verdict::OutOfOrder => Fate::Accepted {
+                    revision: held.offset,
+                },
+            });
         }
+        let object = view.fold().object(&envelope.kind, &envelope.name)?;
+        (object.envelope.id == envelope.id).then_some(Fate::Accepted {
+            revision: object.revision,
+        })
     }
 }
--- a/crates/egretstage_control/src/args.rs
+++ b/crates/egretstage_control/src/args.rs
@@ -1,24 +1,52 @@
 //! The arguments of `egretctl`.
 
+use crate::Selection;
+use crate::settings::Places;
+use egretstage_config::suggest;
+use egretstage_wire::{OrganisationName, ServiceName};
 use miette::Diagnostic;
 use pico_args::Arguments;
 use std::ffi::OsString;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 /// The text of `--help`.
 pub(crate) const HELP: &str = "\
-egretctl: checks and publishes egretstage's configuration
+egretctl: checks, publishes and shows egretstage's configuration
 
 Usage:
-  egretctl check FILE
-  egretctl apply FILE --log URL
+  egretctl check FILE                    checks a file of records
+  egretctl apply FILE                    publishes a file of records
+  egretctl get [KIND [NAME]]             shows what is in force
+  egretctl history [KIND [NAME]]         shows the records that the log holds
+  egretctl diff FILE                     compares a file with what is in force
+  egretctl upgrade [--dry-run]           rewrites records to the newest schema
+  egretctl status                        shows instances, runners and offsets
+  egretctl explain ORGANISATION SERVICE  shows which rule and runners apply
 
 Options:
-  --log URL    base URL of the platform's log service
-  --help       prints this text
-  --version    prints the version
+  --log URL        base URL of the platform's log service
+  --list URL       base URL of the platform's instance list
+  --node ADDRESS   admin address of a node; may be given more than once
+  --settings FILE  TOML file with log_url, list_url and nodes; without it the
+                   file that the variable EGRETCTL_SETTINGS names
+  --json           prints JSON
+  --help           prints this text
+  --version        prints the version
 
-Exit codes: 0 done; 1 failed; 2 wrong usage; 3 another change came first.";
+Exit codes:
+  0  done
+  1  failed: the log or a file can't be used
+  2  wrong usage
+  3  conflict: another change came first; nothing of that record is in force
+  4  a record is not valid; nothing was published
+  5  unknown: the log did not answer; applying the file again does no harm
+  6  status: a node does not answer, lags, or can't read all objects";
+
+/// The names of the commands.
+const COMMANDS: [&str; 8] = [
+    "check", "apply", "get", "history", "diff", "upgrade", "status", "explain",
+];
 
 /// What the operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,17 +56,37 @@
     /// Prints the version.
     Version,
     /// Checks a file of records.
-    Check {
-        /// The file.
-        file: PathBuf,
-    },
+    Check(PathBuf),
     /// Publishes a file of records.
-    Apply {
-        /// The file.
-        file: PathBuf,
-        /// Base URL of the log service.
-        log_url: String,
+    Apply(PathBuf),
+    /// Shows objects in force.
+    Get(Selection),
+    /// Shows records on the log.
+    History(Selection),
+    /// Compares a file with what is in force.
+    Diff(PathBuf),
+    /// Rewrites records to the newest schema.
+    Upgrade {
+        /// Whether the records are only shown.
+        dry_run: bool,
     },
+    /// Shows instances, runners and offsets.
+    Status,
+    /// Shows which rule and runners a request would meet.
+    Explain(OrganisationName, ServiceName),
+}
+
+/// A command with its options.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Invocation {
+    /// The command.
+    pub command: Command,
+    /// Where the platform and the nodes are.
+    pub places: Places,
+    /// A settings file.
+    pub settings: Option<PathBuf>,
+    /// Whether JSON is printed.
+    pub json: bool,
 }
 
 /// Arguments that can't be used.
@@ -50,7 +98,7 @@
 }
 
 impl UsageError {
-    fn new(message: &impl ToString) -> Self {
+    pub(crate) fn new(message: &impl ToString) -> Self {
         Self {
             message: message.to_string(),
         }
@@ -58,30 +106,24 @@
 }
 
 /// Parses the arguments.
-pub(crate) fn parse(args: Vec<OsString>) -> Result<Command, UsageError> {
+pub(crate) fn parse(args: Vec<OsString>) -> Result<Invocation, UsageError> {
     let mut args = Arguments::from_vec(args);
-    if args.contains("--help") {
-        return Ok(Command::Help);
-    }
-    if args.contains("--version") {
-        return Ok(Command::Version);
-    }
-    let name = args.subcommand().map_err(|e| UsageError::new(&e))?;
-    let command = match name.as_deref() {
-        Some("check") => Command::Check {
-            file: file(&mut args)?,
-        },
-        Some("apply") => Command::Apply {
-            log_url: args
-                .value_from_str("--log")
-                .map_err(|e| UsageError::new(&e))?,
-            file: file(&mut args)?,
-        },
-        Some(other) => return Err(UsageError::new(&format!("unknown command {other:?}"))),
-        None => return Err(UsageError::new(&"no command given")),
+    let help = args.contains("--help").then_some(Command::Help);
+    let version = args.contains("--version").then_some(Command::Version);
+    let json = args.contains("--json");
+    let usage = |e: pico_args::Error| UsageError::new(&e);
+    let places = Places {
+        log_url: args.opt_value_from_str("--log").map_err(usage)?,
+        list_url: args.opt_value_from_str("--list").map_err(usage)?,
+        nodes: args.values_from_str("--node").map_err(usage)?,
+    };
+    let settings = args.opt_value_from_str("--settings").map_err(usage)?;
+    let command = match help.or(version) {
+        Some(command) => return Ok(invocation(command, places, settings, json)),
+        None => command(&mut args)?,
     };
     match args.finish().first() {
-        None => Ok(command),
+        None => Ok(invocation(command, places, settings, json)),
         Some(extra) => Err(UsageError::new(&format!(
             "unexpected argument {}",
             extra.display()
@@ -89,6 +131,72 @@
     }
 }
 
-fn file(args: &mut Arguments) -> Result<PathBuf, UsageError> {
-    args.free_from_str().map_err(|e| UsageError::new(&e))
+fn invocation(
+    command: Command,
+    places: Places,
+    settings: Option<PathBuf>,
+    json: bool,
+) -> Invocation {
+    Invocation {
+        command,
+        places,
+        settings,
+        json,
+    }
+}
+
+fn command(args: &mut Arguments) -> Result<Command, UsageError> {
+    let dry_run = args.contains("--dry-run");
+    let name = args.subcommand().map_err(|e| UsageError::new(&e))?;
+    let Some(name) = name else {
+        return Err(UsageError::new(&"no command given"));
+    };
+    match name.as_str() {
+        "upgrade" => return Ok(Command::Upgrade { dry_run }),
+        _ if dry_run => return Err(UsageError::new(&"--dry-run is only for upgrade")),
+        _ => {}
+    }
+    Ok(match name.as_str() {
+        "check" => Command::Check(free(args, "FILE")?),
+        "apply" => Command::Apply(free(args, "FILE")?),
+        "diff" => Command::Diff(free(args, "FILE")?),
+        "get" => Command::Get(selection(args)?),
+        "history" => Command::History(selection(args)?),
+        "status" => Command::Status,
+        "explain" => Command::Explain(
+            checked(&free::<String>(args, "ORGANISATION")?)?,
+            checked(&free::<String>(args, "SERVICE")?)?,
+        ),
+        other => {
+            let allowed = suggest::allowed(other, COMMANDS.into_iter());
+            let message = format!("unknown command {other:?}, allowed are {allowed}");
+            return Err(UsageError::new(&message));
+        }
+    })
+}
+
+fn free<T: FromStr>(args: &mut Arguments, what: &str) -> Result<T, UsageError>
+where
+    T::Err: std::fmt::Display,
+{
+    let missing = |e| UsageError::new(&format!("{what}: {e}"));
+    args.free_from_str().map_err(missing)
+}
+
+fn selection(args: &mut Arguments) -> Result<Selection, UsageError> {
+    let mut next = || -> Result<Option<String>, UsageError> {
+        args.opt_free_from_str().map_err(|e| UsageError::new(&e))
+    };
+    let (kind, name) = (next()?, next()?);
+    Ok(Selection {
+        kind: kind.map(|text| checked(&text)).transpose()?,
+        name: name.map(|text| checked(&text)).transpose()?,
+    })
+}
+
+fn checked<T>(text: &str) -> Result<T, UsageError>
+where
+    T: for<'a> TryFrom<&'a str, Error = egretstage_wire::InvalidName>,
+{
+    T::try_from(text).map_err(|e| UsageError::new(&e))
 }
--- a/crates/egretstage_control/src/lib.rs
+++ b/crates/egretstage_control/src/lib.rs
@@ -1,52 +1,257 @@
 //! The operator's command line, `egretctl`.
 //!
 //! [`run`] parses the arguments, does the work through the platform's log and
-//! returns the process's exit code.
+//! the nodes' `/status`, and returns the process's exit code.
 
 mod apply;
 mod args;
+mod explain;
+mod log_view;
+mod nodes;
+mod objects;
+mod records;
+mod settings;
+mod table;
 
-pub use apply::{Applied, ApplyError, RecordFile, apply, read_records};
-pub use args::{Command, UsageError};
+pub use apply::{Applied, ApplyError, Fate, publish};
+pub use args::{Command, Invocation, UsageError};
+pub use explain::{ExplainedRunner, Explanation, explain};
+pub use log_view::{FoldedRecord, LogView, ViewError, held_records};
+pub use nodes::{ListedNode, NodeReport, SystemStatus};
+pub use objects::{Difference, Selection, diff, get, history, upgrade, upgrades};
+pub use records::{InvalidFile, Problem, RecordFile, parse_records, read_records};
+pub use settings::{Places, SETTINGS_VARIABLE};
 
-use egretstage_platform::HttpAppendLog;
+use egretstage_platform::{AppendLog, HttpAppendLog};
+use egretstage_wire::{OrganisationName, ServiceName};
 use miette::IntoDiagnostic;
+use serde::Serialize;
+use std::collections::BTreeSet;
 use std::ffi::OsString;
+use std::path::Path;
 use std::process::ExitCode;
+use strum::FromRepr;
 
 /// The items that most users of this crate need.
 pub mod prelude {
-    pub use crate::{Applied, Command, RecordFile, apply, run};
+    pub use crate::{Applied, Command, Fate, LogView, RecordFile, publish, run};
 }
 
-/// Exit code when a record was refused because another change came first.
-pub const EXIT_CONFLICT: u8 = 3;
+/// How a command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, FromRepr)]
+#[repr(u8)]
+pub enum Exit {
+    /// All was done.
+    Done = 0,
+    /// The log or a file can't be used.
+    Failed = 1,
+    /// The arguments can't be used.
+    Usage = 2,
+    /// Another change came first.
+    Conflict = 3,
+    /// A record is not valid.
+    Invalid = 4,
+    /// It isn't known whether a record comes into force.
+    Unknown = 5,
+    /// A node does not answer, lags, or can't read all objects.
+    Unhealthy = 6,
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+/// Runs `egretctl`: prints what it finds and returns the exit code.
+#[must_use]
+pub fn run(args: Vec<OsString>) -> ExitCode {
+    match try_run(args) {
+        Ok(exit) => exit.into(),
+        Err(e) => {
+            eprintln!("{e:?}");
+            exit_of(&e).into()
+        }
+    }
+}
+
+fn exit_of(error: &miette::Report) -> Exit {
+    if error.is::<UsageError>() {
+        Exit::Usage
+    } else if error.is::<InvalidFile>() {
+        Exit::Invalid
+    } else {
+        Exit::Failed
+    }
+}
 
-/// Runs one command.
-///
-/// # Errors
-///
-/// Returns what was wrong with the arguments, the file or the log.
-pub fn run(args: Vec<OsString>) -> miette::Result<ExitCode> {
-    match args::parse(args)? {
+fn try_run(args: Vec<OsString>) -> miette::Result<Exit> {
+    let invocation = args::parse(args)?;
+    let places = match invocation.command {
+        Command::Help | Command::Version => invocation.places,
+        _ => invocation.places.complete(invocation.settings)?,
+    };
+    let tool = Tool {
+        places,
+        json: invocation.json,
+    };
+    match invocation.command {
         Command::Help => println!("{}", args::HELP),
         Command::Version => println!("egretctl {}", env!("CARGO_PKG_VERSION")),
-        Command::Check { file } => {
+        Command::Check(file) => {
             let records = read_records(&file)?;
             println!("{} records are valid", records.len());
         }
-        Command::Apply { file, log_url } => {
-            let records = read_records(&file)?;
-            let log = HttpAppendLog::new(&log_url);
-            let mut conflict = false;
-            for applied in apply(&log, &records).into_diagnostic()? {
-                println!("{applied}");
-                conflict |= applied.is_conflict();
-            }
-            if conflict {
-                return Ok(ExitCode::from(EXIT_CONFLICT));
+        Command::Apply(file) => return tool.apply(&file),
+        Command::Get(selection) => tool.get(&selection)?,
+        Command::History(selection) => tool.history(&selection)?,
+        Command::Diff(file) => tool.diff(&file)?,
+        Command::Upgrade { dry_run } => return tool.upgrade(dry_run),
+        Command::Status => return tool.status(),
+        Command::Explain(organisation, service) => tool.explain(organisation, service)?,
+    }
+    Ok(Exit::Done)
+}
+
+/// Carries out the commands that need the platform.
+struct Tool {
+    places: Places,
+    json: bool,
+}
+
+impl Tool {
+    fn log(&self) -> Result<HttpAppendLog, UsageError> {
+        let url = self.places.log_url.as_deref();
+        let missing = || UsageError::new(&"no log service given: use --log URL or a settings file");
+        url.map(HttpAppendLog::new).ok_or_else(missing)
+    }
+
+    fn print<T: Serialize + ?Sized>(&self, value: &T, as_table: impl FnOnce(&T)) {
+        if self.json {
+            let text = serde_json::to_string_pretty(value).expect("results are plain data");
+            println!("{text}");
+        } else {
+            as_table(value);
+        }
+    }
+
+    fn apply(&self, file: &Path) -> miette::Result<Exit> {
+        let records = read_records(file)?;
+        let log = self.log()?;
+        let mut view = LogView::open(&log).into_diagnostic()?;
+        self.publish_all(&mut view, records)
+    }
+
+    fn publish_all(
+        &self,
+        view: &mut LogView<'_>,
+        records: Vec<RecordFile>,
+    ) -> miette::Result<Exit> {
+        let mut exit = Exit::Done;
+        for record in records {
+            let applied = publish(view, record).into_diagnostic()?;
+            self.print(&applied, |applied| println!("{applied}"));
+            exit = exit.max(match applied.fate {
+                Fate::Accepted { .. } | Fate::Unchanged { .. } => Exit::Done,
+                Fate::Conflict { .. } => Exit::Conflict,
+                Fate::Unknown => Exit::Unknown,
+            });
+        }
+        Ok(exit)
+    }
+
+    fn get(&self, selection: &Selection) -> miette::Result<()> {
+        let log = self.log()?;
+        let view = LogView::open(&log).into_diagnostic()?;
+        self.print(&*get(&view, selection), objects::print_objects);
+        Ok(())
+    }
+
+    fn history(&self, selection: &Selection) -> miette::Result<()> {
+        let log = self.log()?;
+        let records = held_records(&log).into_diagnostic()?;
+        self.print(&*history(records, selection), objects::print_history);
+        Ok(())
+    }
+
+    fn diff(&self, file: &Path) -> miette::Result<()> {
+        let records = read_records(file)?;
+        let log = self.log()?;
+        let view = LogView::open(&log).into_diagnostic()?;
+        self.print(&*diff(&view, &records), objects::print_differences);
+        Ok(())
+    }
+
+    fn upgrade(&self, dry_run: bool) -> miette::Result<Exit> {
+        let log = self.log()?;
+        let mut view = LogView::open(&log).into_diagnostic()?;
+        let records = upgrades(&view);
+        if dry_run {
+            let text = serde_json::to_string_pretty(&records).expect("records are plain data");
+            println!("{text}");
+            return Ok(Exit::Done);
+        }
+        if records.is_empty() && !self.json {
+            println!("all records have the newest schema");
+        }
+        self.publish_all(&mut view, records)
+    }
+
+    fn status(&self) -> miette::Result<Exit> {
+        let system = self.system()?;
+        self.print(&system, nodes::print_system);
+        Ok(if system.is_healthy() {
+            Exit::Done
+        } else {
+            Exit::Unhealthy
+        })
+    }
+
+    fn system(&self) -> Result<SystemStatus, UsageError> {
+        let listed = match &self.places.list_url {
+            None => Vec::new(),
+            Some(url) => nodes::list(url).unwrap_or_else(|e| {
+                eprintln!("the instance list can't be read: {e}");
+                Vec::new()
+            }),
+        };
+        let from_list = listed.iter().filter_map(|node| node.admin);
+        let addresses: BTreeSet<_> = self.places.nodes.iter().copied().chain(from_list).collect();
+        if addresses.is_empty() && listed.is_empty() {
+            let message = "no nodes given: use --node ADDRESS, --list URL or a settings file";
+            return Err(UsageError::new(&message));
+        }
+        let addresses: Vec<_> = addresses.into_iter().collect();
+        Ok(SystemStatus {
+            log_offset: self.log_offset(),
+            listed,
+            nodes: nodes::ask(&addresses),
+        })
+    }
+
+    fn log_offset(&self) -> Option<u64> {
+        let log = self.log().ok()?;
+        let end = log.read(
+            egretstage_config::CONFIGURATION_STREAM,
+            u64::MAX,
+            std::time::Duration::ZERO,
+        );
+        match end {
+            Ok(page) => Some(page.next.saturating_sub(1)),
+            Err(e) => {
+                eprintln!("the log can't be read: {e}");
+                None
             }
         }
     }
-    Ok(ExitCode::SUCCESS)
+
+    fn explain(&self, organisation: OrganisationName, service: ServiceName) -> miette::Result<()> {
+        let log = self.log()?;
+        let view = LogView::open(&log).into_diagnostic()?;
+        let nodes = nodes::ask(&self.places.nodes);
+        let configuration = view.fold().configuration();
+        let explanation = explain(configuration, &nodes, organisation, service);
+        self.print(&explanation, explain::print_explanation);
+        Ok(())
+    }
 }
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -4,8 +4,9 @@
 use crate::{DecisionLine, EntryEffect, EntryEvent, EntryLimits, EntryReducer, feeds};
 use egretstage_config::settings::EntrySettings;
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
-use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
+use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics, NodeStatus, StatusBoard};
 use egretstage_platform::{HttpAppendLog, HttpInstanceList};
+use egretstage_relay::{Relay, RelayNews};
 use egretstage_routing::LeastPredictedWait;
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
 use egretstage_wire::{Frame, Hello, Incarnation, InstanceId, PROTOCOL_VERSION, Role};
@@ -40,11 +41,19 @@
         settings.process.link_key.expose(),
     )
     .into_diagnostic()?;
+    let table = LinkTable::default();
+    let board = StatusBoard::new(first_status(settings, incarnation));
+    let relay = start_relay(settings, &events, &table, &board)?;
+    let observer = Observer {
+        events: events.clone(),
+        relay,
+    };
     let sink = Sink {
         answers: answers.clone(),
-        table: LinkTable::default(),
+        table,
+        board: board.clone(),
         identity: Arc::new(identity),
-        observer: Arc::new(Observer(events.clone())),
+        observer: Arc::new(observer),
         events: events.clone(),
         io: runtime.handle().clone(),
         health: health.clone(),
@@ -64,7 +73,7 @@
     spawned.into_diagnostic()?;
     let admin = settings.process.admin_listen;
     let metrics = Metrics::new().into_diagnostic()?;
-    AdminServer::start(admin, health, metrics, Box::new(|| "{}".to_owned())).into_diagnostic()?;
+    AdminServer::start(admin, health, metrics, board.page()).into_diagnostic()?;
     start_feeds(settings, &events)?;
     let tx = events.clone();
     on_stop_signal(move || tx.send(EntryEvent::Stop)).into_diagnostic()?;
@@ -94,13 +103,42 @@
     }
 }
 
-fn start_feeds(settings: &EntrySettings, events: &EventSender<EntryEvent>) -> miette::Result<()> {
-    let log = HttpAppendLog::new(&settings.process.log_url);
+fn first_status(settings: &EntrySettings, incarnation: Incarnation) -> NodeStatus {
+    NodeStatus::starting(
+        settings.process.instance.clone(),
+        Role::Entry,
+        settings.process.zone.clone(),
+        None,
+        incarnation,
+    )
+}
+
+/// Starts to follow the log, or the peers while it is down.
+fn start_relay(
+    settings: &EntrySettings,
+    events: &EventSender<EntryEvent>,
+    table: &LinkTable,
+    board: &StatusBoard,
+) -> miette::Result<Relay> {
+    let log = Arc::new(HttpAppendLog::new(&settings.process.log_url));
+    let interval = settings.configuration.checkpoint_interval();
     let tx = events.clone();
-    std::thread::Builder::new()
-        .name("log-feed".to_owned())
-        .spawn(move || feeds::follow_log(&log, &tx))
-        .into_diagnostic()?;
+    let tell = move |news| {
+        tx.send(match news {
+            RelayNews::Configured {
+                offset,
+                configuration,
+            } => EntryEvent::Configured {
+                offset,
+                configuration,
+            },
+            RelayNews::Incomplete => EntryEvent::ConfigurationIncomplete,
+        });
+    };
+    Relay::start(Some(log), interval, table.clone(), board.clone(), tell).into_diagnostic()
+}
+
+fn start_feeds(settings: &EntrySettings, events: &EventSender<EntryEvent>) -> miette::Result<()> {
     let list = HttpInstanceList::new(&settings.process.list_url);
     let tx = events.clone();
     std::thread::Builder::new()
@@ -111,22 +149,30 @@
 }
 
 /// Turns what happens on links into events.
-struct Observer(EventSender<EntryEvent>);
+struct Observer {
+    events: EventSender<EntryEvent>,
+    relay: Relay,
+}
 
 impl LinkObserver for Observer {
     fn link_up(&self, link: LinkKey, hello: Hello) {
         log::info!(link = link.0, peer = hello.instance.as_str(); "link up");
         let hello = Box::new(hello);
-        self.0.send(EntryEvent::LinkUp { link, hello });
+        self.events.send(EntryEvent::LinkUp { link, hello });
+        self.relay.link_up(link);
     }
 
     fn frame(&self, link: LinkKey, frame: Frame) {
-        self.0.send(EntryEvent::Frame { link, frame });
+        match frame {
+            Frame::Configuration(frame) => self.relay.frame(link, frame),
+            frame => self.events.send(EntryEvent::Frame { link, frame }),
+        }
     }
 
     fn link_down(&self, link: LinkKey, reason: String) {
         log::info!(link = link.0, reason = reason.as_str(); "link down");
-        self.0.send(EntryEvent::LinkDown { link });
+        self.events.send(EntryEvent::LinkDown { link });
+        self.relay.link_down(link);
     }
 }
 
@@ -134,6 +180,7 @@
 struct Sink {
     answers: Answers,
     table: LinkTable,
+    board: StatusBoard,
     identity: Arc<LinkIdentity>,
     observer: Arc<Observer>,
     events: EventSender<EntryEvent>,
@@ -151,6 +198,7 @@
             EntryEffect::Close(link) => self.table.close(link),
             EntryEffect::Log(line) => log_decision(&line),
             EntryEffect::Ready(ready) => self.health.set_ready(ready),
+            EntryEffect::Status(status) => self.board.set_work(*status),
             EntryEffect::StopListening => {
                 self.stop_listening.send_replace(true);
             }
--- a/crates/egretstage_entry/src/event.rs
+++ b/crates/egretstage_entry/src/event.rs
@@ -4,6 +4,7 @@
 use compact_str::CompactString;
 use egretstage_config::{Configuration, Offset};
 use egretstage_link::LinkKey;
+use egretstage_observe::WorkStatus;
 use egretstage_platform::ListedInstance;
 use egretstage_routing::{Candidate, RouteReason};
 use egretstage_wire::{
@@ -42,6 +43,8 @@
         /// The configuration in force.
         configuration: Arc<Configuration>,
     },
+    /// The entry holds less configuration than what was accepted.
+    ConfigurationIncomplete,
     /// A link to a companion is open.
     LinkUp {
         /// The link.
@@ -100,6 +103,8 @@
     Log(Box<DecisionLine>),
     /// Says whether the entry takes new work.
     Ready(bool),
+    /// Shows the state of the entry to operators.
+    Status(Box<WorkStatus>),
     /// Accepts no more connections; the process ends with the last one.
     StopListening,
 }
--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod reducer;
 mod request;
 mod runners;
+mod status;
 
 pub use event::{AnswerPart, CallKey, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind};
 pub use reducer::{EntryLimits, EntryReducer, INITIAL_CREDIT};
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -3,13 +3,15 @@
 use crate::calls::{Call, Calls, Sent};
 use crate::event::CandidateLine;
 use crate::runners::{RunnerKey, Runners};
+use crate::status::{not_ready_because, runner_status};
 use crate::{
     AnswerPart, CallKey, CallRequest, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind,
     Target,
 };
 use compact_str::CompactString;
-use egretstage_config::Configuration;
+use egretstage_config::{Configuration, RecordKind};
 use egretstage_link::LinkKey;
+use egretstage_observe::{StatusCadence, WorkStatus};
 use egretstage_routing::{Candidate, Choice, Demand, RouteReason, RoutingPolicy};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
@@ -22,6 +24,9 @@
 /// Chunks that a companion may send before the caller has read any.
 pub const INITIAL_CREDIT: u32 = 64;
 
+/// When to come back after a refusal because of an unreadable configuration.
+const UNREADABLE_RETRY_AFTER: Duration = Duration::from_secs(10);
+
 /// Limits of an entry's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
@@ -62,6 +67,7 @@
     stopping: Stopping,
     runners: Runners,
     calls: Calls,
+    status: StatusCadence,
 }
 
 impl EntryReducer {
@@ -86,6 +92,7 @@
             stopping: Stopping::No,
             runners: Runners::default(),
             calls: Calls::default(),
+            status: StatusCadence::default(),
         }
     }
 
@@ -96,7 +103,10 @@
                 self.calls.insert(call, admitted);
                 self.route(now, call, fx);
             }
-            Err(kind) => fx.push(refuse(call, kind, None)),
+            Err(kind) => {
+                let retry_after = (kind == UNREADABLE).then_some(UNREADABLE_RETRY_AFTER);
+                fx.push(refuse(call, kind, retry_after));
+            }
         }
     }
 
@@ -108,9 +118,15 @@
             .ok_or(RefusalKind::NotRun(NotRunReason::NoUpstream))?;
         let organisation = cfg
             .organisation_of_token(&req.token_digest)
-            .ok_or(RefusalKind::UnknownToken)?
+            .ok_or_else(|| {
+                let unknown = RefusalKind::UnknownToken;
+                unless_unreadable(cfg, RecordKind::Organisation, None, unknown)
+            })?
             .clone();
-        let (service, repeatable) = service_of(cfg, &req).ok_or(RefusalKind::UnknownService)?;
+        let (service, repeatable) = service_of(cfg, &req)?;
+        if cfg.unreadable_of(RecordKind::PlacementRule, None).is_some() {
+            return Err(UNREADABLE);
+        }
         Ok(Call {
             deadline: now + req.budget,
             req,
@@ -291,6 +307,7 @@
             | Frame::Cancel(_)
             | Frame::Credit { .. }
             | Frame::Resume { .. } => fx.push(EntryEffect::Close(link)),
+            Frame::Configuration(_) => {}
         }
     }
 
@@ -488,6 +505,16 @@
         }
     }
 
+    fn work_status(&self) -> WorkStatus {
+        let (configured, stopping) = (self.configuration.is_some(), self.stopping != Stopping::No);
+        WorkStatus {
+            ready: self.ready,
+            not_ready_because: not_ready_because(configured, self.listed, stopping),
+            runners: self.runners.iter().map(|(_, r)| runner_status(r)).collect(),
+            ..WorkStatus::default()
+        }
+    }
+
     /// Does what follows every event: readiness, dials, the planned stop.
     fn settle(&mut self, now: Instant, fx: &mut Vec<EntryEffect>) {
         for (instance, address) in self.runners.take_dials(now) {
@@ -498,6 +525,11 @@
             self.ready = ready;
             fx.push(EntryEffect::Ready(ready));
         }
+        if self.status.take_due(now) {
+            let status = self.work_status();
+            let changed = self.status.changed(status).map(Box::new);
+            fx.extend(changed.map(EntryEffect::Status));
+        }
         if let Stopping::NotReady { until } = self.stopping
             && until <= now
         {
@@ -523,6 +555,7 @@
             EntryEvent::Configured { configuration, .. } => {
                 self.configuration = Some(configuration);
             }
+            EntryEvent::ConfigurationIncomplete => self.configuration = None,
             EntryEvent::LinkUp { link, hello } => {
                 if !self.runners.link_up(link, &hello.instance) {
                     fx.push(EntryEffect::Close(link));
@@ -546,20 +579,48 @@
             Stopping::NotReady { until } => Some(until),
             _ => None,
         };
-        [self.calls.next_deadline(), self.runners.next_dial(), stop]
-            .into_iter()
-            .flatten()
-            .min()
+        [
+            self.calls.next_deadline(),
+            self.runners.next_dial(),
+            self.status.next_due(),
+            stop,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+}
+
+/// What a call is told when its configuration can't be read.
+const UNREADABLE: RefusalKind = RefusalKind::NotRun(NotRunReason::ConfigurationUnreadable);
+
+/// Refuses what wasn't found; it may stand in an object that can't be read.
+fn unless_unreadable(
+    cfg: &Configuration,
+    kind: RecordKind,
+    name: Option<&str>,
+    not_found: RefusalKind,
+) -> RefusalKind {
+    match cfg.unreadable_of(kind, name) {
+        Some(_) => UNREADABLE,
+        None => not_found,
     }
 }
 
 /// Finds the service of a request and whether the call may run more than once.
-fn service_of(cfg: &Configuration, req: &CallRequest) -> Option<(ServiceName, bool)> {
+fn service_of(cfg: &Configuration, req: &CallRequest) -> Result<(ServiceName, bool), RefusalKind> {
+    let unknown = RefusalKind::UnknownService;
     match &req.target {
-        Target::Chat { model, .. } => Some((cfg.group_of_model(model)?.clone(), true)),
+        Target::Chat { model, .. } => cfg
+            .group_of_model(model)
+            .map(|group| (group.clone(), true))
+            .ok_or_else(|| unless_unreadable(cfg, RecordKind::ModelGroup, None, unknown)),
         Target::Plain { service } => {
-            let body = cfg.service(service)?;
-            Some((service.clone(), body.is_repeatable(&req.method, &req.path)))
+            let name = Some(service.as_str());
+            let body = cfg
+                .service(service)
+                .ok_or_else(|| unless_unreadable(cfg, RecordKind::Service, name, unknown))?;
+            Ok((service.clone(), body.is_repeatable(&req.method, &req.path)))
         }
     }
 }
--- a/crates/egretstage_observe/src/lib.rs
+++ b/crates/egretstage_observe/src/lib.rs
@@ -1,18 +1,25 @@
 //! JSON log lines, metrics and health endpoints.
 //!
 //! Every daemon logs to its standard output, one JSON object a line, and
-//! serves `/livez`, `/readyz` and `/metrics` on its admin address.
+//! serves `/livez`, `/readyz`, `/metrics` and `/status` on its admin address.
 
 mod admin;
 mod json_line;
 mod logging;
 mod metrics;
+mod status;
 
 pub use admin::{AdminError, AdminServer, Health, StatusPage};
 pub use logging::{DECISION_TARGET, LoggingError, init_logging};
 pub use metrics::{Metrics, MetricsError};
+pub use status::{
+    ConfigurationStatus, FenceStatus, NodeStatus, RunnerStatus, StatusBoard, StatusCadence,
+    UnreadableStatus, WorkStatus,
+};
 
 /// The items that most users of this crate need.
 pub mod prelude {
-    pub use crate::{AdminServer, DECISION_TARGET, Health, Metrics, init_logging};
+    pub use crate::{
+        AdminServer, DECISION_TARGET, Health, Metrics, NodeStatus, StatusBoard, init_logging,
+    };
 }
--- a/crates/egretstage_platform/src/lib.rs
+++ b/crates/egretstage_platform/src/lib.rs
@@ -62,6 +62,9 @@
     /// Longest wait for one answer.
     const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+    /// Largest answer in bytes.
+    const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+
     pub(crate) fn agent() -> ureq::Agent {
         ureq::Agent::config_builder()
             .timeout_global(Some(CALL_TIMEOUT))
@@ -95,7 +98,8 @@
         };
         let mut resp = result.map_err(no_answer)?;
         let status = resp.status().as_u16();
-        let text = resp.body_mut().read_to_string().map_err(no_answer)?;
+        let text = resp.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+        let text = text.read_to_string().map_err(no_answer)?;
         if !(200..300).contains(&status) {
             return Err(PlatformError::Refused {
                 url: url.to_owned(),
--- a/crates/egretstage_wire/src/frame.rs
+++ b/crates/egretstage_wire/src/frame.rs
@@ -1,8 +1,8 @@
 //! The frames on a link between an entry and a companion.
 
 use crate::{
-    Incarnation, InstanceId, LoadReport, OrganisationName, Outcome, RequestId, ServiceName,
-    StreamId, ZoneName,
+    ConfigurationFrame, Incarnation, InstanceId, LoadReport, OrganisationName, Outcome, RequestId,
+    ServiceName, StreamId, ZoneName,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -46,6 +46,8 @@
     Leaving,
     /// Entry to companion: the last [`Frame::Start`] on this link went before.
     LeavingNoted,
+    /// Either way: the relay of the configuration.
+    Configuration(ConfigurationFrame),
 }
 
 /// What a process says of itself when a link opens.
--- a/crates/egretstage_wire/src/lib.rs
+++ b/crates/egretstage_wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! version; a peer of another version is refused.
 
 mod codec;
+mod configuration;
 mod frame;
 mod load;
 mod names;
@@ -12,13 +13,16 @@
 mod stream;
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, decode, encode};
+pub use configuration::{
+    ConfigurationFrame, Envelope, ObjectState, Offset, SeenChange, StateChunk, StateDigest,
+};
 pub use frame::{
     AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, PROTOCOL_VERSION, Role, StreamEnd,
 };
 pub use load::LoadReport;
 pub use names::{
-    InstanceId, InvalidName, MAX_NAME_BYTES, ModelName, OrganisationName, RequestId, ServiceName,
-    ZoneName,
+    ChangeId, InstanceId, InvalidName, KindName, MAX_NAME_BYTES, ModelName, ObjectName,
+    OrganisationName, RequestId, ServiceName, ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
 pub use stream::{Incarnation, StreamId, StreamIds};
--- a/crates/egretstage_wire/src/names.rs
+++ b/crates/egretstage_wire/src/names.rs
@@ -84,4 +84,10 @@
     ModelName, "model";
     /// Identifies one request in answers and log lines.
     RequestId, "request id";
+    /// Names the kind of a configuration object, known to this release or not.
+    KindName, "kind";
+    /// Names one object of the configuration among those of its kind.
+    ObjectName, "object";
+    /// Identifies one change of the configuration; a repeat has the same.
+    ChangeId, "change id";
 }
--- a/crates/egretstage_wire/src/outcome.rs
+++ b/crates/egretstage_wire/src/outcome.rs
@@ -47,6 +47,8 @@
     CallerGone,
     /// The companion can't serve a call of this kind.
     Unsupported,
+    /// The entry's release can't read the configuration of the call.
+    ConfigurationUnreadable,
 }
 
 /// Why it isn't known whether a call ran.
--- a/src/daemon_args.rs
+++ b/src/daemon_args.rs
@@ -58,7 +58,7 @@
 /// Runs a daemon: parses its arguments, loads its settings, starts logging.
 pub fn daemon_main<S, F>(name: &str, about: &str, run: F) -> ExitCode
 where
-    S: serde::de::DeserializeOwned,
+    S: egretstage_config::settings::SettingsFile,
     F: FnOnce(&S) -> miette::Result<()>,
 {
     let command = match DaemonCommand::parse(Arguments::from_env()) {
@@ -93,7 +93,7 @@
 
 fn load_and_run<S, F>(path: &std::path::Path, run: F) -> miette::Result<()>
 where
-    S: serde::de::DeserializeOwned,
+    S: egretstage_config::settings::SettingsFile,
     F: FnOnce(&S) -> miette::Result<()>,
 {
     let settings = egretstage_config::settings::load::<S>(path)?;
