--- a/crates/egretstage_wire/src/frame.rs
+++ b/crates/egretstage_wire/src/frame.rs
@@ -1,8 +1,8 @@
 //! The frames on a link between an entry and a companion.
 
 use crate::{
-    GroupFrame, Incarnation, InstanceId, LoadReport, OrganisationName, Outcome, RequestId,
-    ServiceName, StreamId, ZoneName,
+    ConfigurationFrame, GroupFrame, Incarnation, InstanceId, LoadReport, OrganisationName, Outcome,
+    RequestId, ServiceName, StreamId, ZoneName,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -48,6 +48,8 @@
     LeavingNoted,
     /// Between companions of one model group.
     Group(Box<GroupFrame>),
+    /// Either way: the relay of the configuration.
+    Configuration(ConfigurationFrame),
 }
 
 /// What a process says of itself when a link opens.
