--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,3 +1,184 @@
-//! To be written.
+//! Measures every routing policy against its baselines in virtual time.
+//!
+//! All figures repeat exactly: the same seeds for every policy, no wall clock.
 
-fn main() {}
+use egretstage_standins::queueing::{
+    CallerHabit, Fault, FaultAt, Figures, Mechanisms, PolicyKind, Scenario, Site, booking_site,
+    drafting_site, simulate, target_site,
+};
+use std::time::Duration;
+
+/// The seed of every run.
+const SEED: u64 = 7;
+
+/// Time of the fault in runs with one.
+const FAULT_AT: Duration = Duration::from_secs(30);
+
+/// Loads relative to the capacity.
+const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
+
+fn main() {
+    let sites = [drafting_site(), booking_site(), target_site()];
+    for site in &sites {
+        for load in LOADS {
+            let title = format!("{}: load {load}", site.name);
+            table(&title, &Scenario::steady(site.clone(), load, SEED));
+        }
+    }
+    reports(&sites[0]);
+    reports(&sites[2]);
+    cache_events(&sites[0]);
+    cache_events(&sites[2]);
+    faults(&sites[0]);
+    faults(&sites[1]);
+    storm(&sites[0]);
+}
+
+fn contenders() -> Vec<Mechanisms> {
+    vec![
+        Mechanisms::bare(PolicyKind::RoundRobin),
+        Mechanisms::bare(PolicyKind::Random),
+        Mechanisms::bare(PolicyKind::LeastLoaded),
+        Mechanisms::bare(PolicyKind::PowerOfTwo),
+        Mechanisms::limited(PolicyKind::RoundRobin),
+        Mechanisms::limited(PolicyKind::LeastLoaded),
+        Mechanisms::limited(PolicyKind::PowerOfTwo),
+        Mechanisms::own(),
+    ]
+}
+
+fn table(title: &str, scenario: &Scenario) {
+    println!("\n{title}");
+    println!(
+        "  {:<22} {:>7} {:>7} {:>7} {:>6} {:>6} {:>6} {:>8} {:>6} {:>7} {:>7} {:>6} {:>6}",
+        "policy",
+        "on time",
+        "small",
+        "refused",
+        "p50",
+        "p95",
+        "p99",
+        "goodput",
+        "hits",
+        "wasted",
+        "sends",
+        "zone",
+        "lost"
+    );
+    for mechanisms in contenders() {
+        let figures = simulate(scenario, mechanisms);
+        row(&mechanisms.name(), &figures);
+    }
+}
+
+fn row(name: &str, figures: &Figures) {
+    let ms = |percent| figures.first_token(percent).as_millis();
+    println!(
+        "  {:<22} {:>6.2}% {:>6.2}% {:>6.2}% {:>6} {:>6} {:>6} {:>8.0} {:>5.1}% {:>6.2}% {:>7.3} {:>5.1}% {:>6}",
+        name,
+        100.0 * figures.on_time(),
+        100.0 * figures.small_on_time(),
+        100.0 * figures.refused(),
+        ms(50),
+        ms(95),
+        ms(99),
+        figures.goodput(),
+        100.0 * figures.prefix_hits(),
+        100.0 * figures.wasted(),
+        figures.sends_per_admitted(),
+        100.0 * figures.same_zone(),
+        figures.lost(),
+    );
+}
+
+fn reports(site: &Site) {
+    for delay in [100, 1000, 5000] {
+        let scenario = Scenario {
+            report_delay: Duration::from_millis(delay),
+            ..Scenario::steady(site.clone(), 0.9, SEED)
+        };
+        let title = format!("{}: load 0.9, reports {delay} ms late", site.name);
+        table(&title, &scenario);
+    }
+}
+
+fn cache_events(site: &Site) {
+    println!(
+        "\n{}: load 0.9, own policy, cache events late and lost",
+        site.name
+    );
+    for (delay, loss) in [(500, 0.0), (500, 0.3), (5000, 0.3), (500, 1.0)] {
+        let scenario = Scenario {
+            cache_delay: Duration::from_millis(delay),
+            cache_loss: loss,
+            ..Scenario::steady(site.clone(), 0.9, SEED)
+        };
+        let name = format!("{delay} ms, {:.0}% lost", 100.0 * loss);
+        row(&name, &simulate(&scenario, Mechanisms::own()));
+    }
+}
+
+fn faults(site: &Site) {
+    let cases = [
+        (
+            "one runner 10 times slower",
+            Fault::Slow {
+                runner: 1,
+                factor: 10.0,
+            },
+        ),
+        ("a runner dies", Fault::Dies { runner: 1 }),
+        ("a zone is lost", Fault::ZoneLost { zone: 1 }),
+    ];
+    for (name, fault) in cases {
+        let scenario = Scenario {
+            faults: vec![FaultAt {
+                at: FAULT_AT,
+                fault,
+            }],
+            ..Scenario::steady(site.clone(), 0.6, SEED)
+        };
+        table(
+            &format!("{}: load 0.6, {name} after 30 s", site.name),
+            &scenario,
+        );
+    }
+}
+
+fn storm(site: &Site) {
+    let end = FAULT_AT + Duration::from_secs(10);
+    let scenario = Scenario {
+        faults: vec![
+            FaultAt {
+                at: FAULT_AT,
+                fault: Fault::AllLost,
+            },
+            FaultAt {
+                at: end,
+                fault: Fault::AllBack,
+            },
+        ],
+        habit: CallerHabit::AskAgain(8),
+        duration: Duration::from_mins(2),
+        ..Scenario::steady(site.clone(), 0.8, SEED)
+    };
+    println!(
+        "\n{}: load 0.8, 10 s outage, callers ask again up to 8 times",
+        site.name
+    );
+    for mechanisms in contenders() {
+        let figures = simulate(&scenario, mechanisms);
+        let before = figures.on_time_between(Duration::from_secs(20), FAULT_AT);
+        let recovery = figures.recovery(end, 0.95 * before);
+        let recovery = recovery.map_or("not within the run".to_owned(), |r| {
+            format!("{} s", r.as_secs())
+        });
+        println!(
+            "  {:<22} on time before {:>6.2}%, 5 s after {:>6.2}%, asks {:>6}, back after {recovery}",
+            mechanisms.name(),
+            100.0 * before,
+            100.0 * figures.on_time_between(end, end + Duration::from_secs(5)),
+            figures.offered(),
+        );
+    }
+}
--- a/crates/egretstage_companion/src/event.rs
+++ b/crates/egretstage_companion/src/event.rs
@@ -159,6 +159,8 @@
     Wait,
     /// It is refused: the companion is leaving.
     RefuseLeaving,
+    /// It is refused: it can't finish within its budget.
+    RefuseLate,
     /// Its budget ended while it waited.
     Expire,
 }
--- a/crates/egretstage_companion/src/lib.rs
+++ b/crates/egretstage_companion/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod daemon;
 mod event;
 mod links;
+mod load;
 mod reducer;
 mod runs;
 mod upstream;
--- a/crates/egretstage_companion/src/links.rs
+++ b/crates/egretstage_companion/src/links.rs
@@ -38,10 +38,6 @@
         self.links.remove(&link);
     }
 
-    pub(crate) fn is_empty(&self) -> bool {
-        self.links.is_empty()
-    }
-
     pub(crate) fn keys(&self) -> impl Iterator<Item = LinkKey> {
         self.links.keys().copied()
     }
--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -1,25 +1,24 @@
 //! All decisions of a companion.
 
 use crate::links::EntryLinks;
+use crate::load::LoadMeter;
 use crate::runs::{Run, RunState, Runs};
 use crate::{
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
     UpstreamRequest,
 };
 use egretstage_link::LinkKey;
+use egretstage_routing::Refused;
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
-    AnswerHead, CallStart, Chunk, Frame, LoadReport, NotRunReason, Outcome, Role, StreamEnd,
-    StreamId, UnknownReason,
+    AnswerHead, CallStart, Chunk, Frame, NotRunReason, Outcome, Role, StreamEnd, StreamId,
+    UnknownReason,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Bytes of prompt text that make about one token.
-const BYTES_PER_TOKEN: u64 = 4;
-
-/// Time between two load reports on a link.
-const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: u64 = 1000;
 
 /// Limits of a companion's decisions.
 #[derive(Clone, Copy, Debug)]
@@ -33,8 +32,8 @@
 pub struct CompanionReducer {
     limits: CompanionLimits,
     links: EntryLinks,
+    load: LoadMeter,
     runs: Runs,
-    next_report: Option<Instant>,
     leaving: bool,
     exited: bool,
 }
@@ -46,8 +45,8 @@
         Self {
             limits,
             links: EntryLinks::new(now),
+            load: LoadMeter::default(),
             runs: Runs::default(),
-            next_report: None,
             leaving: false,
             exited: false,
         }
@@ -75,25 +74,41 @@
             fx.push(not_run(link, start.stream, NotRunReason::DeadlinePassed));
             return;
         }
+        let slots = self.limits.slots;
+        if let Err(refused) = self.load.admit(&self.runs, slots, &start, budget) {
+            fx.push(self.line(&start, PlacementDecision::RefuseLate));
+            fx.push(refuse(link, start.stream, refused));
+            return;
+        }
         let waits = self.runs.running() >= self.limits.slots as usize;
         if waits {
             fx.push(self.line(&start, PlacementDecision::Wait));
         }
-        self.runs.enqueue(Run {
+        let deadline = now + budget;
+        let cost = self.load.cost(&start);
+        let latest_start = deadline.checked_sub(Duration::from_micros(cost));
+        let run = Run {
             link,
-            deadline: now + budget,
+            deadline,
+            latest_start: latest_start.unwrap_or(now).max(now),
+            cost,
+            started: None,
+            last_bytes: None,
             credit: start.credit,
             start,
             state: RunState::Waiting,
             unsent: VecDeque::new(),
             sent_bytes: 0,
             whole: false,
-        });
-        self.fill_slots(fx);
+        };
+        self.load.taken(now, &run);
+        self.runs.enqueue(run);
+        self.fill_slots(now, fx);
     }
 
-    fn fill_slots(&mut self, fx: &mut Vec<CompanionEffect>) {
-        while let Some(key) = self.runs.start_next(self.limits.slots) {
+    fn fill_slots(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        while let Some(key) = self.runs.start_next(now, self.limits.slots) {
+            self.load.started(now);
             let run = self.runs.get(key).expect("the call was just taken");
             fx.push(self.line(&run.start, PlacementDecision::Start));
             let req = UpstreamRequest {
@@ -129,14 +144,14 @@
             Frame::Start(start) => self.start(now, link, start, fx),
             Frame::Cancel(stream) => {
                 if let Some(key) = self.runs.of_stream(stream) {
-                    self.cancel(key, fx);
+                    self.cancel(now, key, fx);
                 }
             }
             Frame::Credit { stream, chunks } => {
                 if let Some(key) = self.runs.of_stream(stream) {
                     let run = self.runs.get_mut(key).expect("the call was just found");
                     run.credit = run.credit.saturating_add(chunks);
-                    self.pump(key, fx);
+                    self.pump(now, key, fx);
                 }
             }
             Frame::Resume { stream, .. } => {
@@ -156,15 +171,22 @@
     }
 
     /// Breaks a call off, also at the upstream.
-    fn cancel(&mut self, key: RunKey, fx: &mut Vec<CompanionEffect>) {
-        if let Some(run) = self.runs.remove(key) {
+    fn cancel(&mut self, now: Instant, key: RunKey, fx: &mut Vec<CompanionEffect>) {
+        if let Some(run) = self.remove(now, key) {
             if run.state == RunState::Running && !run.whole {
                 fx.push(CompanionEffect::CancelUpstream(key));
             }
-            self.fill_slots(fx);
+            self.fill_slots(now, fx);
         }
     }
 
+    /// Takes a call out of the runs and the load.
+    fn remove(&mut self, now: Instant, key: RunKey) -> Option<Run> {
+        let run = self.runs.remove(key)?;
+        self.load.removed(now, &run);
+        Some(run)
+    }
+
     fn head(
         &mut self,
         key: RunKey,
@@ -185,7 +207,7 @@
     }
 
     /// Sends what the entry's credit allows, then the end if it is reached.
-    fn pump(&mut self, key: RunKey, fx: &mut Vec<CompanionEffect>) {
+    fn pump(&mut self, now: Instant, key: RunKey, fx: &mut Vec<CompanionEffect>) {
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
@@ -211,15 +233,21 @@
         if run.whole && run.unsent.is_empty() {
             let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
             fx.push(end(link, stream, Outcome::Completed, sent));
-            self.runs.remove(key);
-            self.fill_slots(fx);
+            self.remove(now, key);
+            self.fill_slots(now, fx);
         } else if chunks > 0 {
             fx.push(CompanionEffect::ReadUpstream { run: key, chunks });
         }
     }
 
-    fn failed(&mut self, key: RunKey, failure: UpstreamFailure, fx: &mut Vec<CompanionEffect>) {
-        let Some(run) = self.runs.remove(key) else {
+    fn failed(
+        &mut self,
+        now: Instant,
+        key: RunKey,
+        failure: UpstreamFailure,
+        fx: &mut Vec<CompanionEffect>,
+    ) {
+        let Some(run) = self.remove(now, key) else {
             return;
         };
         let outcome = match failure {
@@ -232,7 +260,7 @@
             },
         };
         fx.push(end(run.link, run.stream(), outcome, run.sent_bytes));
-        self.fill_slots(fx);
+        self.fill_slots(now, fx);
     }
 
     fn expire(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
@@ -241,23 +269,24 @@
             let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
             let outcome = match run.state {
                 RunState::Waiting => Outcome::NotRun {
-                    reason: NotRunReason::DeadlinePassed,
-                    retry_after_ms: None,
+                    reason: NotRunReason::DeadlineTooClose,
+                    retry_after_ms: Some(run.cost / MICROS_PER_MILLI),
                 },
                 RunState::Running => Outcome::Unknown {
                     reason: UnknownReason::DeadlinePassed,
                 },
             };
             fx.push(self.line(&run.start, PlacementDecision::Expire));
-            self.cancel(key, fx);
+            self.cancel(now, key, fx);
             fx.push(end(link, stream, outcome, sent));
         }
     }
 
-    fn link_down(&mut self, link: LinkKey, fx: &mut Vec<CompanionEffect>) {
+    fn link_down(&mut self, now: Instant, link: LinkKey, fx: &mut Vec<CompanionEffect>) {
         self.links.remove(link);
+        self.load.link_down(link);
         for key in self.runs.on_link(link) {
-            self.cancel(key, fx);
+            self.cancel(now, key, fx);
         }
     }
 
@@ -274,31 +303,13 @@
     }
 
     fn report(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
-        if self.next_report.is_none_or(|at| at > now) {
-            return;
-        }
-        self.next_report = Some(now + REPORT_INTERVAL);
-        let load = self.load();
-        for (link, received) in self.links.received() {
-            let load = LoadReport {
-                received_from_peer: received,
-                ..load
-            };
-            fx.push(CompanionEffect::Send {
-                link,
-                frame: Frame::Load(load),
-            });
-        }
-    }
-
-    fn load(&self) -> LoadReport {
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        LoadReport {
-            running: count(self.runs.running()),
-            waiting: count(self.runs.waiting()),
-            slots: self.limits.slots,
-            waiting_prompt_tokens: self.runs.waiting_body_bytes() / BYTES_PER_TOKEN,
-            ..LoadReport::default()
+        let received = self.links.received();
+        let reports = self
+            .load
+            .reports(now, received, &self.runs, self.limits.slots);
+        for (link, load) in reports {
+            let frame = Frame::Load(load);
+            fx.push(CompanionEffect::Send { link, frame });
         }
     }
 
@@ -320,7 +331,7 @@
             CompanionEvent::LinkUp { link, hello } => {
                 if hello.role == Role::Entry {
                     self.links.insert(link);
-                    self.next_report = Some(now);
+                    self.load.link_up(now, link);
                     if self.leaving {
                         let frame = Frame::Leaving;
                         fx.push(CompanionEffect::Send { link, frame });
@@ -329,7 +340,7 @@
                     fx.push(CompanionEffect::Close(link));
                 }
             }
-            CompanionEvent::LinkDown { link } => self.link_down(link, fx),
+            CompanionEvent::LinkDown { link } => self.link_down(now, link, fx),
             CompanionEvent::Frame { link, frame } => self.frame(now, link, frame, fx),
             CompanionEvent::UpstreamHead {
                 run,
@@ -339,16 +350,17 @@
             CompanionEvent::UpstreamBytes { run, bytes } => {
                 if let Some(held) = self.runs.get_mut(run) {
                     held.unsent.push_back(bytes);
-                    self.pump(run, fx);
+                    self.load.bytes(now, held);
+                    self.pump(now, run, fx);
                 }
             }
             CompanionEvent::UpstreamEnded { run } => {
                 if let Some(held) = self.runs.get_mut(run) {
                     held.whole = true;
-                    self.pump(run, fx);
+                    self.pump(now, run, fx);
                 }
             }
-            CompanionEvent::UpstreamFailed { run, failure } => self.failed(run, failure, fx),
+            CompanionEvent::UpstreamFailed { run, failure } => self.failed(now, run, failure, fx),
             CompanionEvent::Stop => self.stop(fx),
         }
         self.report(now, fx);
@@ -362,8 +374,7 @@
     }
 
     fn next_wake(&self) -> Option<Instant> {
-        let report = self.next_report.filter(|_| !self.links.is_empty());
-        [self.runs.next_deadline(), report]
+        [self.runs.next_deadline(), self.load.next_report()]
             .into_iter()
             .flatten()
             .min()
@@ -388,3 +399,12 @@
     };
     end(link, stream, outcome, 0)
 }
+
+fn refuse(link: LinkKey, stream: StreamId, refused: Refused) -> CompanionEffect {
+    let after = refused.retry_after.as_millis();
+    let outcome = Outcome::NotRun {
+        reason: refused.reason,
+        retry_after_ms: Some(u64::try_from(after).unwrap_or(u64::MAX)),
+    };
+    end(link, stream, outcome, 0)
+}
--- a/crates/egretstage_companion/src/runs.rs
+++ b/crates/egretstage_companion/src/runs.rs
@@ -3,9 +3,9 @@
 use crate::RunKey;
 use compact_str::CompactString;
 use egretstage_link::LinkKey;
-use egretstage_wire::{CallStart, StreamId};
+use egretstage_routing::{FairQueue, Flow};
+use egretstage_wire::{CallStart, OrganisationName, StreamId};
 use slotmap::SlotMap;
-use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Instant;
 
@@ -24,6 +24,14 @@
     pub(crate) link: LinkKey,
     pub(crate) start: Box<CallStart>,
     pub(crate) deadline: Instant,
+    /// Time after which the call, if it still waits, can't finish in time.
+    pub(crate) latest_start: Instant,
+    /// Expected time in a slot, in microseconds.
+    pub(crate) cost: u64,
+    /// Time at which it was handed to the upstream.
+    pub(crate) started: Option<Instant>,
+    /// Time of the last bytes of its answer.
+    pub(crate) last_bytes: Option<Instant>,
     pub(crate) state: RunState,
     /// Chunks that the entry lets in.
     pub(crate) credit: u32,
@@ -43,20 +51,36 @@
     pub(crate) fn key(&self) -> Option<&CompactString> {
         self.start.key.as_ref()
     }
+
+    /// Returns the flow whose share the call takes.
+    pub(crate) fn flow(&self) -> Flow<OrganisationName> {
+        flow(&self.start)
+    }
+
+    /// Returns when the call is given up.
+    fn expiry(&self) -> Instant {
+        match self.state {
+            RunState::Waiting => self.latest_start,
+            RunState::Running => self.deadline,
+        }
+    }
 }
 
-/// Order in which waiting calls start: priority, then arrival.
-type QueueKey = (Reverse<u8>, u64, RunKey);
+/// Returns the flow whose share a call takes.
+pub(crate) fn flow(start: &CallStart) -> Flow<OrganisationName> {
+    Flow {
+        id: start.organisation.clone(),
+        weight_milli: start.work.weight_milli,
+    }
+}
 
 /// All calls of a companion.
 #[derive(Debug, Default)]
 pub(crate) struct Runs {
     arena: SlotMap<RunKey, Run>,
     by_stream: HashMap<StreamId, RunKey>,
-    queue: BTreeSet<QueueKey>,
-    queue_keys: HashMap<RunKey, QueueKey>,
+    queue: FairQueue<OrganisationName, RunKey>,
     deadlines: BTreeSet<(Instant, RunKey)>,
-    arrivals: u64,
     running: usize,
 }
 
@@ -87,39 +111,36 @@
 
     /// Adds a call to the queue.
     pub(crate) fn enqueue(&mut self, run: Run) -> RunKey {
-        let (stream, deadline) = (run.stream(), run.deadline);
-        let priority = run.start.priority;
+        let (stream, expiry) = (run.stream(), run.expiry());
+        let (flow, cost, priority) = (run.flow(), run.cost, run.start.priority);
         let key = self.arena.insert(run);
         self.by_stream.insert(stream, key);
-        self.deadlines.insert((deadline, key));
-        let queue_key = (Reverse(priority), self.arrivals, key);
-        self.arrivals += 1;
-        self.queue.insert(queue_key);
-        self.queue_keys.insert(key, queue_key);
+        self.deadlines.insert((expiry, key));
+        self.queue.push(flow, key, cost, priority);
         key
     }
 
     /// Takes the next waiting call if fewer than `slots` run.
-    pub(crate) fn start_next(&mut self, slots: u32) -> Option<RunKey> {
+    pub(crate) fn start_next(&mut self, now: Instant, slots: u32) -> Option<RunKey> {
         if self.running >= slots as usize {
             return None;
         }
-        let (_, _, key) = self.queue.pop_first()?;
-        self.queue_keys.remove(&key);
+        let key = self.queue.pop()?;
         self.running += 1;
-        self.arena[key].state = RunState::Running;
+        let run = &mut self.arena[key];
+        self.deadlines.remove(&(run.expiry(), key));
+        run.state = RunState::Running;
+        run.started = Some(now);
+        self.deadlines.insert((run.expiry(), key));
         Some(key)
     }
 
     pub(crate) fn remove(&mut self, key: RunKey) -> Option<Run> {
         let run = self.arena.remove(key)?;
         self.by_stream.remove(&run.stream());
-        self.deadlines.remove(&(run.deadline, key));
-        match self.queue_keys.remove(&key) {
-            Some(queue_key) => {
-                self.queue.remove(&queue_key);
-            }
-            None => self.running -= 1,
+        self.deadlines.remove(&(run.expiry(), key));
+        if !self.queue.remove(key) {
+            self.running -= 1;
         }
         Some(run)
     }
@@ -144,9 +165,8 @@
         self.deadlines.first().map(|(deadline, _)| *deadline)
     }
 
-    /// Returns the prompt bytes of all waiting calls.
-    pub(crate) fn waiting_body_bytes(&self) -> u64 {
-        let waiting = self.queue.iter().map(|(_, _, key)| &self.arena[*key]);
-        waiting.map(|run| run.start.body.len() as u64).sum()
+    /// Returns the queue of waiting calls.
+    pub(crate) fn queue(&self) -> &FairQueue<OrganisationName, RunKey> {
+        &self.queue
     }
 }
--- a/crates/egretstage_entry/src/calls.rs
+++ b/crates/egretstage_entry/src/calls.rs
@@ -1,9 +1,10 @@
 //! The calls that an entry is serving.
 
 use crate::runners::RunnerKey;
-use crate::{CallKey, CallRequest};
+use crate::{CallKey, CallRequest, RefusalKind};
 use egretstage_link::LinkKey;
-use egretstage_wire::{OrganisationName, ServiceName, StreamId};
+use egretstage_routing::SentWork;
+use egretstage_wire::{NotRunReason, OrganisationName, ServiceName, StreamId, UnknownReason};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
@@ -13,6 +14,7 @@
     pub(crate) runner: RunnerKey,
     pub(crate) link: LinkKey,
     pub(crate) stream: StreamId,
+    pub(crate) work: SentWork,
 }
 
 /// A call from its arrival to its last answer part.
@@ -25,10 +27,25 @@
     pub(crate) deadline: Instant,
     pub(crate) sent: Option<Sent>,
     pub(crate) attempts: u32,
+    /// Why an earlier attempt may have run, if it may.
+    pub(crate) doubt: Option<UnknownReason>,
     pub(crate) head_passed: bool,
+    /// Whether the answer is a stream of events.
+    pub(crate) streamed: bool,
+    /// Events of the answer that have arrived.
+    pub(crate) events: u32,
     pub(crate) received_bytes: u64,
 }
 
+impl Call {
+    /// Returns what to say of a call that is given up: an earlier attempt may
+    /// have run.
+    pub(crate) fn refusal(&self, reason: NotRunReason) -> RefusalKind {
+        self.doubt
+            .map_or(RefusalKind::NotRun(reason), RefusalKind::Unknown)
+    }
+}
+
 /// All calls of an entry, with their deadlines in order.
 #[derive(Debug, Default)]
 pub(crate) struct Calls {
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -6,7 +6,7 @@
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
 use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
 use egretstage_platform::{HttpAppendLog, HttpInstanceList};
-use egretstage_routing::LeastPredictedWait;
+use egretstage_routing::{PredictedFirstToken, PredictionLimits};
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
 use egretstage_wire::{Frame, Hello, Incarnation, InstanceId, PROTOCOL_VERSION, Role};
 use miette::{IntoDiagnostic, WrapErr};
@@ -56,7 +56,8 @@
         ..EntryLimits::default()
     };
     let spawned = EventLoop::spawn("reducer", rx, move || {
-        let policy = Box::new(LeastPredictedWait);
+        let policy = PredictedFirstToken::new(PredictionLimits::default(), rand::random());
+        let policy = Box::new(policy);
         let reducer = EntryReducer::new(Instant::now(), zone, incarnation, limits, policy);
         let mut sink = sink;
         (reducer, Box::new(move |effect| sink.carry_out(effect)))
--- a/crates/egretstage_entry/src/event.rs
+++ b/crates/egretstage_entry/src/event.rs
@@ -5,7 +5,7 @@
 use egretstage_config::{Configuration, Offset};
 use egretstage_link::LinkKey;
 use egretstage_platform::ListedInstance;
-use egretstage_routing::{Candidate, RouteReason};
+use egretstage_routing::{Candidate, Prediction, RouteReason};
 use egretstage_wire::{
     Frame, Hello, InstanceId, NotRunReason, OrganisationName, RequestId, ServiceName, StreamId,
     UnknownReason,
@@ -165,7 +165,8 @@
     pub reason: Option<RouteReason>,
     /// Why the request was refused.
     pub refused: Option<NotRunReason>,
-    /// The candidates with their figures.
+    /// The candidates with their figures, the chosen one first; those beyond
+    /// the first sixteen are left out.
     pub candidates: Vec<CandidateLine>,
 }
 
@@ -177,4 +178,6 @@
     /// Its figures.
     #[serde(flatten)]
     pub figures: Candidate,
+    /// When it would answer.
+    pub predicted: Prediction,
 }
--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod http;
 mod reducer;
 mod request;
+mod routing;
 mod runners;
 
 pub use event::{AnswerPart, CallKey, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind};
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -1,20 +1,23 @@
 //! All decisions of an entry.
 
 use crate::calls::{Call, Calls, Sent};
-use crate::event::CandidateLine;
+use crate::routing::{
+    AppliedRule, Candidates, Router, candidate_lines, count_events, prompt, weight_milli,
+};
 use crate::runners::{RunnerKey, Runners};
 use crate::{
     AnswerPart, CallKey, CallRequest, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind,
     Target,
 };
-use compact_str::CompactString;
 use egretstage_config::Configuration;
 use egretstage_link::LinkKey;
-use egretstage_routing::{Candidate, Choice, Demand, RouteReason, RoutingPolicy};
+use egretstage_routing::{
+    CallResult, Choice, Demand, EjectionLimits, RetryLimits, RouteReason, RoutingPolicy,
+};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
-    AnswerHead, CallStart, Chunk, Frame, Incarnation, NotRunReason, OrganisationName, Outcome,
-    ServiceName, StreamEnd, StreamIds, UnknownReason, ZoneName,
+    AnswerHead, CallStart, CallWork, Chunk, Frame, Incarnation, NotRunReason, Outcome, ServiceName,
+    StreamEnd, StreamIds, UnknownReason, ZoneName,
 };
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -22,6 +25,9 @@
 /// Chunks that a companion may send before the caller has read any.
 pub const INITIAL_CREDIT: u32 = 64;
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// Limits of an entry's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
@@ -30,6 +36,10 @@
     /// Time between "not ready" and the end of accepting, for the platform's
     /// balancer to notice.
     pub not_ready_grace: Duration,
+    /// Budget for retries of each service.
+    pub retries: RetryLimits,
+    /// Limits of the ejection of outliers.
+    pub ejection: EjectionLimits,
 }
 
 impl Default for EntryLimits {
@@ -37,10 +47,19 @@
         Self {
             max_attempts: 2,
             not_ready_grace: Duration::from_secs(1),
+            retries: RetryLimits::default(),
+            ejection: EjectionLimits::default(),
         }
     }
 }
 
+/// The upstream of a call.
+#[derive(Clone, Copy, Debug)]
+struct Chosen {
+    runner: RunnerKey,
+    reason: RouteReason,
+}
+
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stopping {
@@ -52,9 +71,7 @@
 /// Makes all decisions of an entry.
 pub struct EntryReducer {
     clock_start: Instant,
-    zone: ZoneName,
-    limits: EntryLimits,
-    policy: Box<dyn RoutingPolicy>,
+    router: Router,
     streams: StreamIds,
     configuration: Option<Arc<Configuration>>,
     listed: bool,
@@ -76,9 +93,7 @@
     ) -> Self {
         Self {
             clock_start: now,
-            zone,
-            limits,
-            policy,
+            router: Router::new(zone, limits, policy),
             streams: StreamIds::new(incarnation),
             configuration: None,
             listed: false,
@@ -93,6 +108,7 @@
         let call = req.call;
         match self.admit(now, req) {
             Ok(admitted) => {
+                self.router.requested(&admitted.service);
                 self.calls.insert(call, admitted);
                 self.route(now, call, fx);
             }
@@ -119,7 +135,10 @@
             repeatable,
             sent: None,
             attempts: 0,
+            doubt: None,
             head_passed: false,
+            streamed: false,
+            events: 0,
             received_bytes: 0,
         })
     }
@@ -129,16 +148,17 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
-        let rule = self.rule(&call.organisation, &call.service);
-        let zones = rule.as_ref().map(|(_, zones)| zones.as_slice());
-        let (keys, candidates) = self.candidates(&call.service, zones.unwrap_or_default());
-        let demand = demand(call, now);
-        let choice = self.policy.choose(&demand, &candidates);
-        let rule = rule.map(|(name, _)| name);
-        let mut line = self.decision_line(call, rule, &keys, &candidates);
+        let cfg = self.configuration.as_deref();
+        let rule = AppliedRule::find(cfg, &call.organisation, &call.service);
+        self.router.eject(now, &call.service, &mut self.runners);
+        let demand = self.router.demand(now, call);
+        let candidates = self.router.candidates(now, call, &rule, &self.runners);
+        let choice = self.router.choose(&demand, &candidates);
+        let mut line = self.decision_line(call, rule, &demand, &candidates, choice);
         match choice {
             Choice::Send { index, reason } => {
-                self.send(now, key, keys[index], reason, &mut line, fx);
+                let runner = candidates.keys[index];
+                self.send(now, key, Chosen { runner, reason }, &demand, &mut line, fx);
                 fx.push(EntryEffect::Log(Box::new(line)));
             }
             Choice::Refuse {
@@ -147,60 +167,37 @@
             } => {
                 line.refused = Some(reason);
                 fx.push(EntryEffect::Log(Box::new(line)));
-                self.calls.remove(key);
-                let kind = RefusalKind::NotRun(reason);
-                fx.push(refuse(key, kind, Some(retry_after)));
+                let refusal = Refusal {
+                    kind: call.refusal(reason),
+                    retry_after: Some(retry_after),
+                };
+                self.finish(key, AnswerPart::Refused(refusal), fx);
             }
         }
     }
 
-    fn rule(
-        &self,
-        organisation: &OrganisationName,
-        service: &ServiceName,
-    ) -> Option<(CompactString, Vec<ZoneName>)> {
-        let cfg = self.configuration.as_deref()?;
-        let (name, rule) = cfg.placement_rule(organisation, service)?;
-        Some((name.clone(), rule.zones.to_vec()))
-    }
-
-    fn candidates(
-        &self,
-        service: &ServiceName,
-        zones: &[ZoneName],
-    ) -> (Vec<RunnerKey>, Vec<Candidate>) {
-        self.runners
-            .iter()
-            .filter(|(_, r)| r.service == *service && r.open_link().is_some())
-            .filter(|(_, r)| zones.is_empty() || zones.contains(&r.zone))
-            .map(|(key, r)| (key, r.candidate(&self.zone)))
-            .unzip()
-    }
-
     fn decision_line(
         &self,
         call: &Call,
-        rule: Option<CompactString>,
-        keys: &[RunnerKey],
-        candidates: &[Candidate],
+        rule: AppliedRule,
+        demand: &Demand,
+        candidates: &Candidates,
+        choice: Choice,
     ) -> DecisionLine {
-        let figures = keys.iter().zip(candidates);
+        let chosen = match choice {
+            Choice::Send { index, .. } => Some(index),
+            Choice::Refuse { .. } => None,
+        };
         DecisionLine {
             request: call.req.request.clone(),
             organisation: call.organisation.clone(),
             service: call.service.clone(),
-            rule,
+            rule: rule.name,
             stream: None,
             chosen: None,
             reason: None,
             refused: None,
-            candidates: figures
-                .filter_map(|(key, figures)| {
-                    let instance = self.runners.get(*key)?.instance.clone();
-                    let figures = *figures;
-                    Some(CandidateLine { instance, figures })
-                })
-                .collect(),
+            candidates: candidate_lines(demand, candidates, chosen, &self.runners),
         }
     }
 
@@ -208,26 +205,28 @@
         &mut self,
         now: Instant,
         key: CallKey,
-        runner_key: RunnerKey,
-        reason: RouteReason,
+        chosen: Chosen,
+        demand: &Demand,
         decision: &mut DecisionLine,
         fx: &mut Vec<EntryEffect>,
     ) {
         let runner = self
             .runners
-            .get_mut(runner_key)
+            .get_mut(chosen.runner)
             .expect("a candidate is in the arena");
         let link = runner.open_link().expect("a candidate has an open link");
-        runner.sent_since_report += 1;
-        runner.in_flight += 1;
+        let call = self.calls.get(key).expect("the call is being routed");
+        let work = runner.tracker.sent(demand, prompt(call));
+        let weight = weight_milli(self.configuration.as_deref(), &call.organisation);
         let stream = self.streams.issue();
         decision.stream = Some(stream);
         decision.chosen = Some(runner.instance.clone());
-        decision.reason = Some(reason);
+        decision.reason = Some(chosen.reason);
         let sent = Sent {
-            runner: runner_key,
+            runner: chosen.runner,
             link,
             stream,
+            work,
         };
         self.calls.set_sent(key, Some(sent));
         let priority = self.priority(key);
@@ -244,6 +243,11 @@
             sent_ms: as_millis(now.saturating_duration_since(self.clock_start)),
             budget_ms: as_millis(call.deadline.saturating_duration_since(now)),
             priority,
+            work: CallWork {
+                prefill_tokens: work.prefill_tokens(),
+                output_tokens: demand.output_tokens,
+                weight_milli: weight,
+            },
             method: call.req.method.clone(),
             path: call.req.path.clone(),
             content_type: call.req.content_type.clone(),
@@ -274,8 +278,7 @@
             Frame::End(end) => self.end(now, link, &end, fx),
             Frame::Load(load) => {
                 if let Some(runner) = self.runner_of_link(link) {
-                    runner.load = load;
-                    runner.sent_since_report = 0;
+                    runner.tracker.reported(now, load);
                 }
             }
             Frame::Leaving => {
@@ -314,6 +317,8 @@
         if std::mem::replace(&mut call.head_passed, true) {
             return;
         }
+        let content_type = head.content_type.as_deref();
+        call.streamed = content_type.is_some_and(|t| t.starts_with(EVENT_STREAM));
         let part = AnswerPart::Head {
             status: head.status,
             content_type: head.content_type,
@@ -331,10 +336,24 @@
             return;
         }
         call.received_bytes += chunk.bytes.len() as u64;
+        if call.streamed {
+            call.events += count_events(&chunk.bytes);
+        }
+        self.first_token(key);
         let part = AnswerPart::Bytes(chunk.bytes);
         fx.push(EntryEffect::Answer { call: key, part });
     }
 
+    /// Notes that an answer has begun, so that its prefill is done.
+    fn first_token(&mut self, key: CallKey) {
+        let call = self.calls.get_mut(key);
+        if let Some(sent) = call.and_then(|call| call.sent.as_mut())
+            && let Some(runner) = self.runners.get_mut(sent.runner)
+        {
+            runner.tracker.first_token(&mut sent.work);
+        }
+    }
+
     fn end(&mut self, now: Instant, link: LinkKey, end: &StreamEnd, fx: &mut Vec<EntryEffect>) {
         let Some(key) = self.call_on(link, end.stream) else {
             return;
@@ -342,7 +361,11 @@
         let call = self.calls.get(key).expect("the call was just found");
         let whole = call.head_passed && call.received_bytes == end.body_bytes;
         match end.outcome {
-            Outcome::Completed if whole => self.finish(key, AnswerPart::End, fx),
+            Outcome::Completed if whole => {
+                self.router.completed(call);
+                self.release(key, CallResult::Completed);
+                self.finish(key, AnswerPart::End, fx);
+            }
             Outcome::Completed => self.lost(now, key, UnknownReason::AnswerForgotten, fx),
             Outcome::NotRun {
                 reason,
@@ -354,17 +377,19 @@
 
     /// Ends a call with its final answer part.
     fn finish(&mut self, key: CallKey, part: AnswerPart, fx: &mut Vec<EntryEffect>) {
-        self.release(key);
+        self.release(key, CallResult::Neutral);
         if self.calls.remove(key).is_some() {
             fx.push(EntryEffect::Answer { call: key, part });
         }
     }
 
     /// Gives back the place that a call has at its runner.
-    fn release(&mut self, key: CallKey) {
+    fn release(&mut self, key: CallKey, result: CallResult) {
         let sent = self.calls.get(key).and_then(|call| call.sent);
-        if let Some(runner) = sent.and_then(|sent| self.runners.get_mut(sent.runner)) {
-            runner.in_flight = runner.in_flight.saturating_sub(1);
+        if let Some(sent) = sent
+            && let Some(runner) = self.runners.get_mut(sent.runner)
+        {
+            runner.tracker.ended(sent.work, result);
         }
         self.calls.set_sent(key, None);
     }
@@ -379,28 +404,63 @@
         retry_after_ms: Option<u64>,
         fx: &mut Vec<EntryEffect>,
     ) {
-        self.release(key);
+        let retry_after = retry_after_ms.map(Duration::from_millis);
+        self.note_refusal(now, key, reason, retry_after);
+        let result = match reason {
+            NotRunReason::UpstreamUnreachable => CallResult::Failed,
+            _ => CallResult::Neutral,
+        };
+        self.release(key, result);
         let elsewhere = matches!(
             reason,
-            NotRunReason::Leaving | NotRunReason::UpstreamUnreachable
+            NotRunReason::Leaving | NotRunReason::UpstreamUnreachable | NotRunReason::Overloaded
         );
-        if elsewhere && self.may_retry(now, key) {
+        let planned = reason == NotRunReason::Leaving;
+        if elsewhere && self.may_retry(now, key) && (planned || self.take_retry(key)) {
             self.route(now, key, fx);
             return;
         }
+        let Some(call) = self.calls.get(key) else {
+            return;
+        };
         let refusal = Refusal {
-            kind: RefusalKind::NotRun(reason),
-            retry_after: retry_after_ms.map(Duration::from_millis),
+            kind: call.refusal(reason),
+            retry_after,
         };
         self.finish(key, AnswerPart::Refused(refusal), fx);
     }
 
+    /// Remembers that an upstream has no place for an organisation for a time.
+    fn note_refusal(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        reason: NotRunReason,
+        retry_after: Option<Duration>,
+    ) {
+        let (Some(call), Some(time)) = (self.calls.get(key), retry_after) else {
+            return;
+        };
+        if let Some(sent) = call.sent.filter(|_| reason == NotRunReason::Overloaded)
+            && let Some(runner) = self.runners.get_mut(sent.runner)
+        {
+            runner.tracker.refused(now, &call.organisation, time);
+        }
+    }
+
     fn may_retry(&self, now: Instant, key: CallKey) -> bool {
+        let max_attempts = self.router.limits().max_attempts;
         self.calls.get(key).is_some_and(|call| {
-            !call.head_passed && call.attempts < self.limits.max_attempts && call.deadline > now
+            !call.head_passed && call.attempts < max_attempts && call.deadline > now
         })
     }
 
+    /// Takes a retry from the budget of the call's service.
+    fn take_retry(&mut self, key: CallKey) -> bool {
+        let call = self.calls.get(key);
+        call.is_some_and(|call| self.router.take_retry(&call.service))
+    }
+
     /// Handles a call whose answer is lost: sends it again if that is allowed.
     fn lost(
         &mut self,
@@ -409,13 +469,15 @@
         reason: UnknownReason,
         fx: &mut Vec<EntryEffect>,
     ) {
-        self.release(key);
-        let Some(call) = self.calls.get(key) else {
+        self.release(key, CallResult::Failed);
+        let Some(call) = self.calls.get_mut(key) else {
             return;
         };
-        if call.head_passed {
+        call.doubt = Some(reason);
+        let (head_passed, repeatable) = (call.head_passed, call.repeatable);
+        if head_passed {
             self.finish(key, AnswerPart::Cut, fx);
-        } else if call.repeatable && self.may_retry(now, key) {
+        } else if repeatable && self.may_retry(now, key) && self.take_retry(key) {
             self.route(now, key, fx);
         } else {
             let refusal = Refusal {
@@ -437,7 +499,7 @@
 
     fn caller_gone(&mut self, key: CallKey, fx: &mut Vec<EntryEffect>) {
         self.cancel_upstream(key, fx);
-        self.release(key);
+        self.release(key, CallResult::Neutral);
         self.calls.remove(key);
     }
 
@@ -462,13 +524,14 @@
             } else {
                 let kind = match call.sent {
                     Some(_) => RefusalKind::Unknown(UnknownReason::DeadlinePassed),
-                    None => RefusalKind::NotRun(NotRunReason::DeadlinePassed),
+                    None => call.refusal(NotRunReason::DeadlinePassed),
                 };
                 AnswerPart::Refused(Refusal {
                     kind,
                     retry_after: None,
                 })
             };
+            self.release(key, CallResult::Failed);
             self.finish(key, part, fx);
         }
     }
@@ -483,7 +546,7 @@
     fn stop(&mut self, now: Instant) {
         if self.stopping == Stopping::No {
             self.stopping = Stopping::NotReady {
-                until: now + self.limits.not_ready_grace,
+                until: now + self.router.limits().not_ready_grace,
             };
         }
     }
@@ -564,22 +627,6 @@
     }
 }
 
-fn demand(call: &Call, now: Instant) -> Demand {
-    let (prompt_tokens, max_tokens) = match call.req.target {
-        Target::Chat {
-            prompt_tokens,
-            max_tokens,
-            ..
-        } => (prompt_tokens, max_tokens),
-        Target::Plain { .. } => (0, 0),
-    };
-    Demand {
-        budget: call.deadline.saturating_duration_since(now),
-        prompt_tokens,
-        max_tokens,
-    }
-}
-
 fn refuse(call: CallKey, kind: RefusalKind, retry_after: Option<Duration>) -> EntryEffect {
     EntryEffect::Answer {
         call,
--- a/crates/egretstage_entry/src/request.rs
+++ b/crates/egretstage_entry/src/request.rs
@@ -3,6 +3,7 @@
 use crate::CallKey;
 use compact_str::CompactString;
 use egretstage_config::token_digest;
+use egretstage_routing::PrefixFingerprint;
 use egretstage_wire::{CallKind, ModelName, RequestId, ServiceName};
 use serde::Deserialize;
 use std::time::Duration;
@@ -90,6 +91,8 @@
         prompt_tokens: u32,
         /// Most tokens to generate.
         max_tokens: u32,
+        /// Fingerprint of the prompt's leading blocks.
+        prompt: PrefixFingerprint,
     },
     /// A call of a plain service.
     Plain {
@@ -217,11 +220,12 @@
     if chat.messages.is_empty() {
         return Err(InvalidRequest::Body("messages is empty".to_owned()));
     }
-    let prompt_bytes: usize = chat.messages.iter().map(|m| m.to_string().len()).sum();
+    let prompt: String = chat.messages.iter().map(ToString::to_string).collect();
     Ok(Target::Chat {
         model,
-        prompt_tokens: u32::try_from(prompt_bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
+        prompt_tokens: u32::try_from(prompt.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
         max_tokens: chat.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
+        prompt: PrefixFingerprint::of_text(prompt.as_bytes()),
     })
 }
 
--- a/crates/egretstage_entry/src/runners.rs
+++ b/crates/egretstage_entry/src/runners.rs
@@ -2,8 +2,8 @@
 
 use egretstage_link::LinkKey;
 use egretstage_platform::{InstanceState, ListedInstance};
-use egretstage_routing::Candidate;
-use egretstage_wire::{InstanceId, LoadReport, Role, ServiceName, ZoneName};
+use egretstage_routing::UpstreamTracker;
+use egretstage_wire::{InstanceId, Role, ServiceName, ZoneName};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -38,9 +38,7 @@
     pub(crate) link: LinkState,
     pub(crate) listed: bool,
     pub(crate) leaving: bool,
-    pub(crate) load: LoadReport,
-    pub(crate) sent_since_report: u32,
-    pub(crate) in_flight: u32,
+    pub(crate) tracker: UpstreamTracker,
 }
 
 impl Runner {
@@ -51,16 +49,6 @@
             _ => None,
         }
     }
-
-    /// Returns the figures that a policy sees.
-    pub(crate) fn candidate(&self, own_zone: &ZoneName) -> Candidate {
-        Candidate {
-            same_zone: self.zone == *own_zone,
-            load: self.load,
-            sent_since_report: self.sent_since_report,
-            own_in_flight: self.in_flight,
-        }
-    }
 }
 
 /// All upstreams that an entry knows.
@@ -84,6 +72,10 @@
         self.by_link.get(&link).copied()
     }
 
+    pub(crate) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Runner> {
+        self.arena.values_mut()
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (RunnerKey, &Runner)> {
         self.arena.iter()
     }
@@ -123,9 +115,7 @@
             link: LinkState::Down(now),
             listed: true,
             leaving,
-            load: LoadReport::default(),
-            sent_since_report: 0,
-            in_flight: 0,
+            tracker: UpstreamTracker::default(),
         });
         self.by_instance.insert(instance, key);
     }
@@ -153,8 +143,7 @@
         }
         runner.link = LinkState::Up(link);
         runner.leaving = !runner.listed;
-        runner.load = LoadReport::default();
-        runner.sent_since_report = 0;
+        runner.tracker.relinked();
         self.by_link.extend(key.map(|key| (link, key)));
         true
     }
--- a/crates/egretstage_routing/src/candidate.rs
+++ b/crates/egretstage_routing/src/candidate.rs
@@ -12,10 +12,20 @@
     pub same_zone: bool,
     /// The newest load report.
     pub load: LoadReport,
-    /// Calls sent to it since that report.
+    /// Time since that report arrived, in milliseconds.
+    pub report_age_ms: u32,
+    /// Calls sent to it that the report doesn't count.
     pub sent_since_report: u32,
-    /// Calls of this entry that run there.
+    /// Calls of this entry that it holds.
     pub own_in_flight: u32,
+    /// Uncached prompt tokens of this entry's calls that have no answer yet.
+    pub own_prefill_tokens: u32,
+    /// Leading tokens of the prompt that it has probably cached.
+    pub cached_tokens: u32,
+    /// Share of its usual work that it is given: 0 when ejected.
+    pub admitted_share: f32,
+    /// Time for which it refuses the organisation, in milliseconds.
+    pub blocked_ms: u32,
 }
 
 /// What a request needs.
@@ -25,8 +35,8 @@
     pub budget: Duration,
     /// Estimated tokens of the prompt, 0 for a plain call.
     pub prompt_tokens: u32,
-    /// Most tokens to generate, 0 for a plain call.
-    pub max_tokens: u32,
+    /// Expected tokens to generate, 0 for a plain call.
+    pub output_tokens: u32,
 }
 
 /// Why an upstream was chosen.
@@ -36,8 +46,18 @@
 pub enum RouteReason {
     /// It is the only one.
     OnlyCandidate,
-    /// Its predicted wait is the shortest.
-    ShortestWait,
+    /// It is next in turn.
+    NextInTurn,
+    /// It was drawn at random.
+    Random,
+    /// Its load is the smallest.
+    LeastLoaded,
+    /// Its predicted first token is the earliest.
+    EarliestFirstToken,
+    /// Its predicted first token is the earliest thanks to a cached prefix.
+    CachedPrefix,
+    /// Its predicted answer is the only one in time.
+    InTime,
     /// It owns the request's key.
     KeyOwner,
 }
@@ -60,3 +80,17 @@
         retry_after: Duration,
     },
 }
+
+/// When to come back if no upstream is known.
+const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl Choice {
+    /// Refuses a request for which there is no upstream.
+    #[must_use]
+    pub fn no_upstream() -> Self {
+        Self::Refuse {
+            reason: NotRunReason::NoUpstream,
+            retry_after: NO_UPSTREAM_RETRY_AFTER,
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretstage_routing/src/estimate.rs
@@ -0,0 +1,83 @@
+//! Exponential estimates.
+
+/// An exponentially weighted mean.
+#[derive(Clone, Copy, Debug)]
+pub struct Ewma {
+    weight: f32,
+    value: Option<f32>,
+}
+
+impl Ewma {
+    /// Creates a mean without samples; `weight` is that of the newest sample.
+    #[must_use]
+    pub fn new(weight: f32) -> Self {
+        Self {
+            weight,
+            value: None,
+        }
+    }
+
+    /// Adds a sample; a sample that isn't finite is ignored.
+    pub fn add(&mut self, sample: f32) {
+        if sample.is_finite() {
+            let old = self.value.unwrap_or(sample);
+            self.value = Some(old + self.weight * (sample - old));
+        }
+    }
+
+    /// Returns the mean, if there was a sample.
+    #[must_use]
+    pub fn get(&self) -> Option<f32> {
+        self.value
+    }
+}
+
+/// Weight of the newest answer in the estimate of output tokens.
+const OUTPUT_WEIGHT: f32 = 0.05;
+
+/// Estimates how many of the tokens that callers allow are generated.
+#[derive(Clone, Copy, Debug)]
+pub struct OutputEstimate {
+    share: Ewma,
+}
+
+impl Default for OutputEstimate {
+    fn default() -> Self {
+        Self {
+            share: Ewma::new(OUTPUT_WEIGHT),
+        }
+    }
+}
+
+impl OutputEstimate {
+    /// Notes a whole answer.
+    pub fn completed(&mut self, tokens: u32, max_tokens: u32) {
+        if max_tokens > 0 {
+            self.share
+                .add(to_f32(tokens.min(max_tokens)) / to_f32(max_tokens));
+        }
+    }
+
+    /// Returns the expected tokens of an answer; all, as long as none was seen.
+    #[must_use]
+    pub fn expected(&self, max_tokens: u32) -> u32 {
+        let share = self.share.get().unwrap_or(1.0);
+        to_u32(to_f32(max_tokens) * share)
+    }
+}
+
+/// Converts a count, which loses precision only far above real counts.
+#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^24")]
+pub(crate) fn to_f32(count: u32) -> f32 {
+    count as f32
+}
+
+/// Rounds up to a count, saturating at the ends.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates"
+)]
+pub(crate) fn to_u32(value: f32) -> u32 {
+    value.ceil() as u32
+}
--- /dev/null
+++ b/crates/egretstage_routing/src/fingerprint.rs
@@ -0,0 +1,66 @@
+//! Fingerprints of the leading blocks of a prompt.
+
+use rapidhash::fast::RapidHasher;
+use smallvec::SmallVec;
+use std::hash::Hasher;
+
+/// Bytes of prompt text in a block.
+pub const BLOCK_BYTES: usize = 256;
+
+/// Tokens that a block stands for.
+pub const BLOCK_TOKENS: u32 = 64;
+
+/// Most blocks of a fingerprint.
+pub const MAX_BLOCKS: usize = 32;
+
+/// Hash of a block and of all blocks before it.
+pub type BlockHash = u64;
+
+/// Hashes of the leading whole blocks of a prompt; two prompts share as many
+/// leading hashes as whole blocks.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PrefixFingerprint(SmallVec<[BlockHash; 8]>);
+
+impl PrefixFingerprint {
+    /// Returns the fingerprint of a prompt without a whole block.
+    #[must_use]
+    pub const fn none() -> Self {
+        Self(SmallVec::new_const())
+    }
+
+    /// Hashes the leading whole blocks of a prompt's text.
+    #[must_use]
+    pub fn of_text(text: &[u8]) -> Self {
+        let mut last = 0;
+        let blocks = text.chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+        Self(
+            blocks
+                .map(|block| {
+                    last = next_block(last, block);
+                    last
+                })
+                .collect(),
+        )
+    }
+
+    /// Takes hashes that were made before.
+    #[must_use]
+    pub fn of_blocks(blocks: &[BlockHash]) -> Self {
+        Self(blocks.iter().copied().take(MAX_BLOCKS).collect())
+    }
+
+    /// Returns the hashes, first block first.
+    #[must_use]
+    pub fn blocks(&self) -> &[BlockHash] {
+        &self.0
+    }
+}
+
+/// Hashes a block together with the hash of the blocks before it.
+#[must_use]
+pub fn next_block(last: BlockHash, block: &[u8]) -> BlockHash {
+    let mut hasher = RapidHasher::default_const();
+    hasher.write_u64(last);
+    hasher.write(block);
+    hasher.finish()
+}
--- a/crates/egretstage_routing/src/lib.rs
+++ b/crates/egretstage_routing/src/lib.rs
@@ -1,15 +1,50 @@
-//! Chooses an upstream for each request.
+//! Chooses an upstream for each request, limits and shares it.
 //!
-//! A [`RoutingPolicy`] sees the [`Candidate`]s that the configuration allows
-//! and returns a [`Choice`] with its reason. It does no I/O.
+//! Nothing here does I/O or reads a clock. An entry keeps one
+//! [`UpstreamTracker`] for each upstream and turns it into a [`Candidate`]; a
+//! [`RoutingPolicy`] sees the candidates and returns a [`Choice`] with its
+//! reason. A companion orders its waiting calls by a [`FairQueue`] and measures
+//! its upstream with an [`UpstreamMeter`].
 
+mod admission;
+mod baselines;
+mod cache_index;
 mod candidate;
+mod ejection;
+mod estimate;
+mod fair_queue;
+mod fingerprint;
+mod health;
+mod meter;
 mod policy;
+mod predicted;
+mod prediction;
+mod retry_budget;
+mod tracker;
 
+pub use admission::{Refused, admit, expected_cost};
+pub use baselines::{LeastLoaded, PowerOfTwo, RandomChoice, RoundRobin};
+pub use cache_index::CacheIndex;
 pub use candidate::{Candidate, Choice, Demand, RouteReason};
-pub use policy::{LeastPredictedWait, RoutingPolicy};
+pub use ejection::{EjectionLimits, OutlierDetector, max_ejected};
+pub use estimate::{Ewma, OutputEstimate};
+pub use fair_queue::{FairQueue, Flow};
+pub use fingerprint::{
+    BLOCK_BYTES, BLOCK_TOKENS, BlockHash, MAX_BLOCKS, PrefixFingerprint, next_block,
+};
+pub use health::{CallResult, Health};
+pub use meter::UpstreamMeter;
+pub use policy::RoutingPolicy;
+pub use predicted::{PredictedFirstToken, PredictionLimits};
+pub use prediction::Prediction;
+pub use retry_budget::{RetryBudget, RetryLimits};
+pub use tracker::{SentWork, UpstreamTracker};
 
 /// The items that most users of this crate need.
 pub mod prelude {
-    pub use crate::{Candidate, Choice, Demand, LeastPredictedWait, RouteReason, RoutingPolicy};
+    pub use crate::{
+        CallResult, Candidate, Choice, Demand, FairQueue, OutlierDetector, PredictedFirstToken,
+        Prediction, PrefixFingerprint, RetryBudget, RouteReason, RoutingPolicy, UpstreamMeter,
+        UpstreamTracker,
+    };
 }
--- /dev/null
+++ b/crates/egretstage_routing/src/prediction.rs
@@ -0,0 +1,96 @@
+//! When an upstream would answer a request.
+
+use crate::estimate::to_f32;
+use crate::{Candidate, Demand};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Time after which half of the prefill work in a report is assumed done.
+const BACKLOG_HALF_LIFE_MS: f32 = 250.0;
+
+/// The predicted times of an answer, from now, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct Prediction {
+    /// Until the call has a slot and the prefill work before it is done.
+    pub wait_us: u32,
+    /// Prefill of the uncached part of the prompt.
+    pub prefill_us: u32,
+    /// Until the first token.
+    pub first_token_us: u32,
+    /// Until the answer is whole.
+    pub finish_us: u32,
+}
+
+impl Prediction {
+    /// Predicts the answer of a candidate to a request.
+    #[must_use]
+    pub fn of(demand: &Demand, candidate: &Candidate) -> Self {
+        let wait = slot_wait_ms(demand, candidate).max(prefill_backlog_ms(candidate));
+        let uncached = demand.prompt_tokens.saturating_sub(candidate.cached_tokens);
+        let prefill = prefill_ms(candidate, to_f32(uncached));
+        let interval = candidate.load.token_interval_ms;
+        let plain = demand.output_tokens == 0;
+        let first = if plain {
+            wait + candidate.load.service_ms
+        } else {
+            wait + prefill + interval
+        };
+        let rest = to_f32(demand.output_tokens.saturating_sub(1)) * interval;
+        Self {
+            wait_us: as_micros(wait),
+            prefill_us: as_micros(prefill),
+            first_token_us: as_micros(first),
+            finish_us: as_micros(first + rest),
+        }
+    }
+
+    /// Returns the time until the answer is whole.
+    #[must_use]
+    pub fn finish(&self) -> Duration {
+        Duration::from_micros(u64::from(self.finish_us))
+    }
+}
+
+/// Returns the calls that the upstream holds now: those of other entries as
+/// last reported, those of this entry as they are.
+pub(crate) fn occupancy(candidate: &Candidate) -> u32 {
+    let load = &candidate.load;
+    let reported = load.running.saturating_add(load.waiting);
+    let others = reported.saturating_sub(load.held_from_peer);
+    others.saturating_add(candidate.own_in_flight)
+}
+
+fn slot_wait_ms(demand: &Demand, candidate: &Candidate) -> f32 {
+    let load = &candidate.load;
+    let slots = load.slots.max(1);
+    let ahead = occupancy(candidate).saturating_add(1).saturating_sub(slots);
+    let service = if load.service_ms > 0.0 {
+        load.service_ms
+    } else {
+        to_f32(demand.output_tokens) * load.token_interval_ms
+    };
+    to_f32(ahead) * service / to_f32(slots)
+}
+
+fn prefill_backlog_ms(candidate: &Candidate) -> f32 {
+    let load = &candidate.load;
+    let reported = to_f32(load.running.saturating_add(load.waiting).max(1));
+    let others_share = 1.0 - (to_f32(load.held_from_peer) / reported).min(1.0);
+    let half_lives = to_f32(candidate.report_age_ms + load.age_ms) / BACKLOG_HALF_LIFE_MS;
+    let waiting = u32::try_from(load.waiting_prompt_tokens).unwrap_or(u32::MAX);
+    let others = to_f32(waiting) * others_share * (-half_lives).exp2();
+    prefill_ms(candidate, others + to_f32(candidate.own_prefill_tokens))
+}
+
+fn prefill_ms(candidate: &Candidate, tokens: f32) -> f32 {
+    let rate = candidate.load.prefill_tokens_per_s;
+    if rate > 0.0 {
+        tokens / rate * 1000.0
+    } else {
+        0.0
+    }
+}
+
+fn as_micros(ms: f32) -> u32 {
+    crate::estimate::to_u32(ms * 1000.0)
+}
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod instance_list;
 pub mod plain_service;
+pub mod queueing;
 pub mod scenario;
 pub mod server;
 pub mod weight_store;
--- /dev/null
+++ b/crates/egretstage_standins/src/queueing/entry.rs
@@ -0,0 +1,162 @@
+//! An entry: the product's policy, trackers, budgets and ejection.
+
+use super::options::{Mechanisms, PolicyKind, Site};
+use super::workload::Request;
+use egretstage_routing::{
+    CallResult, Candidate, Choice, Demand, LeastLoaded, OutlierDetector, OutputEstimate,
+    PowerOfTwo, PredictedFirstToken, PredictionLimits, RandomChoice, RetryBudget, RoundRobin,
+    RoutingPolicy, SentWork, UpstreamTracker,
+};
+use egretstage_wire::OrganisationName;
+use std::time::Instant;
+
+/// An entry.
+pub(crate) struct SimEntry {
+    pub(crate) zone: usize,
+    pub(crate) trackers: Vec<UpstreamTracker>,
+    pub(crate) linked: Vec<bool>,
+    zones: Vec<usize>,
+    policy: Box<dyn RoutingPolicy>,
+    detector: OutlierDetector,
+    retries: RetryBudget,
+    output: OutputEstimate,
+    mechanisms: Mechanisms,
+    names: Vec<OrganisationName>,
+}
+
+/// Where an entry sends a request.
+pub(crate) struct Route {
+    pub(crate) runner: usize,
+    pub(crate) work: SentWork,
+    pub(crate) output_tokens: u32,
+    pub(crate) same_zone: bool,
+}
+
+impl SimEntry {
+    pub(crate) fn new(
+        site: &Site,
+        zone: usize,
+        zones: Vec<usize>,
+        mechanisms: Mechanisms,
+        seed: u64,
+    ) -> Self {
+        let names = (0..site.organisations.len()).map(|index| {
+            let name = format!("organisation-{index}");
+            OrganisationName::try_from(name.as_str()).expect("the name is allowed")
+        });
+        Self {
+            zone,
+            trackers: vec![UpstreamTracker::default(); zones.len()],
+            linked: vec![true; zones.len()],
+            zones,
+            policy: policy(mechanisms.policy, seed),
+            detector: OutlierDetector::default(),
+            retries: RetryBudget::default(),
+            output: OutputEstimate::default(),
+            mechanisms,
+            names: names.collect(),
+        }
+    }
+
+    pub(crate) fn requested(&mut self) {
+        self.retries.requested();
+    }
+
+    /// Takes a retry from the budget, if there is one.
+    pub(crate) fn may_retry(&mut self) -> bool {
+        !self.mechanisms.retry_budget || self.retries.take()
+    }
+
+    pub(crate) fn completed(&mut self, req: &Request) {
+        self.output.completed(req.tokens, req.max_tokens);
+    }
+
+    /// Chooses a runner for a request.
+    pub(crate) fn route(
+        &mut self,
+        now: Instant,
+        req: &Request,
+        deadline: Instant,
+    ) -> Result<Route, Choice> {
+        self.eject(now);
+        let plain = req.prompt_tokens == 0;
+        let demand = Demand {
+            budget: deadline.saturating_duration_since(now),
+            prompt_tokens: req.prompt_tokens,
+            output_tokens: if plain {
+                0
+            } else {
+                self.output.expected(req.max_tokens)
+            },
+        };
+        let (runners, candidates) = self.candidates(now, req);
+        match self.policy.choose(&demand, &candidates) {
+            Choice::Send { index, .. } => {
+                let runner = runners[index];
+                Ok(Route {
+                    runner,
+                    work: self.trackers[runner].sent(&demand, &req.prompt),
+                    output_tokens: demand.output_tokens,
+                    same_zone: candidates[index].same_zone,
+                })
+            }
+            refuse @ Choice::Refuse { .. } => Err(refuse),
+        }
+    }
+
+    fn candidates(&self, now: Instant, req: &Request) -> (Vec<usize>, Vec<Candidate>) {
+        let name = &self.names[req.organisation];
+        let return_time = self.detector.limits().return_time;
+        (0..self.trackers.len())
+            .filter(|runner| self.linked[*runner])
+            .map(|runner| {
+                let same_zone = self.zones[runner] == self.zone;
+                let tracker = &self.trackers[runner];
+                let figures = tracker.candidate(now, same_zone, name, &req.prompt, return_time);
+                (runner, figures)
+            })
+            .unzip()
+    }
+
+    fn eject(&mut self, now: Instant) {
+        if !self.mechanisms.ejection || !self.detector.due(now) {
+            return;
+        }
+        let linked = self.linked.iter();
+        let mut members: Vec<_> = self
+            .trackers
+            .iter_mut()
+            .zip(linked)
+            .filter_map(|(tracker, linked)| linked.then_some(tracker))
+            .collect();
+        self.detector.check(now, &mut members);
+    }
+
+    pub(crate) fn refused(
+        &mut self,
+        now: Instant,
+        runner: usize,
+        organisation: usize,
+        time: std::time::Duration,
+    ) {
+        let name = &self.names[organisation];
+        self.trackers[runner].refused(now, name, time);
+    }
+
+    pub(crate) fn ended(&mut self, runner: usize, work: SentWork, result: CallResult) {
+        self.trackers[runner].ended(work, result);
+    }
+}
+
+fn policy(kind: PolicyKind, seed: u64) -> Box<dyn RoutingPolicy> {
+    match kind {
+        PolicyKind::RoundRobin => Box::new(RoundRobin::default()),
+        PolicyKind::Random => Box::new(RandomChoice::new(seed)),
+        PolicyKind::LeastLoaded => Box::new(LeastLoaded),
+        PolicyKind::PowerOfTwo => Box::new(PowerOfTwo::new(seed)),
+        PolicyKind::Predicted => {
+            let limits = PredictionLimits::default();
+            Box::new(PredictedFirstToken::new(limits, seed))
+        }
+    }
+}
--- a/crates/egretstage_wire/src/frame.rs
+++ b/crates/egretstage_wire/src/frame.rs
@@ -112,6 +112,9 @@
     pub sent_ms: u64,
     /// Priority; a larger one goes first.
     pub priority: u8,
+    /// The work that the call is expected to be, and whose share it takes.
+    #[serde(default)]
+    pub work: CallWork,
     /// HTTP method.
     pub method: CompactString,
     /// HTTP path and query at the upstream.
@@ -125,6 +128,30 @@
     pub body: Vec<u8>,
 }
 
+/// Weight of an organisation that has no other, in thousandths.
+pub const DEFAULT_WEIGHT_MILLI: u32 = 1000;
+
+/// The work that a call is expected to be, and whose share it takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallWork {
+    /// Prompt tokens that are probably not cached, 0 for a plain call.
+    pub prefill_tokens: u32,
+    /// Expected tokens to generate, 0 for a plain call.
+    pub output_tokens: u32,
+    /// Weight of the organisation, in thousandths.
+    pub weight_milli: u32,
+}
+
+impl Default for CallWork {
+    fn default() -> Self {
+        Self {
+            prefill_tokens: 0,
+            output_tokens: 0,
+            weight_milli: DEFAULT_WEIGHT_MILLI,
+        }
+    }
+}
+
 /// The status and headers of an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerHead {
--- a/crates/egretstage_wire/src/lib.rs
+++ b/crates/egretstage_wire/src/lib.rs
@@ -13,7 +13,8 @@
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, decode, encode};
 pub use frame::{
-    AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, PROTOCOL_VERSION, Role, StreamEnd,
+    AnswerHead, CallKind, CallStart, CallWork, Chunk, DEFAULT_WEIGHT_MILLI, Frame, Hello,
+    PROTOCOL_VERSION, Role, StreamEnd,
 };
 pub use load::LoadReport;
 pub use names::{
@@ -26,8 +27,8 @@
 /// The items that most users of this crate need.
 pub mod prelude {
     pub use crate::{
-        AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, Incarnation, InstanceId, LoadReport,
-        ModelName, NotRunReason, OrganisationName, Outcome, RequestId, Role, ServiceName,
-        StreamEnd, StreamId, StreamIds, UnknownReason, ZoneName,
+        AnswerHead, CallKind, CallStart, CallWork, Chunk, Frame, Hello, Incarnation, InstanceId,
+        LoadReport, ModelName, NotRunReason, OrganisationName, Outcome, RequestId, Role,
+        ServiceName, StreamEnd, StreamId, StreamIds, UnknownReason, ZoneName,
     };
 }
--- a/crates/egretstage_wire/src/load.rs
+++ b/crates/egretstage_wire/src/load.rs
@@ -19,6 +19,12 @@
     pub token_interval_ms: f32,
     /// Age of the figures when the report was sent, in milliseconds.
     pub age_ms: u32,
+    /// Time that a call holds a slot in milliseconds, 0 when not known.
+    #[serde(default)]
+    pub service_ms: f32,
     /// The entry's calls that the companion had received at the report.
     pub received_from_peer: u64,
+    /// The entry's calls that the companion held at the report.
+    #[serde(default)]
+    pub held_from_peer: u32,
 }
