--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -8,7 +8,7 @@
 use egretstage_runtime::EventSender;
 use egretstage_wire::{Incarnation, RequestId};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
@@ -35,6 +35,9 @@
 /// Longest wait for the body of a request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Most bytes beyond the limit of a body that are read and dropped.
+const MAX_DROPPED_BYTES: usize = 16 * 1024 * 1024;
+
 /// Largest size of all headers of a request, in bytes.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
 
@@ -222,10 +225,10 @@
         request: &RequestId,
     ) -> Result<CallRequest, Response<ResponseBody>> {
         let (head, body) = req.into_parts();
-        let body = Limited::new(body, self.max_body_bytes).collect();
+        let body = read_body(body, self.max_body_bytes);
         let body = match timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Ok(Ok(Some(body))) => body,
+            Ok(Ok(None)) => {
                 let text = format!("the body is over {} bytes", self.max_body_bytes);
                 return Err(invalid(413, "body_too_large", &text, request));
             }
@@ -248,7 +251,7 @@
             priority: text("egret-priority"),
             key: text("idempotency-key"),
             content_type: text("content-type"),
-            body: body.into(),
+            body,
         };
         CallRequest::check(raw, call, request.clone(), &self.limits).map_err(|e| {
             let code = match e {
@@ -295,6 +298,27 @@
     }
 }
 
+/// Reads a body; none stands for one that is too large.
+///
+/// What exceeds the limit is read and dropped, up to a bound, because a caller
+/// that is still sending would not see the answer.
+async fn read_body(mut body: Incoming, limit: usize) -> hyper::Result<Option<Vec<u8>>> {
+    let mut held = Vec::new();
+    let mut read = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        read += data.len();
+        if read <= limit {
+            held.extend_from_slice(&data);
+        } else if read > limit.saturating_add(MAX_DROPPED_BYTES) {
+            break;
+        }
+    }
+    Ok((read <= limit).then_some(held))
+}
+
 /// Waits until the server is told to stop.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await.is_ok();
--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod meters;
 mod reducer;
 mod request;
+mod routing;
 mod runners;
 mod status;
 
--- a/crates/egretstage_entry/src/status.rs
+++ b/crates/egretstage_entry/src/status.rs
@@ -17,8 +17,8 @@
         service: runner.service.clone(),
         link: link.into(),
         leaving: runner.leaving,
-        in_flight: runner.in_flight,
-        load: runner.load,
+        in_flight: runner.tracker.in_flight(),
+        load: *runner.tracker.report(),
     }
 }
 
--- a/crates/egretstage_wire/src/lib.rs
+++ b/crates/egretstage_wire/src/lib.rs
@@ -18,7 +18,8 @@
     ConfigurationFrame, Envelope, ObjectState, Offset, SeenChange, StateChunk, StateDigest,
 };
 pub use frame::{
-    AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, PROTOCOL_VERSION, Role, StreamEnd,
+    AnswerHead, CallKind, CallStart, CallWork, Chunk, DEFAULT_WEIGHT_MILLI, Frame, Hello,
+    PROTOCOL_VERSION, Role, StreamEnd,
 };
 pub use group::{
     EngineBoot, EngineOrder, Fence, Generation, Grant, GroupFrame, MapVersion, OrderAction,
@@ -35,8 +36,8 @@
 /// The items that most users of this crate need.
 pub mod prelude {
     pub use crate::{
-        AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, Incarnation, InstanceId, LoadReport,
-        ModelName, NotRunReason, OrganisationName, Outcome, RequestId, Role, ServiceName,
-        StreamEnd, StreamId, StreamIds, UnknownReason, ZoneName,
+        AnswerHead, CallKind, CallStart, CallWork, Chunk, Frame, Hello, Incarnation, InstanceId,
+        LoadReport, ModelName, NotRunReason, OrganisationName, Outcome, RequestId, Role,
+        ServiceName, StreamEnd, StreamId, StreamIds, UnknownReason, ZoneName,
     };
 }
