Set the forecast's gain from the drift and the error seen

Change: a Kalman gain per layer from the squared changes over one and two measurements; a jump over 4 standard deviations is believed at once.

--- a/crates/egretstage_standins/src/balance_run.rs
+++ b/crates/egretstage_standins/src/balance_run.rs
@@ -24,9 +24,6 @@
 /// Minutes before the first plan, whose mean loads give the first map.
 const WARM_UP: usize = 15;
 
-/// Time over which the incremental planner averages measured loads.
-const SMOOTHING: Duration = Duration::from_mins(1);
-
 /// Time in which a deviation of a load fades by a factor of e.
 const RELAXATION: Duration = Duration::from_hours(8);
 
@@ -150,7 +147,7 @@
             policy,
             planner: policy.planner(),
             demand: ExpertDemand::new(scenario.demand, shape.experts, sigma, scenario.seed),
-            forecast: LoadForecast::new(SMOOTHING, RELAXATION),
+            forecast: LoadForecast::new(RELAXATION),
             history: VecDeque::with_capacity(WARM_UP),
             map: replicate_and_pack(shape, &vec![1.0; usize::from(shape.experts)]),
             moves: 0,
