Look at more receivers when the coolest ranks can't help

Change: the six are counted per expert among ranks that can take it, and 48 are tried when none of these helps.

--- a/crates/egretstage_balance/src/planners/incremental.rs
+++ b/crates/egretstage_balance/src/planners/incremental.rs
@@ -7,9 +7,12 @@
 /// Experts of the hottest rank that are tried.
 const HOT_EXPERTS: usize = 4;
 
-/// Coolest ranks that are tried as receivers.
+/// Coolest ranks that are tried as receivers of each expert.
 const COOL_RANKS: usize = 6;
 
+/// Coolest ranks that are tried when the first ones don't help.
+const MORE_COOL_RANKS: usize = 48;
+
 /// Levelling sweeps with which a candidate is judged.
 const TRIAL_SWEEPS: usize = 8;
 
@@ -100,9 +103,15 @@
 
 /// Finds the copy that lowers the penalty most, if one does.
 fn best_copy(flows: &Flows, earlier: &[Move]) -> Option<Move> {
+    [COOL_RANKS, MORE_COOL_RANKS]
+        .into_iter()
+        .find_map(|reach| best_of(flows, candidates(flows, earlier, reach)))
+}
+
+fn best_of(flows: &Flows, candidates: Vec<Move>) -> Option<Move> {
     let mut lowest = penalty(flows);
     let mut best = None;
-    for m in candidates(flows, earlier) {
+    for m in candidates {
         let mut trial = flows.clone();
         apply(&mut trial, m);
         trial.sweeps(TRIAL_SWEEPS);
@@ -122,38 +131,47 @@
     flows.rank_loads().iter().map(excess).sum()
 }
 
-/// Returns copies from the hottest rank to the coolest ones.
-fn candidates(flows: &Flows, earlier: &[Move]) -> Vec<Move> {
+/// Returns copies from the hottest rank, each expert to the `reach` coolest
+/// ranks that can take it.
+fn candidates(flows: &Flows, earlier: &[Move], reach: usize) -> Vec<Move> {
     let mut ranks: Vec<RankId> = (0..).map(RankId).take(flows.rank_loads().len()).collect();
     let load = |rank: &RankId| flows.rank_loads()[rank.index()];
     ranks.sort_by(|a, b| load(a).total_cmp(&load(b)));
     let Some(hottest) = ranks.last().copied() else {
         return Vec::new();
     };
-    let hot = hot_experts(flows, hottest);
-    let mut moves = Vec::new();
-    for rank in ranks.into_iter().take(COOL_RANKS) {
-        for expert in &hot {
-            let overwritten = earlier
-                .iter()
-                .any(|m| m.rank == rank && m.replaces == Some(*expert));
-            if overwritten || flows.held(rank).contains(expert) {
-                continue;
-            }
-            let m = |replaces| Move {
-                expert: *expert,
-                rank,
-                replaces,
-            };
-            if flows.has_free_slot(rank) {
-                moves.push(m(None));
-            } else {
-                let spare = spare_replicas(flows, rank, earlier);
-                moves.extend(spare.into_iter().map(|victim| m(Some(victim))));
-            }
-        }
+    let copies = |expert: ExpertId| {
+        let to_rank = move |rank: &RankId| copies_to(flows, earlier, expert, *rank);
+        let open = ranks.iter().map(to_rank).filter(|moves| !moves.is_empty());
+        open.take(reach).flatten()
+    };
+    hot_experts(flows, hottest)
+        .into_iter()
+        .flat_map(copies)
+        .collect()
+}
+
+/// Returns the ways to copy an expert to a rank.
+fn copies_to(
+    flows: &Flows,
+    earlier: &[Move],
+    expert: ExpertId,
+    rank: RankId,
+) -> SmallVec<[Move; 4]> {
+    let overwritten = |m: &Move| m.rank == rank && m.replaces == Some(expert);
+    if flows.held(rank).contains(&expert) || earlier.iter().any(overwritten) {
+        return SmallVec::new();
+    }
+    let copy = |replaces| Move {
+        expert,
+        rank,
+        replaces,
+    };
+    if flows.has_free_slot(rank) {
+        return SmallVec::from_slice(&[copy(None)]);
     }
-    moves
+    let spare = spare_replicas(flows, rank, earlier);
+    spare.into_iter().map(|victim| copy(Some(victim))).collect()
 }
 
 /// Returns the experts that load a rank most.
