--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub use egretstage_observe as observe;
 pub use egretstage_once as once;
 pub use egretstage_platform as platform;
+pub use egretstage_rebalance as rebalance;
 pub use egretstage_relay as relay;
 pub use egretstage_routing as routing;
 pub use egretstage_runtime as runtime;
