Decide who may run a key, in virtual time

Cause: a call that may not be repeated has no owner yet, so two entries may send the same key to two companions.

The change: egretstage_once holds the reducers for it: the fold of a service's owners stream (compare-and-set on the epoch), rendezvous ownership, the table of remembered keys, a lease confirmed by reads, the embargo after a removal or a restart, and the lists of keys that a member hands over when it loses keys to a new member or leaves. The frames get the ownership claim, the owners of a service and the pointer to a former owner.

Left: the daemons don't use it yet.

--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -165,7 +165,9 @@
             | Frame::End(_)
             | Frame::Load(_)
             | Frame::Leaving
-            | Frame::Group(_) => fx.push(CompanionEffect::Close(link)),
+            | Frame::Group(_)
+            | Frame::Owners(_)
+            | Frame::AskFormerOwner { .. } => fx.push(CompanionEffect::Close(link)),
             Frame::Configuration(_) => {}
         }
     }
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -258,6 +258,7 @@
             key: call.req.key.clone(),
             repeatable: call.repeatable,
             sent_ms: as_millis(now.saturating_duration_since(self.clock_start)),
+            claim: None,
             budget_ms: as_millis(call.deadline.saturating_duration_since(now)),
             priority,
             method: call.req.method.clone(),
@@ -309,6 +310,7 @@
             | Frame::Resume { .. }
             | Frame::Group(_) => fx.push(EntryEffect::Close(link)),
             Frame::Configuration(_) => {}
+            Frame::Owners(_) | Frame::AskFormerOwner { .. } => {}
         }
     }
 
--- a/crates/egretstage_once/src/lib.rs
+++ b/crates/egretstage_once/src/lib.rs
@@ -1,1 +1,33 @@
 //! Runs what may not be repeated at most once.
+//!
+//! Each idempotency key of a plain service has one owner among the service's
+//! companions. The members of the owner set are a fold of the service's
+//! stream on the log; the owner of a key is its rendezvous hash over them.
+//! [`KeyOwner`] is the part of a companion that decides whether a call may
+//! run; it does no I/O and reads no clock.
+
+mod changes;
+mod fold;
+mod handovers;
+mod key;
+mod limits;
+mod owner;
+mod owner_set;
+mod record;
+mod table;
+
+pub use fold::{History, OwnersVerdict, OwnershipFold};
+pub use key::{CallFingerprint, FingerprintParts, KeyDigest};
+pub use limits::OnceLimits;
+pub use owner::{Admission, KeyOwner, KeyRefusal, KeyedCall};
+pub use owner_set::OwnerSet;
+pub use record::{Handover, OwnersAction, OwnersRecord, owners_stream};
+pub use table::{KeyId, KeyName};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        Admission, CallFingerprint, History, KeyDigest, KeyOwner, KeyRefusal, KeyedCall,
+        OnceLimits, OwnerSet, OwnersAction, OwnersRecord, OwnershipFold,
+    };
+}
--- a/crates/egretstage_wire/src/frame.rs
+++ b/crates/egretstage_wire/src/frame.rs
@@ -1,8 +1,8 @@
 //! The frames on a link between an entry and a companion.
 
 use crate::{
-    ConfigurationFrame, GroupFrame, Incarnation, InstanceId, LoadReport, OrganisationName, Outcome,
-    RequestId, ServiceName, StreamId, ZoneName,
+    ConfigurationFrame, GroupFrame, Incarnation, InstanceId, KeyClaim, LoadReport,
+    OrganisationName, Outcome, OwnersView, RequestId, ServiceName, StreamId, ZoneName,
 };
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -33,6 +33,8 @@
         stream: StreamId,
         /// Bytes of the body that have arrived.
         offset: u64,
+        /// Chunks that may be sent from there on.
+        credit: u32,
     },
     /// Companion to entry: the status and headers of an answer.
     Head(AnswerHead),
@@ -50,6 +52,16 @@
     Group(Box<GroupFrame>),
     /// Either way: the relay of the configuration.
     Configuration(ConfigurationFrame),
+    /// Companion to entry: who owns the keys of the companion's service.
+    Owners(OwnersView),
+    /// Companion to entry: the call was not run here; a former owner of its
+    /// key may remember the answer.
+    AskFormerOwner {
+        /// The call.
+        stream: StreamId,
+        /// The former owner.
+        instance: InstanceId,
+    },
 }
 
 /// What a process says of itself when a link opens.
@@ -110,6 +122,9 @@
     pub key: Option<CompactString>,
     /// Whether the call may run more than once.
     pub repeatable: bool,
+    /// The receiver's ownership of the key, for a call that has one and may
+    /// not be repeated.
+    pub claim: Option<KeyClaim>,
     /// Remaining budget in milliseconds when the frame was sent.
     pub budget_ms: u64,
     /// The entry's own clock when the frame was sent, in milliseconds.
--- a/crates/egretstage_wire/src/lib.rs
+++ b/crates/egretstage_wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod load;
 mod names;
 mod outcome;
+mod owners;
 mod stream;
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, decode, encode};
@@ -30,13 +31,15 @@
     OrganisationName, RequestId, ServiceName, ZoneName,
 };
 pub use outcome::{NotRunReason, Outcome, UnknownReason};
+pub use owners::{Epoch, KeyClaim, Member, OwnersView};
 pub use stream::{Incarnation, StreamId, StreamIds};
 
 /// The items that most users of this crate need.
 pub mod prelude {
     pub use crate::{
-        AnswerHead, CallKind, CallStart, Chunk, Frame, Hello, Incarnation, InstanceId, LoadReport,
-        ModelName, NotRunReason, OrganisationName, Outcome, RequestId, Role, ServiceName,
-        StreamEnd, StreamId, StreamIds, UnknownReason, ZoneName,
+        AnswerHead, CallKind, CallStart, Chunk, Epoch, Frame, Hello, Incarnation, InstanceId,
+        KeyClaim, LoadReport, Member, ModelName, NotRunReason, OrganisationName, Outcome,
+        OwnersView, RequestId, Role, ServiceName, StreamEnd, StreamId, StreamIds, UnknownReason,
+        ZoneName,
     };
 }
--- a/crates/egretstage_wire/src/outcome.rs
+++ b/crates/egretstage_wire/src/outcome.rs
@@ -49,6 +49,12 @@
     Unsupported,
     /// The entry's release can't read the configuration of the call.
     ConfigurationUnreadable,
+    /// The owner of the key can't confirm its ownership on the log.
+    OwnershipUnconfirmed,
+    /// The owner remembers as many keys as it may.
+    KeysFull,
+    /// The key was used before for another request.
+    KeyReused,
 }
 
 /// Why it isn't known whether a call ran.
@@ -68,4 +74,6 @@
     FormerOwner,
     /// The answer is no longer held.
     AnswerForgotten,
+    /// The call ran to its end, but its answer is no longer held.
+    CompletedNotHeld,
 }
