--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -1,17 +1,22 @@
 //! The companion as a process.
 
 use crate::meters::CompanionMeters;
+use crate::owners_feed;
 use crate::upstream::UpstreamClient;
-use crate::{CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, PlacementLine};
-use egretstage_config::settings::CompanionSettings;
+use crate::{
+    CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, KeyOptions, PlacementLine,
+};
+use crossbeam_channel::Sender;
+use egretstage_config::settings::{CompanionSettings, UpstreamKind};
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, serve};
 use egretstage_observe::{
     AdminServer, DecisionLog, DecisionRecord, DecisionWriter, Health, Metrics, NodeStatus,
     StatusBoard,
 };
+use egretstage_once::{OnceLimits, OwnersRecord};
 use egretstage_relay::{Relay, RelayNews};
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
-use egretstage_wire::{Frame, Hello, Incarnation, PROTOCOL_VERSION, Role};
+use egretstage_wire::{Frame, Hello, Incarnation, Member, PROTOCOL_VERSION, Role};
 use miette::{IntoDiagnostic, WrapErr, miette};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -41,11 +46,6 @@
     let links = table.clone();
     let (exit, mut exited) = watch::channel(false);
     let incarnation = Incarnation(rand::random());
-    let identity = LinkIdentity::new(
-        hello(settings, incarnation),
-        settings.process.link_key.expose(),
-    );
-    let identity = Arc::new(identity.into_diagnostic()?);
     let client = UpstreamClient::new(
         settings.upstream.address,
         runtime.handle().clone(),
@@ -53,10 +53,18 @@
     );
     let board = StatusBoard::new(first_status(settings, incarnation));
     let relay = start_relay(&events, &table, &board)?;
+    let hello = hello(settings, incarnation);
+    let keys = key_options(settings, incarnation);
+    let owners = keys.as_ref().map(|keys| {
+        let url = &settings.process.log_url;
+        owners_feed::start(url, &keys.service, keys.limits.lease, &events)
+    });
+    let owners = owners.transpose().into_diagnostic()?;
     let mut sink = Sink {
         client,
         meters: CompanionMeters::new(&metrics),
         decisions: decisions.writer(),
+        owners,
         table: table.clone(),
         board: board.clone(),
         health: health.clone(),
@@ -65,8 +73,13 @@
     let limits = CompanionLimits {
         slots: settings.upstream.slots,
     };
+    let identity = LinkIdentity::new(hello, settings.process.link_key.expose());
+    let identity = Arc::new(identity.into_diagnostic()?);
     let spawned = EventLoop::spawn("reducer", rx, move || {
-        let reducer = CompanionReducer::new(Instant::now(), limits);
+        let mut reducer = CompanionReducer::new(Instant::now(), limits);
+        if let Some(keys) = keys {
+            reducer = reducer.with_keys(keys);
+        }
         (reducer, Box::new(move |effect| sink.carry_out(effect)))
     });
     spawned.into_diagnostic()?;
@@ -141,6 +154,27 @@
     }
 }
 
+/// Returns how the companion of a plain service owns keys.
+fn key_options(settings: &CompanionSettings, incarnation: Incarnation) -> Option<KeyOptions> {
+    let keys = &settings.keys;
+    (settings.upstream.kind == UpstreamKind::Plain).then(|| KeyOptions {
+        service: settings.upstream.service.clone(),
+        member: Member {
+            instance: settings.process.instance.clone(),
+            incarnation,
+        },
+        limits: OnceLimits {
+            window: Duration::from_millis(keys.window_ms),
+            longest_budget: Duration::from_millis(keys.longest_budget_ms),
+            lease: Duration::from_millis(keys.lease_ms),
+            max_keys: keys.max_keys,
+            refresh_interval: Duration::from_millis(keys.refresh_interval_ms),
+        },
+        max_answer_bytes: keys.max_answer_bytes,
+        max_held_bytes: keys.max_held_bytes,
+    })
+}
+
 /// Turns what happens on links into events.
 struct Observer {
     events: EventSender<CompanionEvent>,
@@ -174,6 +208,7 @@
     client: UpstreamClient,
     meters: CompanionMeters,
     decisions: DecisionWriter<PlacementLine>,
+    owners: Option<Sender<OwnersRecord>>,
     table: LinkTable,
     board: StatusBoard,
     health: Health,
@@ -190,6 +225,11 @@
             CompanionEffect::ReadUpstream { run, chunks } => self.client.read_more(run, chunks),
             CompanionEffect::CancelUpstream(run) => self.client.cancel(run),
             CompanionEffect::Log(line) => self.decisions.write(line),
+            CompanionEffect::Append(record) => {
+                if let Some(owners) = &self.owners {
+                    let _ = owners.send(*record);
+                }
+            }
             CompanionEffect::Ready(ready) => self.health.set_ready(ready),
             CompanionEffect::Status(status) => self.board.set_work(*status),
             CompanionEffect::Exit => {
--- a/crates/egretstage_companion/src/event.rs
+++ b/crates/egretstage_companion/src/event.rs
@@ -4,10 +4,13 @@
 use egretstage_config::{Configuration, Offset};
 use egretstage_link::LinkKey;
 use egretstage_observe::WorkStatus;
+use egretstage_once::OwnersRecord;
+use egretstage_platform::LogPage;
 use egretstage_wire::{Frame, Hello, RequestId, StreamId};
 use serde::Serialize;
 use slotmap::new_key_type;
 use std::sync::Arc;
+use std::time::Instant;
 
 new_key_type! {
     /// Key of a run in a companion's arena.
@@ -71,6 +74,18 @@
         /// What went wrong.
         failure: UpstreamFailure,
     },
+    /// A page of the service's owners stream was read.
+    OwnersRead {
+        /// When the read was asked for.
+        asked: Instant,
+        /// The page.
+        page: Box<LogPage>,
+    },
+    /// An append to the owners stream was answered or failed.
+    OwnersAppended {
+        /// Whether the record is known to be on the log.
+        appended: bool,
+    },
     /// The process shall stop after the runs that it has.
     Stop,
 }
@@ -80,6 +95,8 @@
 pub enum UpstreamFailure {
     /// No connection was made: the request did not run.
     NotSent,
+    /// The time to start had passed before anything was sent.
+    TooLate,
     /// The connection broke: the request may have run.
     Broken,
 }
@@ -112,6 +129,8 @@
     },
     /// Breaks off a request to the upstream.
     CancelUpstream(RunKey),
+    /// Appends a record to the service's owners stream.
+    Append(Box<OwnersRecord>),
     /// Writes the log line of a decision.
     Log(Box<PlacementLine>),
     /// Says whether the companion takes new work.
@@ -129,6 +148,8 @@
     pub request: RequestId,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// Instant after which the request must not be started.
+    pub not_after: Instant,
     /// HTTP method.
     pub method: CompactString,
     /// HTTP path and query.
@@ -169,6 +190,10 @@
     Start,
     /// It waits for a slot.
     Wait,
+    /// It is answered by the run of its key.
+    Join,
+    /// It is refused: its key is in doubt or belongs to another owner.
+    RefuseKey,
     /// It is refused: the companion is leaving.
     RefuseLeaving,
     /// Its budget ended while it waited.
--- a/crates/egretstage_companion/src/lib.rs
+++ b/crates/egretstage_companion/src/lib.rs
@@ -3,24 +3,32 @@
 //! A [`CompanionReducer`] makes all decisions; [`daemon`] surrounds it with
 //! the links from entries and the HTTP client of the upstream.
 
+mod answer;
 pub mod daemon;
 mod event;
+mod keyed;
 mod links;
 mod meters;
+mod owners_feed;
+mod reader;
 mod reducer;
 mod runs;
+mod starts;
+mod streams;
+mod timers;
 mod upstream;
 
 pub use event::{
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
     UpstreamRequest,
 };
+pub use keyed::KeyOptions;
 pub use reducer::{CompanionLimits, CompanionReducer};
 
 /// The items that most users of this crate need.
 pub mod prelude {
     pub use crate::{
-        CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, RunKey,
+        CompanionEffect, CompanionEvent, CompanionLimits, CompanionReducer, KeyOptions, RunKey,
         UpstreamFailure, UpstreamRequest,
     };
 }
--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -1,20 +1,20 @@
 //! All decisions of a companion.
 
+use crate::answer::Head;
+use crate::keyed::{KeyOptions, Keyed};
 use crate::links::EntryLinks;
 use crate::runs::{Run, RunState, Runs};
 use crate::{
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
-    UpstreamRequest,
 };
+use compact_str::CompactString;
 use egretstage_config::Configuration;
 use egretstage_link::LinkKey;
 use egretstage_observe::{StatusCadence, WorkStatus};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
-    AnswerHead, CallStart, Chunk, Frame, LoadReport, NotRunReason, Outcome, Role, StreamEnd,
-    StreamId, UnknownReason,
+    CallStart, Frame, LoadReport, NotRunReason, Outcome, Role, StreamEnd, StreamId, UnknownReason,
 };
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -34,11 +34,12 @@
 /// Makes all decisions of a companion.
 #[derive(Debug)]
 pub struct CompanionReducer {
-    limits: CompanionLimits,
-    links: EntryLinks,
-    runs: Runs,
+    pub(crate) limits: CompanionLimits,
+    pub(crate) links: EntryLinks,
+    pub(crate) runs: Runs,
+    pub(crate) keyed: Option<Keyed>,
     next_report: Option<Instant>,
-    leaving: bool,
+    pub(crate) leaving: bool,
     exited: bool,
     configuration: Option<Arc<Configuration>>,
     status: StatusCadence,
@@ -52,6 +53,7 @@
             limits,
             links: EntryLinks::new(now),
             runs: Runs::default(),
+            keyed: None,
             next_report: None,
             leaving: false,
             exited: false,
@@ -66,67 +68,14 @@
         self.configuration.as_deref()
     }
 
-    fn start(
-        &mut self,
-        now: Instant,
-        link: LinkKey,
-        start: Box<CallStart>,
-        fx: &mut Vec<CompanionEffect>,
-    ) {
-        let late = self.links.note_start(now, link, start.sent_ms);
-        if self.runs.of_stream(start.stream).is_some() {
-            return;
-        }
-        if self.leaving {
-            fx.push(self.line(&start, PlacementDecision::RefuseLeaving));
-            fx.push(not_run(link, start.stream, NotRunReason::Leaving));
-            return;
-        }
-        let budget = Duration::from_millis(start.budget_ms).saturating_sub(late);
-        if budget.is_zero() {
-            fx.push(self.line(&start, PlacementDecision::Expire));
-            fx.push(not_run(link, start.stream, NotRunReason::DeadlinePassed));
-            return;
-        }
-        let waits = self.runs.running() >= self.limits.slots as usize;
-        if waits {
-            fx.push(self.line(&start, PlacementDecision::Wait));
-        }
-        self.runs.enqueue(Run {
-            link,
-            deadline: now + budget,
-            credit: start.credit,
-            start,
-            state: RunState::Waiting,
-            unsent: VecDeque::new(),
-            sent_bytes: 0,
-            whole: false,
-        });
-        self.fill_slots(fx);
-    }
-
-    fn fill_slots(&mut self, fx: &mut Vec<CompanionEffect>) {
-        while let Some(key) = self.runs.start_next(self.limits.slots) {
-            let run = self.runs.get(key).expect("the call was just taken");
-            fx.push(self.line(&run.start, PlacementDecision::Start));
-            let req = UpstreamRequest {
-                request: run.start.request.clone(),
-                repeatable: run.start.repeatable,
-                method: run.start.method.clone(),
-                path: run.start.path.clone(),
-                content_type: run.start.content_type.clone(),
-                key: run.key().cloned(),
-                priority: run.start.priority,
-                body: run.start.body.clone(),
-            };
-            fx.push(CompanionEffect::StartUpstream {
-                run: key,
-                req: Box::new(req),
-            });
-        }
+    /// Has the companion own keys of a plain service.
+    #[must_use]
+    pub fn with_keys(mut self, options: KeyOptions) -> Self {
+        self.keyed = Some(Keyed::new(options));
+        self
     }
 
-    fn line(&self, start: &CallStart, decision: PlacementDecision) -> CompanionEffect {
+    pub(crate) fn line(&self, start: &CallStart, decision: PlacementDecision) -> CompanionEffect {
         CompanionEffect::Log(Box::new(PlacementLine {
             request: start.request.clone(),
             stream: start.stream,
@@ -140,24 +89,13 @@
     fn frame(&mut self, now: Instant, link: LinkKey, frame: Frame, fx: &mut Vec<CompanionEffect>) {
         match frame {
             Frame::Start(start) => self.start(now, link, start, fx),
-            Frame::Cancel(stream) => {
-                if let Some(key) = self.runs.of_stream(stream) {
-                    self.cancel(key, fx);
-                }
-            }
-            Frame::Credit { stream, chunks } => {
-                if let Some(key) = self.runs.of_stream(stream) {
-                    let run = self.runs.get_mut(key).expect("the call was just found");
-                    run.credit = run.credit.saturating_add(chunks);
-                    self.pump(key, fx);
-                }
-            }
-            Frame::Resume { stream, .. } => {
-                let outcome = Outcome::Unknown {
-                    reason: UnknownReason::AnswerForgotten,
-                };
-                fx.push(end(link, stream, outcome, 0));
-            }
+            Frame::Cancel(stream) => self.drop_reader(now, stream, fx),
+            Frame::Credit { stream, chunks } => self.credit(now, link, (stream, chunks), fx),
+            Frame::Resume {
+                stream,
+                offset,
+                credit,
+            } => self.resume(now, link, (stream, offset, credit), fx),
             Frame::LeavingNoted => self.links.note_leaving(link),
             Frame::Hello(_)
             | Frame::Head(_)
@@ -172,114 +110,79 @@
         }
     }
 
-    /// Breaks a call off, also at the upstream.
-    fn cancel(&mut self, key: RunKey, fx: &mut Vec<CompanionEffect>) {
-        if let Some(run) = self.runs.remove(key) {
-            if run.state == RunState::Running && !run.whole {
-                fx.push(CompanionEffect::CancelUpstream(key));
-            }
-            self.fill_slots(fx);
-        }
-    }
-
+    /// Notes the status of an answer.
     fn head(
         &mut self,
+        now: Instant,
         key: RunKey,
         status: u16,
-        content_type: Option<compact_str::CompactString>,
+        content_type: Option<CompactString>,
         fx: &mut Vec<CompanionEffect>,
     ) {
-        if let Some(run) = self.runs.get(key) {
-            fx.push(CompanionEffect::Send {
-                link: run.link,
-                frame: Frame::Head(AnswerHead {
-                    stream: run.stream(),
-                    status,
-                    content_type,
-                }),
-            });
-        }
-    }
-
-    /// Sends what the entry's credit allows, then the end if it is reached.
-    fn pump(&mut self, key: RunKey, fx: &mut Vec<CompanionEffect>) {
-        let Some(run) = self.runs.get_mut(key) else {
-            return;
-        };
-        let mut chunks = 0;
-        while run.credit > 0 {
-            let Some(bytes) = run.unsent.pop_front() else {
-                break;
-            };
-            run.credit -= 1;
-            chunks += 1;
-            let offset = run.sent_bytes;
-            run.sent_bytes += bytes.len() as u64;
-            let stream = run.stream();
-            fx.push(CompanionEffect::Send {
-                link: run.link,
-                frame: Frame::Chunk(Chunk {
-                    stream,
-                    offset,
-                    bytes,
-                }),
+        if let Some(run) = self.runs.get_mut(key) {
+            run.answer.head = Some(Head {
+                status,
+                content_type,
             });
-        }
-        if run.whole && run.unsent.is_empty() {
-            let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
-            fx.push(end(link, stream, Outcome::Completed, sent));
-            self.runs.remove(key);
-            self.fill_slots(fx);
-        } else if chunks > 0 {
-            fx.push(CompanionEffect::ReadUpstream { run: key, chunks });
+            self.deliver(now, key, fx);
         }
     }
 
-    fn failed(&mut self, key: RunKey, failure: UpstreamFailure, fx: &mut Vec<CompanionEffect>) {
-        let Some(run) = self.runs.remove(key) else {
-            return;
+    fn failed(
+        &mut self,
+        now: Instant,
+        key: RunKey,
+        failure: UpstreamFailure,
+        fx: &mut Vec<CompanionEffect>,
+    ) {
+        let not_run = |reason| Outcome::NotRun {
+            reason,
+            retry_after_ms: None,
         };
         let outcome = match failure {
-            UpstreamFailure::NotSent => Outcome::NotRun {
-                reason: NotRunReason::UpstreamUnreachable,
-                retry_after_ms: None,
-            },
+            UpstreamFailure::NotSent => not_run(NotRunReason::UpstreamUnreachable),
+            UpstreamFailure::TooLate => not_run(NotRunReason::DeadlinePassed),
             UpstreamFailure::Broken => Outcome::Unknown {
                 reason: UnknownReason::UpstreamCut,
             },
         };
-        fx.push(end(run.link, run.stream(), outcome, run.sent_bytes));
-        self.fill_slots(fx);
+        self.end_running(now, key, outcome, fx);
     }
 
-    fn expire(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
-        while let Some(key) = self.runs.expired(now) {
-            let run = self.runs.get(key).expect("an expired call is known");
-            let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
-            let outcome = match run.state {
-                RunState::Waiting => Outcome::NotRun {
-                    reason: NotRunReason::DeadlinePassed,
-                    retry_after_ms: None,
-                },
-                RunState::Running => Outcome::Unknown {
-                    reason: UnknownReason::DeadlinePassed,
-                },
-            };
-            fx.push(self.line(&run.start, PlacementDecision::Expire));
-            self.cancel(key, fx);
-            fx.push(end(link, stream, outcome, sent));
+    /// Ends a call that the upstream is done with.
+    fn end_running(
+        &mut self,
+        now: Instant,
+        key: RunKey,
+        outcome: Outcome,
+        fx: &mut Vec<CompanionEffect>,
+    ) {
+        let running = |run: &Run| run.state == RunState::Running;
+        if self.runs.get(key).is_some_and(running) {
+            self.end_run(now, key, outcome, fx);
+            self.fill_slots(now, fx);
         }
     }
 
-    fn link_down(&mut self, link: LinkKey, fx: &mut Vec<CompanionEffect>) {
-        self.links.remove(link);
-        for key in self.runs.on_link(link) {
-            self.cancel(key, fx);
+    /// Keeps this companion's place among the owners of its service's keys.
+    fn keep_ownership(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        let Some(keyed) = &mut self.keyed else {
+            return;
+        };
+        if let Some(frame) = keyed.changed_owners() {
+            for link in self.links.keys() {
+                let frame = frame.clone();
+                fx.push(CompanionEffect::Send { link, frame });
+            }
         }
+        fx.extend(keyed.next_append(now));
     }
 
-    fn stop(&mut self, fx: &mut Vec<CompanionEffect>) {
+    fn stop(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         if !std::mem::replace(&mut self.leaving, true) {
+            if let Some(keyed) = &mut self.keyed {
+                keyed.leave(now);
+            }
             fx.push(CompanionEffect::Ready(false));
             for link in self.links.keys() {
                 fx.push(CompanionEffect::Send {
@@ -337,8 +240,10 @@
     }
 
     /// Ends a planned stop once nothing runs and no entry will send any more.
-    fn settle(&mut self, fx: &mut Vec<CompanionEffect>) {
-        let left = self.leaving && self.links.all_noted_leaving();
+    fn settle(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        self.keep_ownership(now, fx);
+        let gave_up_keys = self.keyed.as_ref().is_none_or(|keyed| keyed.may_exit(now));
+        let left = self.leaving && self.links.all_noted_leaving() && gave_up_keys;
         if left && self.runs.is_empty() && !std::mem::replace(&mut self.exited, true) {
             fx.push(CompanionEffect::Exit);
         }
@@ -355,6 +260,8 @@
                 if hello.role == Role::Entry {
                     self.links.insert(link);
                     self.next_report = Some(now);
+                    let owners = self.keyed.as_ref().and_then(Keyed::owners_frame);
+                    fx.extend(owners.map(|frame| CompanionEffect::Send { link, frame }));
                     if self.leaving {
                         let frame = Frame::Leaving;
                         fx.push(CompanionEffect::Send { link, frame });
@@ -366,51 +273,64 @@
             CompanionEvent::Configured { configuration, .. } => {
                 self.configuration = Some(configuration);
             }
-            CompanionEvent::LinkDown { link } => self.link_down(link, fx),
+            CompanionEvent::LinkDown { link } => self.link_down(now, link),
             CompanionEvent::Frame { link, frame } => self.frame(now, link, frame, fx),
             CompanionEvent::UpstreamHead {
                 run,
                 status,
                 content_type,
-            } => self.head(run, status, content_type, fx),
+            } => self.head(now, run, status, content_type, fx),
             CompanionEvent::UpstreamBytes { run, bytes } => {
                 if let Some(held) = self.runs.get_mut(run) {
-                    held.unsent.push_back(bytes);
-                    self.pump(run, fx);
+                    held.answer.push(bytes);
+                    self.deliver(now, run, fx);
                 }
             }
             CompanionEvent::UpstreamEnded { run } => {
-                if let Some(held) = self.runs.get_mut(run) {
-                    held.whole = true;
-                    self.pump(run, fx);
+                self.end_running(now, run, Outcome::Completed, fx);
+            }
+            CompanionEvent::UpstreamFailed { run, failure } => self.failed(now, run, failure, fx),
+            CompanionEvent::OwnersRead { asked, page } => {
+                if let Some(keyed) = &mut self.keyed {
+                    keyed.read(now, asked, &page);
+                }
+            }
+            CompanionEvent::OwnersAppended { appended } => {
+                if let Some(keyed) = &mut self.keyed {
+                    keyed.append_answered(now, appended);
                 }
             }
-            CompanionEvent::UpstreamFailed { run, failure } => self.failed(run, failure, fx),
-            CompanionEvent::Stop => self.stop(fx),
+            CompanionEvent::Stop => self.stop(now, fx),
         }
         self.report(now, fx);
         self.show(now, fx);
-        self.settle(fx);
+        self.settle(now, fx);
     }
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         self.expire(now, fx);
         self.report(now, fx);
         self.show(now, fx);
-        self.settle(fx);
+        self.settle(now, fx);
     }
 
     fn next_wake(&self) -> Option<Instant> {
         let report = self.next_report.filter(|_| !self.links.is_empty());
         let status = self.status.next_due();
-        [self.runs.next_deadline(), report, status]
+        let keys = self.keyed.as_ref().and_then(Keyed::next_wake);
+        [self.runs.next_timer(), report, status, keys]
             .into_iter()
             .flatten()
             .min()
     }
 }
 
-fn end(link: LinkKey, stream: StreamId, outcome: Outcome, body_bytes: u64) -> CompanionEffect {
+pub(crate) fn end(
+    link: LinkKey,
+    stream: StreamId,
+    outcome: Outcome,
+    body_bytes: u64,
+) -> CompanionEffect {
     CompanionEffect::Send {
         link,
         frame: Frame::End(StreamEnd {
@@ -421,7 +341,7 @@
     }
 }
 
-fn not_run(link: LinkKey, stream: StreamId, reason: NotRunReason) -> CompanionEffect {
+pub(crate) fn not_run(link: LinkKey, stream: StreamId, reason: NotRunReason) -> CompanionEffect {
     let outcome = Outcome::NotRun {
         reason,
         retry_after_ms: None,
--- a/crates/egretstage_companion/src/runs.rs
+++ b/crates/egretstage_companion/src/runs.rs
@@ -1,48 +1,99 @@
 //! The calls that a companion holds.
 
 use crate::RunKey;
+use crate::answer::HeldAnswer;
+use crate::reader::Reader;
+use crate::timers::{Timer, Timers};
 use compact_str::CompactString;
 use egretstage_link::LinkKey;
-use egretstage_wire::{CallStart, StreamId};
+use egretstage_once::KeyId;
+use egretstage_wire::{CallStart, Outcome, StreamId};
 use slotmap::SlotMap;
+use smallvec::{SmallVec, smallvec};
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
+/// Chunks that a reader may lag behind others of a run that is over its bound.
+const MAX_LAG_CHUNKS: u64 = 64;
+
 /// How far a call has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum RunState {
     /// It waits for a slot.
     Waiting,
     /// It was handed to the upstream.
     Running,
+    /// The upstream is done with it.
+    Ended(Outcome),
 }
 
-/// A call from its start frame to its terminal frame.
+/// A call from its start frame until its answer is no longer held.
 #[derive(Debug)]
 pub(crate) struct Run {
-    pub(crate) link: LinkKey,
     pub(crate) start: Box<CallStart>,
     pub(crate) deadline: Instant,
     pub(crate) state: RunState,
-    /// Chunks that the entry lets in.
-    pub(crate) credit: u32,
-    /// Bytes that wait for credit.
-    pub(crate) unsent: VecDeque<Vec<u8>>,
-    /// Length of the body that was sent.
-    pub(crate) sent_bytes: u64,
-    /// Whether the upstream's answer is whole.
-    pub(crate) whole: bool,
+    pub(crate) answer: HeldAnswer,
+    pub(crate) readers: SmallVec<[Reader; 1]>,
+    /// The remembered key that the run belongs to.
+    pub(crate) key: Option<KeyId>,
+    /// Most bytes that are held for readers to come.
+    pub(crate) max_answer_bytes: usize,
+    /// When a run that outlives its readers is given up.
+    pub(crate) limit: Option<Instant>,
 }
 
 impl Run {
-    pub(crate) fn stream(&self) -> StreamId {
-        self.start.stream
+    pub(crate) fn new(start: Box<CallStart>, link: LinkKey, deadline: Instant) -> Self {
+        let reader = Reader::new(start.stream, link, deadline, start.credit);
+        Self {
+            limit: (!start.repeatable).then_some(deadline),
+            start,
+            deadline,
+            state: RunState::Waiting,
+            answer: HeldAnswer::default(),
+            readers: smallvec![reader],
+            key: None,
+            max_answer_bytes: 0,
+        }
     }
 
     pub(crate) fn key(&self) -> Option<&CompactString> {
         self.start.key.as_ref()
     }
+
+    pub(crate) fn has_ended(&self) -> bool {
+        matches!(self.state, RunState::Ended(_))
+    }
+
+    pub(crate) fn reader_mut(&mut self, stream: StreamId) -> Option<&mut Reader> {
+        self.readers.iter_mut().find(|r| r.stream == stream)
+    }
+
+    /// Tells whether the whole answer is held for readers to come.
+    fn is_held_whole(&self) -> bool {
+        self.key.is_some() && self.answer.held_bytes() <= self.max_answer_bytes
+    }
+
+    /// Drops the chunks that no reader needs and returns how many more the
+    /// upstream may send.
+    pub(crate) fn trim(&mut self) -> u32 {
+        if self.is_held_whole() && self.answer.first() == 0 {
+            let stored = self.answer.next();
+            return self.answer.grant(stored);
+        }
+        let stored = self.answer.next();
+        let fastest = self.readers.iter().map(Reader::next).max();
+        let slowest = self.readers.iter().map(Reader::acknowledged).min();
+        let consumed = fastest.unwrap_or(stored);
+        let mut needed = slowest.unwrap_or(stored);
+        if self.readers.len() > 1 {
+            needed = needed.max(consumed.saturating_sub(MAX_LAG_CHUNKS));
+        }
+        self.answer.drop_before(needed);
+        self.answer.grant(consumed)
+    }
 }
 
 /// Order in which waiting calls start: priority, then arrival.
@@ -55,14 +106,16 @@
     by_stream: HashMap<StreamId, RunKey>,
     queue: BTreeSet<QueueKey>,
     queue_keys: HashMap<RunKey, QueueKey>,
-    deadlines: BTreeSet<(Instant, RunKey)>,
+    timers: Timers,
     arrivals: u64,
     running: usize,
 }
 
 impl Runs {
+    /// Tells whether every call has ended and every reader knows it.
     pub(crate) fn is_empty(&self) -> bool {
-        self.arena.is_empty()
+        let done = |run: &Run| run.has_ended() && run.readers.iter().all(|r| r.ended);
+        self.arena.values().all(done)
     }
 
     pub(crate) fn running(&self) -> usize {
@@ -87,11 +140,14 @@
 
     /// Adds a call to the queue.
     pub(crate) fn enqueue(&mut self, run: Run) -> RunKey {
-        let (stream, deadline) = (run.stream(), run.deadline);
         let priority = run.start.priority;
+        let (stream, deadline, limit) = (run.start.stream, run.deadline, run.limit);
         let key = self.arena.insert(run);
         self.by_stream.insert(stream, key);
-        self.deadlines.insert((deadline, key));
+        self.timers.arm(deadline, Timer::Deadline(stream));
+        if let Some(limit) = limit {
+            self.timers.arm(limit, Timer::Limit(key));
+        }
         let queue_key = (Reverse(priority), self.arrivals, key);
         self.arrivals += 1;
         self.queue.insert(queue_key);
@@ -111,37 +167,108 @@
         Some(key)
     }
 
-    pub(crate) fn remove(&mut self, key: RunKey) -> Option<Run> {
-        let run = self.arena.remove(key)?;
-        self.by_stream.remove(&run.stream());
-        self.deadlines.remove(&(run.deadline, key));
+    /// Ends a call: its slot is free, its answer stays.
+    pub(crate) fn end(&mut self, key: RunKey, outcome: Outcome) {
+        self.leave_slot(key);
+        if let Some(run) = self.arena.get_mut(key) {
+            run.state = RunState::Ended(outcome);
+        }
+    }
+
+    fn leave_slot(&mut self, key: RunKey) {
+        let Some(run) = self.arena.get(key).filter(|run| !run.has_ended()) else {
+            return;
+        };
+        if let Some(limit) = run.limit {
+            self.timers.disarm(limit, Timer::Limit(key));
+        }
         match self.queue_keys.remove(&key) {
             Some(queue_key) => {
                 self.queue.remove(&queue_key);
             }
             None => self.running -= 1,
         }
+    }
+
+    /// Moves the instant at which a call that lasts too long is given up.
+    pub(crate) fn set_limit(&mut self, key: RunKey, limit: Instant) {
+        if let Some(run) = self.arena.get_mut(key) {
+            if let Some(old) = run.limit.replace(limit) {
+                self.timers.disarm(old, Timer::Limit(key));
+            }
+            self.timers.arm(limit, Timer::Limit(key));
+        }
+    }
+
+    /// Adds a reader to a call that is known.
+    pub(crate) fn add_reader(&mut self, key: RunKey, reader: Reader) {
+        let Some(run) = self.arena.get_mut(key) else {
+            return;
+        };
+        self.by_stream.insert(reader.stream, key);
+        self.timers
+            .arm(reader.deadline, Timer::Deadline(reader.stream));
+        run.readers.push(reader);
+    }
+
+    /// Removes a reader and returns its call.
+    pub(crate) fn remove_reader(&mut self, stream: StreamId) -> Option<RunKey> {
+        let key = self.by_stream.remove(&stream)?;
+        let run = self.arena.get_mut(key)?;
+        let index = run.readers.iter().position(|r| r.stream == stream)?;
+        let reader = run.readers.remove(index);
+        self.timers.forget_reader(&reader);
+        Some(key)
+    }
+
+    /// Sets when a reader is given up; none for never.
+    pub(crate) fn set_grace(&mut self, stream: StreamId, grace: Option<Instant>) {
+        let Some(key) = self.of_stream(stream) else {
+            return;
+        };
+        let reader = self
+            .arena
+            .get_mut(key)
+            .and_then(|run| run.reader_mut(stream));
+        let Some(reader) = reader else {
+            return;
+        };
+        if let Some(old) = std::mem::replace(&mut reader.grace, grace) {
+            self.timers.disarm(old, Timer::Grace(stream));
+        }
+        if let Some(grace) = grace {
+            self.timers.arm(grace, Timer::Grace(stream));
+        }
+    }
+
+    /// Removes a call with its readers.
+    pub(crate) fn remove(&mut self, key: RunKey) -> Option<Run> {
+        self.leave_slot(key);
+        let run = self.arena.remove(key)?;
+        for reader in &run.readers {
+            self.by_stream.remove(&reader.stream);
+            self.timers.forget_reader(reader);
+        }
         Some(run)
     }
 
-    /// Returns the calls that came over a link.
-    pub(crate) fn on_link(&self, link: LinkKey) -> Vec<RunKey> {
-        self.arena
-            .iter()
-            .filter(|(_, run)| run.link == link)
-            .map(|(key, _)| key)
+    /// Returns the streams of a link.
+    pub(crate) fn on_link(&self, link: LinkKey) -> Vec<StreamId> {
+        let readers = self.arena.values().flat_map(|run| &run.readers);
+        readers
+            .filter(|reader| reader.link == Some(link))
+            .map(|reader| reader.stream)
             .collect()
     }
 
-    pub(crate) fn expired(&self, now: Instant) -> Option<RunKey> {
-        self.deadlines
-            .first()
-            .filter(|(deadline, _)| *deadline <= now)
-            .map(|(_, key)| *key)
+    /// Takes a timer that is due.
+    pub(crate) fn take_timer(&mut self, now: Instant) -> Option<Timer> {
+        self.timers.take(now)
     }
 
-    pub(crate) fn next_deadline(&self) -> Option<Instant> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
+    /// Returns when the next timer is due.
+    pub(crate) fn next_timer(&self) -> Option<Instant> {
+        self.timers.next()
     }
 
     /// Returns the prompt bytes of all waiting calls.
--- a/crates/egretstage_config/src/body.rs
+++ b/crates/egretstage_config/src/body.rs
@@ -55,6 +55,11 @@
     /// Calls that may run more than once, besides GET and HEAD.
     #[serde(default)]
     pub repeatable: SmallVec<[RepeatableRule; 2]>,
+    /// Whether an owner of idempotency keys may run calls while it can't read
+    /// the log. A call may then run twice if the owner is cut off from a log
+    /// on which it is replaced.
+    #[serde(default)]
+    pub run_without_log: bool,
 }
 
 impl ServiceBody {
--- a/crates/egretstage_config/src/schema/service.rs
+++ b/crates/egretstage_config/src/schema/service.rs
@@ -13,12 +13,15 @@
     repeatable: SmallVec<[RepeatableRule; 2]>,
 }
 
-/// Version 2: each rule has several methods, the list is named `idempotent`.
+/// Version 2: each rule has several methods, the list is named `idempotent`;
+/// keys may be run without the log.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct ServiceBodyV2 {
     #[serde(default)]
     idempotent: SmallVec<[IdempotentRule; 2]>,
+    #[serde(default)]
+    run_without_log: bool,
 }
 
 /// Calls that may run more than once.
@@ -33,12 +36,14 @@
     fn from(body: ServiceBodyV1) -> Self {
         Self {
             repeatable: body.repeatable,
+            run_without_log: false,
         }
     }
 }
 
 impl From<ServiceBodyV2> for ServiceBody {
     fn from(body: ServiceBodyV2) -> Self {
+        let run_without_log = body.run_without_log;
         let rules = body.idempotent.into_iter().flat_map(|rule| {
             let path_prefix = rule.path_prefix;
             rule.methods.into_iter().map(move |method| RepeatableRule {
@@ -48,6 +53,7 @@
         });
         Self {
             repeatable: rules.collect(),
+            run_without_log,
         }
     }
 }
@@ -66,6 +72,9 @@
                 }),
             }
         }
-        Self { idempotent }
+        Self {
+            idempotent,
+            run_without_log: body.run_without_log,
+        }
     }
 }
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -176,6 +176,14 @@
         deserialize_with = "bounded::<_, _, 0, 60_000>"
     )]
     pub not_ready_grace_ms: u64,
+    /// How long an owner of idempotency keys is neither linked nor live on the
+    /// instance list before it is removed, in milliseconds.
+    #[serde(default = "default_remove_owner_after_ms")]
+    pub remove_owner_after_ms: u64,
+}
+
+fn default_remove_owner_after_ms() -> u64 {
+    3_000
 }
 
 fn default_not_ready_grace_ms() -> u64 {
@@ -208,6 +216,45 @@
     pub listen: SocketAddr,
     /// The upstream beside the companion.
     pub upstream: UpstreamSettings,
+    /// The idempotency keys of a plain service.
+    #[serde(default)]
+    pub keys: KeySettings,
+}
+
+/// How the companions of a plain service remember idempotency keys; the same
+/// at all companions of the service.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct KeySettings {
+    /// How long a key is remembered after its run has ended, in milliseconds.
+    pub window_ms: u64,
+    /// Longest budget that an entry admits, in milliseconds.
+    pub longest_budget_ms: u64,
+    /// How long a read of the log allows new runs, in milliseconds.
+    pub lease_ms: u64,
+    /// Most keys that are remembered at once.
+    pub max_keys: usize,
+    /// Largest answer that is held for callers who ask again, in bytes.
+    pub max_answer_bytes: usize,
+    /// Most bytes of all answers that are held.
+    pub max_held_bytes: usize,
+    /// Age of the last change of the owners after which it is put on the log
+    /// again, in milliseconds; well below the log's retention.
+    pub refresh_interval_ms: u64,
+}
+
+impl Default for KeySettings {
+    fn default() -> Self {
+        Self {
+            window_ms: 600_000,
+            longest_budget_ms: default_max_budget_ms(),
+            lease_ms: 3_000,
+            max_keys: 200_000,
+            max_answer_bytes: 64 * 1024,
+            max_held_bytes: 64 * 1024 * 1024,
+            refresh_interval_ms: 600_000,
+        }
+    }
 }
 
 /// The upstream beside a companion.
--- a/crates/egretstage_entry/src/calls.rs
+++ b/crates/egretstage_entry/src/calls.rs
@@ -3,7 +3,10 @@
 use crate::runners::RunnerKey;
 use crate::{CallKey, CallRequest};
 use egretstage_link::LinkKey;
-use egretstage_wire::{OrganisationName, ServiceName, StreamId};
+use egretstage_once::KeyDigest;
+use egretstage_wire::{
+    Incarnation, KeyClaim, OrganisationName, ServiceName, StreamId, UnknownReason,
+};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Instant;
 
@@ -13,6 +16,16 @@
     pub(crate) runner: RunnerKey,
     pub(crate) link: LinkKey,
     pub(crate) stream: StreamId,
+    pub(crate) incarnation: Incarnation,
+}
+
+/// What a call waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Wait {
+    /// The owner of its key.
+    Owner,
+    /// The link that its answer was coming over.
+    Link,
 }
 
 /// A call from its arrival to its last answer part.
@@ -27,6 +40,48 @@
     pub(crate) attempts: u32,
     pub(crate) head_passed: bool,
     pub(crate) received_bytes: u64,
+    pub(crate) received_chunks: u32,
+    pub(crate) read_chunks: u32,
+    /// The key's digest, for a call that has one and may not be repeated.
+    pub(crate) digest: Option<KeyDigest>,
+    /// What was claimed of the key when the call was last sent.
+    pub(crate) claim: Option<KeyClaim>,
+    /// Why an earlier attempt may have run.
+    pub(crate) doubt: Option<UnknownReason>,
+    /// When the search for the key's owner is given up.
+    pub(crate) search_until: Option<Instant>,
+    wait: Option<(Instant, Wait)>,
+}
+
+impl Call {
+    /// Prepares a call that was not sent yet.
+    pub(crate) fn new(
+        req: Box<CallRequest>,
+        organisation: OrganisationName,
+        service: ServiceName,
+        repeatable: bool,
+        deadline: Instant,
+    ) -> Self {
+        let key = req.key.as_deref().filter(|_| !repeatable);
+        Self {
+            digest: key.map(|key| KeyDigest::new(&organisation, &service, key)),
+            req,
+            organisation,
+            service,
+            repeatable,
+            deadline,
+            sent: None,
+            attempts: 0,
+            head_passed: false,
+            received_bytes: 0,
+            received_chunks: 0,
+            read_chunks: 0,
+            claim: None,
+            doubt: None,
+            search_until: None,
+            wait: None,
+        }
+    }
 }
 
 /// All calls of an entry, with their deadlines in order.
@@ -35,6 +90,7 @@
     by_key: HashMap<CallKey, Call>,
     by_stream: HashMap<StreamId, CallKey>,
     deadlines: BTreeSet<(Instant, CallKey)>,
+    waits: BTreeSet<(Instant, CallKey)>,
 }
 
 impl Calls {
@@ -71,6 +127,9 @@
     pub(crate) fn remove(&mut self, key: CallKey) -> Option<Call> {
         let call = self.by_key.remove(&key)?;
         self.deadlines.remove(&(call.deadline, key));
+        if let Some((at, _)) = call.wait {
+            self.waits.remove(&(at, key));
+        }
         if let Some(sent) = call.sent {
             self.by_stream.remove(&sent.stream);
         }
@@ -90,6 +149,45 @@
         keys
     }
 
+    /// Sets what a call waits for and how long.
+    pub(crate) fn set_wait(&mut self, key: CallKey, wait: Option<(Instant, Wait)>) {
+        let Some(call) = self.by_key.get_mut(&key) else {
+            return;
+        };
+        if let Some((at, _)) = std::mem::replace(&mut call.wait, wait) {
+            self.waits.remove(&(at, key));
+        }
+        if let Some((at, _)) = wait {
+            self.waits.insert((at, key));
+        }
+    }
+
+    /// Takes a call that has waited long enough.
+    pub(crate) fn take_wait(&mut self, now: Instant) -> Option<(CallKey, Wait)> {
+        let (_, key) = *self.waits.first().filter(|(at, _)| *at <= now)?;
+        let (_, wait) = self.by_key.get(&key)?.wait?;
+        self.set_wait(key, None);
+        Some((key, wait))
+    }
+
+    /// Returns when the next call has waited long enough.
+    pub(crate) fn next_wait(&self) -> Option<Instant> {
+        self.waits.first().map(|(at, _)| *at)
+    }
+
+    /// Returns the calls that wait for a companion's link, in the order of
+    /// their arrival.
+    pub(crate) fn awaiting_link(&self, runner: RunnerKey) -> Vec<CallKey> {
+        let waits = |call: &Call| {
+            matches!(call.wait, Some((_, Wait::Link)))
+                && call.sent.is_some_and(|sent| sent.runner == runner)
+        };
+        let mut keys: Vec<_> = self.waits.iter().map(|(_, key)| *key).collect();
+        keys.retain(|key| self.by_key.get(key).is_some_and(waits));
+        keys.sort_unstable();
+        keys
+    }
+
     /// Returns a call whose deadline has passed.
     pub(crate) fn expired(&self, now: Instant) -> Option<CallKey> {
         self.deadlines
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -2,7 +2,9 @@
 
 use crate::http::{Answers, CallerServer, bind};
 use crate::meters::EntryMeters;
+use crate::owners_append::{self, OwnersAppend};
 use crate::{DecisionLine, EntryEffect, EntryEvent, EntryLimits, EntryReducer, feeds};
+use crossbeam_channel::Sender;
 use egretstage_config::settings::EntrySettings;
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
 use egretstage_observe::{
@@ -54,7 +56,9 @@
         events: events.clone(),
         relay,
     };
+    let owners = owners_append::start(&settings.process.log_url).into_diagnostic()?;
     let sink = Sink {
+        owners,
         answers: answers.clone(),
         meters: EntryMeters::new(&metrics),
         decisions: decisions.writer(),
@@ -70,6 +74,7 @@
     let zone = settings.process.zone.clone();
     let limits = EntryLimits {
         not_ready_grace: Duration::from_millis(settings.callers.not_ready_grace_ms),
+        remove_owner_after: Duration::from_millis(settings.callers.remove_owner_after_ms),
         ..EntryLimits::default()
     };
     let spawned = EventLoop::spawn("reducer", rx, move || {
@@ -186,6 +191,7 @@
 
 /// Carries out the reducer's effects.
 struct Sink {
+    owners: Sender<OwnersAppend>,
     answers: Answers,
     meters: EntryMeters,
     decisions: DecisionWriter<DecisionLine>,
@@ -208,6 +214,9 @@
             EntryEffect::Dial { instance, address } => self.dial(instance, address),
             EntryEffect::Close(link) => self.table.close(link),
             EntryEffect::Log(line) => self.decisions.write(line),
+            EntryEffect::AppendOwners { service, record } => {
+                let _ = self.owners.send(OwnersAppend { service, record });
+            }
             EntryEffect::Ready(ready) => self.health.set_ready(ready),
             EntryEffect::Status(status) => self.board.set_work(*status),
             EntryEffect::StopListening => {
--- a/crates/egretstage_entry/src/event.rs
+++ b/crates/egretstage_entry/src/event.rs
@@ -5,6 +5,7 @@
 use egretstage_config::{Configuration, Offset};
 use egretstage_link::LinkKey;
 use egretstage_observe::WorkStatus;
+use egretstage_once::OwnersRecord;
 use egretstage_platform::ListedInstance;
 use egretstage_routing::{Candidate, RouteReason};
 use egretstage_wire::{
@@ -101,6 +102,13 @@
     Close(LinkKey),
     /// Writes the log line of a decision.
     Log(Box<DecisionLine>),
+    /// Appends a record to a service's owners stream.
+    AppendOwners {
+        /// The service.
+        service: ServiceName,
+        /// The record.
+        record: Box<OwnersRecord>,
+    },
     /// Says whether the entry takes new work.
     Ready(bool),
     /// Shows the state of the entry to operators.
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -6,13 +6,13 @@
     RequestLimits,
 };
 use egretstage_runtime::EventSender;
-use egretstage_wire::{Incarnation, RequestId};
+use egretstage_wire::{Incarnation, NotRunReason, RequestId};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde_json::json;
 use std::collections::HashMap;
@@ -222,6 +222,11 @@
         request: &RequestId,
     ) -> Result<CallRequest, Response<ResponseBody>> {
         let (head, body) = req.into_parts();
+        if head.version < Version::HTTP_11 {
+            let text =
+                "HTTP/1.1 is needed: older versions can't tell a cut answer from a whole one";
+            return Err(invalid(505, "http_version", text, request));
+        }
         let body = Limited::new(body, self.max_body_bytes).collect();
         let body = match timeout(BODY_TIMEOUT, body).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -338,12 +343,20 @@
         }
         RefusalKind::NotRun(reason) => {
             let text = format!("the request was not run: {reason}");
-            error(503, <&str>::from(reason), &text, request, "not-run")
+            let status = if reason == NotRunReason::KeyReused {
+                422
+            } else {
+                503
+            };
+            error(status, <&str>::from(reason), &text, request, "not-run")
         }
         RefusalKind::Unknown(reason) => {
-            let text = format!(
-                "the request may or may not have run ({reason}); ask again with the same key"
-            );
+            let advice = if refusal.retry_after.is_some() {
+                "ask again with the same Idempotency-Key"
+            } else {
+                "it had no Idempotency-Key: look whether it ran before asking again"
+            };
+            let text = format!("the request may or may not have run ({reason}); {advice}");
             error(504, <&str>::from(reason), &text, request, "unknown")
         }
     };
--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -9,11 +9,15 @@
 mod event;
 mod feeds;
 mod http;
+mod keyed;
 mod meters;
+mod owners_append;
 mod reducer;
 mod request;
+mod resume;
 mod runners;
 mod status;
+mod suspects;
 
 pub use event::{AnswerPart, CallKey, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind};
 pub use reducer::{EntryLimits, EntryReducer, INITIAL_CREDIT};
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -4,6 +4,7 @@
 use crate::event::CandidateLine;
 use crate::runners::{RunnerKey, Runners};
 use crate::status::{not_ready_because, runner_status};
+use crate::suspects::Suspects;
 use crate::{
     AnswerPart, CallKey, CallRequest, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind,
     Target,
@@ -12,12 +13,14 @@
 use egretstage_config::{Configuration, RecordKind};
 use egretstage_link::LinkKey;
 use egretstage_observe::{StatusCadence, WorkStatus};
+use egretstage_once::OwnerSet;
 use egretstage_routing::{Candidate, Choice, Demand, RouteReason, RoutingPolicy};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
     AnswerHead, CallStart, Chunk, Frame, Incarnation, NotRunReason, OrganisationName, Outcome,
     ServiceName, StreamEnd, StreamIds, UnknownReason, ZoneName,
 };
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +29,8 @@
 
 /// When to come back after a refusal because of an unreadable configuration.
 const UNREADABLE_RETRY_AFTER: Duration = Duration::from_secs(10);
+/// When to ask again with the key of a call whose budget has passed.
+const EXPIRED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Limits of an entry's decisions.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +40,9 @@
     /// Time between "not ready" and the end of accepting, for the platform's
     /// balancer to notice.
     pub not_ready_grace: Duration,
+    /// How long an owner of keys is neither linked nor live on the instance
+    /// list before it is removed.
+    pub remove_owner_after: Duration,
 }
 
 impl Default for EntryLimits {
@@ -42,6 +50,7 @@
         Self {
             max_attempts: 2,
             not_ready_grace: Duration::from_secs(1),
+            remove_owner_after: Duration::from_secs(3),
         }
     }
 }
@@ -61,13 +70,15 @@
     limits: EntryLimits,
     policy: Box<dyn RoutingPolicy>,
     streams: StreamIds,
-    configuration: Option<Arc<Configuration>>,
+    pub(crate) configuration: Option<Arc<Configuration>>,
     listed: bool,
     ready: bool,
     stopping: Stopping,
-    runners: Runners,
-    calls: Calls,
     status: StatusCadence,
+    pub(crate) runners: Runners,
+    pub(crate) calls: Calls,
+    pub(crate) owners: HashMap<ServiceName, OwnerSet>,
+    pub(crate) suspects: Suspects,
 }
 
 impl EntryReducer {
@@ -93,6 +104,8 @@
             runners: Runners::default(),
             calls: Calls::default(),
             status: StatusCadence::default(),
+            owners: HashMap::new(),
+            suspects: Suspects::new(incarnation, limits.remove_owner_after),
         }
     }
 
@@ -127,17 +140,8 @@
         if cfg.unreadable_of(RecordKind::PlacementRule, None).is_some() {
             return Err(UNREADABLE);
         }
-        Ok(Call {
-            deadline: now + req.budget,
-            req,
-            organisation,
-            service,
-            repeatable,
-            sent: None,
-            attempts: 0,
-            head_passed: false,
-            received_bytes: 0,
-        })
+        let deadline = now + req.budget;
+        Ok(Call::new(req, organisation, service, repeatable, deadline))
     }
 
     /// Chooses an upstream for a call and sends it there, or refuses it.
@@ -145,6 +149,10 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
+        if call.digest.is_some() {
+            self.route_keyed(now, key, fx);
+            return;
+        }
         let rule = self.rule(&call.organisation, &call.service);
         let zones = rule.as_ref().map(|(_, zones)| zones.as_slice());
         let (keys, candidates) = self.candidates(&call.service, zones.unwrap_or_default());
@@ -163,13 +171,21 @@
             } => {
                 line.refused = Some(reason);
                 fx.push(EntryEffect::Log(Box::new(line)));
-                self.calls.remove(key);
-                let kind = RefusalKind::NotRun(reason);
-                fx.push(refuse(key, kind, Some(retry_after)));
+                self.refuse_call(key, reason, Some(retry_after), fx);
             }
         }
     }
 
+    /// Tells whether some companion can take a call now.
+    pub(crate) fn has_candidate(&self, key: CallKey) -> bool {
+        let Some(call) = self.calls.get(key) else {
+            return false;
+        };
+        let rule = self.rule(&call.organisation, &call.service);
+        let zones = rule.map(|(_, zones)| zones).unwrap_or_default();
+        !self.candidates(&call.service, &zones).0.is_empty()
+    }
+
     fn rule(
         &self,
         organisation: &OrganisationName,
@@ -193,7 +209,7 @@
             .unzip()
     }
 
-    fn decision_line(
+    pub(crate) fn decision_line(
         &self,
         call: &Call,
         rule: Option<CompactString>,
@@ -220,7 +236,7 @@
         }
     }
 
-    fn send(
+    pub(crate) fn send(
         &mut self,
         now: Instant,
         key: CallKey,
@@ -233,7 +249,8 @@
             .runners
             .get_mut(runner_key)
             .expect("a candidate is in the arena");
-        let link = runner.open_link().expect("a candidate has an open link");
+        let link = runner.any_link().expect("a candidate has a link");
+        let incarnation = runner.incarnation.unwrap_or_default();
         runner.sent_since_report += 1;
         runner.in_flight += 1;
         let stream = self.streams.issue();
@@ -244,6 +261,7 @@
             runner: runner_key,
             link,
             stream,
+            incarnation,
         };
         self.calls.set_sent(key, Some(sent));
         let priority = self.priority(key);
@@ -258,7 +276,7 @@
             key: call.req.key.clone(),
             repeatable: call.repeatable,
             sent_ms: as_millis(now.saturating_duration_since(self.clock_start)),
-            claim: None,
+            claim: call.claim,
             budget_ms: as_millis(call.deadline.saturating_duration_since(now)),
             priority,
             method: call.req.method.clone(),
@@ -310,7 +328,10 @@
             | Frame::Resume { .. }
             | Frame::Group(_) => fx.push(EntryEffect::Close(link)),
             Frame::Configuration(_) => {}
-            Frame::Owners(_) | Frame::AskFormerOwner { .. } => {}
+            Frame::Owners(view) => self.owners_read(view),
+            Frame::AskFormerOwner { stream, instance } => {
+                self.ask_former_owner(now, link, (stream, &instance), fx);
+            }
         }
     }
 
@@ -320,7 +341,11 @@
     }
 
     /// Finds the call of a stream, if the stream belongs to the link.
-    fn call_on(&self, link: LinkKey, stream: egretstage_wire::StreamId) -> Option<CallKey> {
+    pub(crate) fn call_on(
+        &self,
+        link: LinkKey,
+        stream: egretstage_wire::StreamId,
+    ) -> Option<CallKey> {
         let key = self.calls.of_stream(stream)?;
         let sent = self.calls.get(key)?.sent?;
         (sent.link == link).then_some(key)
@@ -351,6 +376,7 @@
             return;
         }
         call.received_bytes += chunk.bytes.len() as u64;
+        call.received_chunks += 1;
         let part = AnswerPart::Bytes(chunk.bytes);
         fx.push(EntryEffect::Answer { call: key, part });
     }
@@ -373,7 +399,7 @@
     }
 
     /// Ends a call with its final answer part.
-    fn finish(&mut self, key: CallKey, part: AnswerPart, fx: &mut Vec<EntryEffect>) {
+    pub(crate) fn finish(&mut self, key: CallKey, part: AnswerPart, fx: &mut Vec<EntryEffect>) {
         self.release(key);
         if self.calls.remove(key).is_some() {
             fx.push(EntryEffect::Answer { call: key, part });
@@ -381,7 +407,7 @@
     }
 
     /// Gives back the place that a call has at its runner.
-    fn release(&mut self, key: CallKey) {
+    pub(crate) fn release(&mut self, key: CallKey) {
         let sent = self.calls.get(key).and_then(|call| call.sent);
         if let Some(runner) = sent.and_then(|sent| self.runners.get_mut(sent.runner)) {
             runner.in_flight = runner.in_flight.saturating_sub(1);
@@ -400,6 +426,14 @@
         fx: &mut Vec<EntryEffect>,
     ) {
         self.release(key);
+        if self
+            .calls
+            .get(key)
+            .is_some_and(|call| call.digest.is_some())
+        {
+            self.keyed_not_run(now, key, reason, fx);
+            return;
+        }
         let elsewhere = matches!(
             reason,
             NotRunReason::Leaving | NotRunReason::UpstreamUnreachable
@@ -408,21 +442,18 @@
             self.route(now, key, fx);
             return;
         }
-        let refusal = Refusal {
-            kind: RefusalKind::NotRun(reason),
-            retry_after: retry_after_ms.map(Duration::from_millis),
-        };
-        self.finish(key, AnswerPart::Refused(refusal), fx);
+        let retry_after = retry_after_ms.map(Duration::from_millis);
+        self.refuse_call(key, reason, retry_after, fx);
     }
 
-    fn may_retry(&self, now: Instant, key: CallKey) -> bool {
+    pub(crate) fn may_retry(&self, now: Instant, key: CallKey) -> bool {
         self.calls.get(key).is_some_and(|call| {
             !call.head_passed && call.attempts < self.limits.max_attempts && call.deadline > now
         })
     }
 
     /// Handles a call whose answer is lost: sends it again if that is allowed.
-    fn lost(
+    pub(crate) fn lost(
         &mut self,
         now: Instant,
         key: CallKey,
@@ -430,12 +461,17 @@
         fx: &mut Vec<EntryEffect>,
     ) {
         self.release(key);
-        let Some(call) = self.calls.get(key) else {
+        let never_arrived = reason == UnknownReason::AnswerForgotten;
+        let may_retry = self.may_retry(now, key) || never_arrived;
+        let Some(call) = self.calls.get_mut(key) else {
             return;
         };
         if call.head_passed {
             self.finish(key, AnswerPart::Cut, fx);
-        } else if call.repeatable && self.may_retry(now, key) {
+        } else if call.digest.is_some() {
+            self.keyed_unknown(key, reason, fx);
+        } else if call.repeatable && may_retry {
+            call.doubt = Some(reason);
             self.route(now, key, fx);
         } else {
             let refusal = Refusal {
@@ -461,8 +497,12 @@
         self.calls.remove(key);
     }
 
-    fn caller_read(&self, key: CallKey, chunks: u32, fx: &mut Vec<EntryEffect>) {
-        if let Some(sent) = self.calls.get(key).and_then(|call| call.sent) {
+    fn caller_read(&mut self, key: CallKey, chunks: u32, fx: &mut Vec<EntryEffect>) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        call.read_chunks += chunks;
+        if let Some(sent) = call.sent {
             fx.push(EntryEffect::Send {
                 link: sent.link,
                 frame: Frame::Credit {
@@ -480,26 +520,20 @@
             let part = if call.head_passed {
                 AnswerPart::Cut
             } else {
-                let kind = match call.sent {
-                    Some(_) => RefusalKind::Unknown(UnknownReason::DeadlinePassed),
-                    None => RefusalKind::NotRun(NotRunReason::DeadlinePassed),
+                let kind = match (call.sent, call.doubt) {
+                    (Some(_), _) => RefusalKind::Unknown(UnknownReason::DeadlinePassed),
+                    (None, Some(doubt)) => RefusalKind::Unknown(doubt),
+                    (None, None) => RefusalKind::NotRun(NotRunReason::DeadlinePassed),
                 };
                 AnswerPart::Refused(Refusal {
                     kind,
-                    retry_after: None,
+                    retry_after: call.digest.map(|_| EXPIRED_RETRY_AFTER),
                 })
             };
             self.finish(key, part, fx);
         }
     }
 
-    fn link_down(&mut self, now: Instant, link: LinkKey, fx: &mut Vec<EntryEffect>) {
-        self.runners.link_down(now, link);
-        for key in self.calls.on_link(link) {
-            self.lost(now, key, UnknownReason::LinkLost, fx);
-        }
-    }
-
     fn stop(&mut self, now: Instant) {
         if self.stopping == Stopping::No {
             self.stopping = Stopping::NotReady {
@@ -554,14 +588,17 @@
             EntryEvent::Listed(listed) => {
                 self.listed = true;
                 self.runners.update(now, listed);
+                self.check_owners(now, fx);
             }
             EntryEvent::Configured { configuration, .. } => {
                 self.configuration = Some(configuration);
             }
             EntryEvent::ConfigurationIncomplete => self.configuration = None,
             EntryEvent::LinkUp { link, hello } => {
-                if !self.runners.link_up(link, &hello.instance) {
-                    fx.push(EntryEffect::Close(link));
+                let incarnation = hello.incarnation;
+                match self.runners.link_up(link, &hello.instance, incarnation) {
+                    Some(runner) => self.resume_calls(now, link, runner, fx),
+                    None => fx.push(EntryEffect::Close(link)),
                 }
             }
             EntryEvent::LinkDown { link } => self.link_down(now, link, fx),
@@ -574,6 +611,7 @@
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<EntryEffect>) {
         self.expire(now, fx);
+        self.end_waits(now, fx);
         self.settle(now, fx);
     }
 
@@ -584,6 +622,7 @@
         };
         [
             self.calls.next_deadline(),
+            self.calls.next_wait(),
             self.runners.next_dial(),
             self.status.next_due(),
             stop,
--- a/crates/egretstage_entry/src/runners.rs
+++ b/crates/egretstage_entry/src/runners.rs
@@ -3,7 +3,7 @@
 use egretstage_link::LinkKey;
 use egretstage_platform::{InstanceState, ListedInstance};
 use egretstage_routing::Candidate;
-use egretstage_wire::{InstanceId, LoadReport, Role, ServiceName, ZoneName};
+use egretstage_wire::{Incarnation, InstanceId, LoadReport, Role, ServiceName, ZoneName};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -36,6 +36,8 @@
     pub(crate) zone: ZoneName,
     pub(crate) service: ServiceName,
     pub(crate) link: LinkState,
+    /// The incarnation that the last link led to.
+    pub(crate) incarnation: Option<Incarnation>,
     pub(crate) listed: bool,
     pub(crate) leaving: bool,
     pub(crate) load: LoadReport,
@@ -52,6 +54,19 @@
         }
     }
 
+    /// Returns the link, whether or not new work may be sent on it.
+    pub(crate) fn any_link(&self) -> Option<LinkKey> {
+        match self.link {
+            LinkState::Up(link) => Some(link),
+            _ => None,
+        }
+    }
+
+    /// Tells whether the companion is linked or live on the instance list.
+    pub(crate) fn seems_alive(&self) -> bool {
+        self.any_link().is_some() || (self.listed && !self.leaving)
+    }
+
     /// Returns the figures that a policy sees.
     pub(crate) fn candidate(&self, own_zone: &ZoneName) -> Candidate {
         Candidate {
@@ -84,6 +99,11 @@
         self.by_link.get(&link).copied()
     }
 
+    pub(crate) fn of_instance(&self, instance: &InstanceId) -> Option<(RunnerKey, &Runner)> {
+        let key = *self.by_instance.get(instance)?;
+        Some((key, self.arena.get(key)?))
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = (RunnerKey, &Runner)> {
         self.arena.iter()
     }
@@ -121,6 +141,7 @@
             zone: item.zone,
             service,
             link: LinkState::Down(now),
+            incarnation: None,
             listed: true,
             leaving,
             load: LoadReport::default(),
@@ -142,31 +163,42 @@
         });
     }
 
-    /// Notes an open link; returns false when nobody asked for it.
-    pub(crate) fn link_up(&mut self, link: LinkKey, instance: &InstanceId) -> bool {
-        let key = self.by_instance.get(instance).copied();
-        let Some(runner) = key.and_then(|key| self.arena.get_mut(key)) else {
-            return false;
-        };
+    /// Notes an open link; returns none when nobody asked for it.
+    pub(crate) fn link_up(
+        &mut self,
+        link: LinkKey,
+        instance: &InstanceId,
+        incarnation: Incarnation,
+    ) -> Option<RunnerKey> {
+        let key = self.by_instance.get(instance).copied()?;
+        let runner = self.arena.get_mut(key)?;
         if runner.link != LinkState::Dialing {
-            return false;
+            return None;
         }
         runner.link = LinkState::Up(link);
+        runner.incarnation = Some(incarnation);
         runner.leaving = !runner.listed;
         runner.load = LoadReport::default();
         runner.sent_since_report = 0;
-        self.by_link.extend(key.map(|key| (link, key)));
-        true
+        self.by_link.insert(link, key);
+        Some(key)
     }
 
-    /// Notes the end of a link.
-    pub(crate) fn link_down(&mut self, now: Instant, link: LinkKey) -> Option<RunnerKey> {
-        let key = self.by_link.remove(&link)?;
+    /// Notes the end of a link; a companion that calls wait for is dialled
+    /// again at once.
+    pub(crate) fn link_down(&mut self, now: Instant, link: LinkKey, awaited: bool) {
+        let Some(key) = self.by_link.remove(&link) else {
+            return;
+        };
         if let Some(runner) = self.arena.get_mut(key) {
-            runner.link = LinkState::Down(now + REDIAL_DELAY);
+            let delay = if awaited {
+                Duration::ZERO
+            } else {
+                REDIAL_DELAY
+            };
+            runner.link = LinkState::Down(now + delay);
         }
         self.drop_unlisted();
-        Some(key)
     }
 
     /// Notes a failed attempt to open a link.
--- a/crates/egretstage_standins/src/engine.rs
+++ b/crates/egretstage_standins/src/engine.rs
@@ -132,6 +132,12 @@
         Ok((engine, address))
     }
 
+    /// Returns how many streams run now.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        lock(&self.state).running
+    }
+
     /// Returns the streams that really ran.
     #[must_use]
     pub fn ran(&self) -> Vec<RanStream> {
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -366,6 +366,21 @@
         self.launch_companion(place, address, "")
     }
 
+    /// Starts a companion with settings of choice, waits until it is ready and
+    /// lists it under an address of choice, such as that of a proxy.
+    #[must_use]
+    pub fn companion_behind(
+        &self,
+        place: &Placement<'_>,
+        settings: &str,
+        listed: impl FnOnce(SocketAddr) -> SocketAddr,
+    ) -> Program {
+        let program = self.launch_companion(place, free_address(), settings);
+        program.await_ready(true);
+        self.list_companion(place, listed(program.address), "live");
+        program
+    }
+
     fn launch_companion(&self, place: &Placement<'_>, address: SocketAddr, more: &str) -> Program {
         let admin = free_address();
         let settings = format!(
@@ -404,9 +419,16 @@
     /// Starts an entry without waiting for it.
     #[must_use]
     pub fn entry_unready(&self, instance: &str, zone: &str) -> Program {
+        self.entry_with(instance, zone, "")
+    }
+
+    /// Starts an entry with callers' settings of choice without waiting for
+    /// it.
+    #[must_use]
+    pub fn entry_with(&self, instance: &str, zone: &str, callers: &str) -> Program {
         let (address, admin) = (free_address(), free_address());
         let settings = format!(
-            "{}\n[callers]\nlisten = \"{address}\"\n",
+            "{}\n[callers]\nlisten = \"{address}\"\n{callers}",
             self.process_settings(instance, zone, admin)
         );
         self.launch(self.programs.entry, instance, &settings, admin, address)
--- a/crates/egretstage_wire/src/stream.rs
+++ b/crates/egretstage_wire/src/stream.rs
@@ -3,7 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 /// A random number drawn once at each start of a process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct Incarnation(pub u64);
 
 /// Identifies one call between an entry and a companion.
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -5,3 +5,5 @@
 
 mod leaving_upstream_gets_no_new_work;
 mod planned_stop_cuts_off_no_request;
+mod seeds;
+mod whole_answer_to_own_caller;
