--- a/crates/egretstage_companion/src/load.rs
+++ b/crates/egretstage_companion/src/load.rs
@@ -87,14 +87,14 @@
     }
 
     /// Counts a call that is held no more.
-    pub(crate) fn removed(&mut self, now: Instant, run: &Run) {
+    pub(crate) fn removed(&mut self, now: Instant, run: &Run, whole: bool) {
         if run.last_bytes.is_none() {
             self.unstarted_tokens -= u64::from(run.start.work.prefill_tokens);
-            if run.state == RunState::Running {
+            if run.state != RunState::Waiting {
                 self.meter.first_token(now, 0);
             }
         }
-        if let (true, Some(started)) = (run.whole, run.started) {
+        if let (true, Some(started)) = (whole, run.started) {
             self.meter.ended(now.saturating_duration_since(started));
         }
         if let Some(link) = self.links.get_mut(&run.link) {
--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -1,27 +1,24 @@
 //! All decisions of a companion.
 
+use crate::answer::Head;
+use crate::keyed::{KeyOptions, Keyed};
 use crate::links::EntryLinks;
 use crate::load::LoadMeter;
 use crate::runs::{Run, RunState, Runs};
 use crate::{
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
-    UpstreamRequest,
 };
+use compact_str::CompactString;
 use egretstage_config::Configuration;
 use egretstage_link::LinkKey;
 use egretstage_observe::{StatusCadence, WorkStatus};
 use egretstage_routing::Refused;
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
-    AnswerHead, CallStart, Chunk, Frame, NotRunReason, Outcome, Role, StreamEnd, StreamId,
-    UnknownReason,
+    CallStart, Frame, NotRunReason, Outcome, Role, StreamEnd, StreamId, UnknownReason,
 };
-use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// Microseconds in a millisecond.
-const MICROS_PER_MILLI: u64 = 1000;
+use std::time::Instant;
 
 /// Limits of a companion's decisions.
 #[derive(Clone, Copy, Debug)]
@@ -33,11 +30,12 @@
 /// Makes all decisions of a companion.
 #[derive(Debug)]
 pub struct CompanionReducer {
-    limits: CompanionLimits,
-    links: EntryLinks,
-    load: LoadMeter,
-    runs: Runs,
-    leaving: bool,
+    pub(crate) limits: CompanionLimits,
+    pub(crate) links: EntryLinks,
+    pub(crate) runs: Runs,
+    pub(crate) load: LoadMeter,
+    pub(crate) keyed: Option<Keyed>,
+    pub(crate) leaving: bool,
     exited: bool,
     configuration: Option<Arc<Configuration>>,
     status: StatusCadence,
@@ -50,8 +48,9 @@
         Self {
             limits,
             links: EntryLinks::new(now),
-            load: LoadMeter::default(),
             runs: Runs::default(),
+            load: LoadMeter::default(),
+            keyed: None,
             leaving: false,
             exited: false,
             configuration: None,
@@ -65,83 +64,14 @@
         self.configuration.as_deref()
     }
 
-    fn start(
-        &mut self,
-        now: Instant,
-        link: LinkKey,
-        start: Box<CallStart>,
-        fx: &mut Vec<CompanionEffect>,
-    ) {
-        let late = self.links.note_start(now, link, start.sent_ms);
-        if self.runs.of_stream(start.stream).is_some() {
-            return;
-        }
-        if self.leaving {
-            fx.push(self.line(&start, PlacementDecision::RefuseLeaving));
-            fx.push(not_run(link, start.stream, NotRunReason::Leaving));
-            return;
-        }
-        let budget = Duration::from_millis(start.budget_ms).saturating_sub(late);
-        if budget.is_zero() {
-            fx.push(self.line(&start, PlacementDecision::Expire));
-            fx.push(not_run(link, start.stream, NotRunReason::DeadlinePassed));
-            return;
-        }
-        let slots = self.limits.slots;
-        if let Err(refused) = self.load.admit(&self.runs, slots, &start, budget) {
-            fx.push(self.line(&start, PlacementDecision::RefuseLate));
-            fx.push(refuse(link, start.stream, refused));
-            return;
-        }
-        let waits = self.runs.running() >= self.limits.slots as usize;
-        if waits {
-            fx.push(self.line(&start, PlacementDecision::Wait));
-        }
-        let deadline = now + budget;
-        let cost = self.load.cost(&start);
-        let latest_start = deadline.checked_sub(Duration::from_micros(cost));
-        let run = Run {
-            link,
-            deadline,
-            latest_start: latest_start.unwrap_or(now).max(now),
-            cost,
-            started: None,
-            last_bytes: None,
-            credit: start.credit,
-            start,
-            state: RunState::Waiting,
-            unsent: VecDeque::new(),
-            sent_bytes: 0,
-            whole: false,
-        };
-        self.load.taken(now, &run);
-        self.runs.enqueue(run);
-        self.fill_slots(now, fx);
-    }
-
-    fn fill_slots(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
-        while let Some(key) = self.runs.start_next(now, self.limits.slots) {
-            self.load.started(now);
-            let run = self.runs.get(key).expect("the call was just taken");
-            fx.push(self.line(&run.start, PlacementDecision::Start));
-            let req = UpstreamRequest {
-                request: run.start.request.clone(),
-                repeatable: run.start.repeatable,
-                method: run.start.method.clone(),
-                path: run.start.path.clone(),
-                content_type: run.start.content_type.clone(),
-                key: run.key().cloned(),
-                priority: run.start.priority,
-                body: run.start.body.clone(),
-            };
-            fx.push(CompanionEffect::StartUpstream {
-                run: key,
-                req: Box::new(req),
-            });
-        }
+    /// Has the companion own keys of a plain service.
+    #[must_use]
+    pub fn with_keys(mut self, options: KeyOptions) -> Self {
+        self.keyed = Some(Keyed::new(options));
+        self
     }
 
-    fn line(&self, start: &CallStart, decision: PlacementDecision) -> CompanionEffect {
+    pub(crate) fn line(&self, start: &CallStart, decision: PlacementDecision) -> CompanionEffect {
         CompanionEffect::Log(Box::new(PlacementLine {
             request: start.request.clone(),
             stream: start.stream,
@@ -155,24 +85,13 @@
     fn frame(&mut self, now: Instant, link: LinkKey, frame: Frame, fx: &mut Vec<CompanionEffect>) {
         match frame {
             Frame::Start(start) => self.start(now, link, start, fx),
-            Frame::Cancel(stream) => {
-                if let Some(key) = self.runs.of_stream(stream) {
-                    self.cancel(now, key, fx);
-                }
-            }
-            Frame::Credit { stream, chunks } => {
-                if let Some(key) = self.runs.of_stream(stream) {
-                    let run = self.runs.get_mut(key).expect("the call was just found");
-                    run.credit = run.credit.saturating_add(chunks);
-                    self.pump(now, key, fx);
-                }
-            }
-            Frame::Resume { stream, .. } => {
-                let outcome = Outcome::Unknown {
-                    reason: UnknownReason::AnswerForgotten,
-                };
-                fx.push(end(link, stream, outcome, 0));
-            }
+            Frame::Cancel(stream) => self.drop_reader(now, stream, fx),
+            Frame::Credit { stream, chunks } => self.credit(now, link, (stream, chunks), fx),
+            Frame::Resume {
+                stream,
+                offset,
+                credit,
+            } => self.resume(now, link, (stream, offset, credit), fx),
             Frame::LeavingNoted => self.links.note_leaving(link),
             Frame::Hello(_)
             | Frame::Head(_)
@@ -180,78 +99,28 @@
             | Frame::End(_)
             | Frame::Load(_)
             | Frame::Leaving
-            | Frame::Group(_) => fx.push(CompanionEffect::Close(link)),
+            | Frame::Group(_)
+            | Frame::Owners(_)
+            | Frame::AskFormerOwner { .. } => fx.push(CompanionEffect::Close(link)),
             Frame::Configuration(_) => {}
         }
     }
 
-    /// Breaks a call off, also at the upstream.
-    fn cancel(&mut self, now: Instant, key: RunKey, fx: &mut Vec<CompanionEffect>) {
-        if let Some(run) = self.remove(now, key) {
-            if run.state == RunState::Running && !run.whole {
-                fx.push(CompanionEffect::CancelUpstream(key));
-            }
-            self.fill_slots(now, fx);
-        }
-    }
-
-    /// Takes a call out of the runs and the load.
-    fn remove(&mut self, now: Instant, key: RunKey) -> Option<Run> {
-        let run = self.runs.remove(key)?;
-        self.load.removed(now, &run);
-        Some(run)
-    }
-
+    /// Notes the status of an answer.
     fn head(
         &mut self,
+        now: Instant,
         key: RunKey,
         status: u16,
-        content_type: Option<compact_str::CompactString>,
+        content_type: Option<CompactString>,
         fx: &mut Vec<CompanionEffect>,
     ) {
-        if let Some(run) = self.runs.get(key) {
-            fx.push(CompanionEffect::Send {
-                link: run.link,
-                frame: Frame::Head(AnswerHead {
-                    stream: run.stream(),
-                    status,
-                    content_type,
-                }),
-            });
-        }
-    }
-
-    /// Sends what the entry's credit allows, then the end if it is reached.
-    fn pump(&mut self, now: Instant, key: RunKey, fx: &mut Vec<CompanionEffect>) {
-        let Some(run) = self.runs.get_mut(key) else {
-            return;
-        };
-        let mut chunks = 0;
-        while run.credit > 0 {
-            let Some(bytes) = run.unsent.pop_front() else {
-                break;
-            };
-            run.credit -= 1;
-            chunks += 1;
-            let offset = run.sent_bytes;
-            run.sent_bytes += bytes.len() as u64;
-            let stream = run.stream();
-            fx.push(CompanionEffect::Send {
-                link: run.link,
-                frame: Frame::Chunk(Chunk {
-                    stream,
-                    offset,
-                    bytes,
-                }),
+        if let Some(run) = self.runs.get_mut(key) {
+            run.answer.head = Some(Head {
+                status,
+                content_type,
             });
-        }
-        if run.whole && run.unsent.is_empty() {
-            let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
-            fx.push(end(link, stream, Outcome::Completed, sent));
-            self.remove(now, key);
-            self.fill_slots(now, fx);
-        } else if chunks > 0 {
-            fx.push(CompanionEffect::ReadUpstream { run: key, chunks });
+            self.deliver(now, key, fx);
         }
     }
 
@@ -262,51 +131,54 @@
         failure: UpstreamFailure,
         fx: &mut Vec<CompanionEffect>,
     ) {
-        let Some(run) = self.remove(now, key) else {
-            return;
+        let not_run = |reason| Outcome::NotRun {
+            reason,
+            retry_after_ms: None,
         };
         let outcome = match failure {
-            UpstreamFailure::NotSent => Outcome::NotRun {
-                reason: NotRunReason::UpstreamUnreachable,
-                retry_after_ms: None,
-            },
+            UpstreamFailure::NotSent => not_run(NotRunReason::UpstreamUnreachable),
+            UpstreamFailure::TooLate => not_run(NotRunReason::DeadlinePassed),
             UpstreamFailure::Broken => Outcome::Unknown {
                 reason: UnknownReason::UpstreamCut,
             },
         };
-        fx.push(end(run.link, run.stream(), outcome, run.sent_bytes));
-        self.fill_slots(now, fx);
+        self.end_running(now, key, outcome, fx);
     }
 
-    fn expire(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
-        while let Some(key) = self.runs.expired(now) {
-            let run = self.runs.get(key).expect("an expired call is known");
-            let (link, stream, sent) = (run.link, run.stream(), run.sent_bytes);
-            let outcome = match run.state {
-                RunState::Waiting => Outcome::NotRun {
-                    reason: NotRunReason::DeadlineTooClose,
-                    retry_after_ms: Some(run.cost / MICROS_PER_MILLI),
-                },
-                RunState::Running => Outcome::Unknown {
-                    reason: UnknownReason::DeadlinePassed,
-                },
-            };
-            fx.push(self.line(&run.start, PlacementDecision::Expire));
-            self.cancel(now, key, fx);
-            fx.push(end(link, stream, outcome, sent));
+    /// Ends a call that the upstream is done with.
+    fn end_running(
+        &mut self,
+        now: Instant,
+        key: RunKey,
+        outcome: Outcome,
+        fx: &mut Vec<CompanionEffect>,
+    ) {
+        let running = |run: &Run| run.state == RunState::Running;
+        if self.runs.get(key).is_some_and(running) {
+            self.end_run(now, key, outcome, fx);
+            self.fill_slots(now, fx);
         }
     }
 
-    fn link_down(&mut self, now: Instant, link: LinkKey, fx: &mut Vec<CompanionEffect>) {
-        self.links.remove(link);
-        self.load.link_down(link);
-        for key in self.runs.on_link(link) {
-            self.cancel(now, key, fx);
+    /// Keeps this companion's place among the owners of its service's keys.
+    fn keep_ownership(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        let Some(keyed) = &mut self.keyed else {
+            return;
+        };
+        if let Some(frame) = keyed.changed_owners() {
+            for link in self.links.keys() {
+                let frame = frame.clone();
+                fx.push(CompanionEffect::Send { link, frame });
+            }
         }
+        fx.extend(keyed.next_append(now));
     }
 
-    fn stop(&mut self, fx: &mut Vec<CompanionEffect>) {
+    fn stop(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         if !std::mem::replace(&mut self.leaving, true) {
+            if let Some(keyed) = &mut self.keyed {
+                keyed.leave(now);
+            }
             fx.push(CompanionEffect::Ready(false));
             for link in self.links.keys() {
                 fx.push(CompanionEffect::Send {
@@ -346,8 +218,10 @@
     }
 
     /// Ends a planned stop once nothing runs and no entry will send any more.
-    fn settle(&mut self, fx: &mut Vec<CompanionEffect>) {
-        let left = self.leaving && self.links.all_noted_leaving();
+    fn settle(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
+        self.keep_ownership(now, fx);
+        let gave_up_keys = self.keyed.as_ref().is_none_or(|keyed| keyed.may_exit(now));
+        let left = self.leaving && self.links.all_noted_leaving() && gave_up_keys;
         if left && self.runs.is_empty() && !std::mem::replace(&mut self.exited, true) {
             fx.push(CompanionEffect::Exit);
         }
@@ -364,6 +238,8 @@
                 if hello.role == Role::Entry {
                     self.links.insert(link);
                     self.load.link_up(now, link);
+                    let owners = self.keyed.as_ref().and_then(Keyed::owners_frame);
+                    fx.extend(owners.map(|frame| CompanionEffect::Send { link, frame }));
                     if self.leaving {
                         let frame = Frame::Leaving;
                         fx.push(CompanionEffect::Send { link, frame });
@@ -375,51 +251,69 @@
             CompanionEvent::Configured { configuration, .. } => {
                 self.configuration = Some(configuration);
             }
-            CompanionEvent::LinkDown { link } => self.link_down(now, link, fx),
+            CompanionEvent::LinkDown { link } => self.link_down(now, link),
             CompanionEvent::Frame { link, frame } => self.frame(now, link, frame, fx),
             CompanionEvent::UpstreamHead {
                 run,
                 status,
                 content_type,
-            } => self.head(run, status, content_type, fx),
+            } => self.head(now, run, status, content_type, fx),
             CompanionEvent::UpstreamBytes { run, bytes } => {
                 if let Some(held) = self.runs.get_mut(run) {
-                    held.unsent.push_back(bytes);
                     self.load.bytes(now, held);
-                    self.pump(now, run, fx);
+                    held.answer.push(bytes);
+                    self.deliver(now, run, fx);
                 }
             }
             CompanionEvent::UpstreamEnded { run } => {
-                if let Some(held) = self.runs.get_mut(run) {
-                    held.whole = true;
-                    self.pump(now, run, fx);
-                }
+                self.end_running(now, run, Outcome::Completed, fx);
             }
             CompanionEvent::UpstreamFailed { run, failure } => self.failed(now, run, failure, fx),
-            CompanionEvent::Stop => self.stop(fx),
+            CompanionEvent::OwnersRead { asked, page } => {
+                if let Some(keyed) = &mut self.keyed {
+                    keyed.read(now, asked, &page);
+                }
+            }
+            CompanionEvent::OwnersAppended { appended } => {
+                if let Some(keyed) = &mut self.keyed {
+                    keyed.append_answered(now, appended);
+                }
+            }
+            CompanionEvent::Stop => self.stop(now, fx),
         }
         self.report(now, fx);
         self.show(now, fx);
-        self.settle(fx);
+        self.settle(now, fx);
     }
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         self.expire(now, fx);
         self.report(now, fx);
         self.show(now, fx);
-        self.settle(fx);
+        self.settle(now, fx);
     }
 
     fn next_wake(&self) -> Option<Instant> {
         let status = self.status.next_due();
-        [self.runs.next_deadline(), self.load.next_report(), status]
-            .into_iter()
-            .flatten()
-            .min()
+        let keys = self.keyed.as_ref().and_then(Keyed::next_wake);
+        [
+            self.runs.next_timer(),
+            self.load.next_report(),
+            status,
+            keys,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
 
-fn end(link: LinkKey, stream: StreamId, outcome: Outcome, body_bytes: u64) -> CompanionEffect {
+pub(crate) fn end(
+    link: LinkKey,
+    stream: StreamId,
+    outcome: Outcome,
+    body_bytes: u64,
+) -> CompanionEffect {
     CompanionEffect::Send {
         link,
         frame: Frame::End(StreamEnd {
@@ -430,7 +324,7 @@
     }
 }
 
-fn not_run(link: LinkKey, stream: StreamId, reason: NotRunReason) -> CompanionEffect {
+pub(crate) fn not_run(link: LinkKey, stream: StreamId, reason: NotRunReason) -> CompanionEffect {
     let outcome = Outcome::NotRun {
         reason,
         retry_after_ms: None,
@@ -438,7 +332,8 @@
     end(link, stream, outcome, 0)
 }
 
-fn refuse(link: LinkKey, stream: StreamId, refused: Refused) -> CompanionEffect {
+/// Refuses a call that can't finish in time, with the time to come back.
+pub(crate) fn refuse(link: LinkKey, stream: StreamId, refused: Refused) -> CompanionEffect {
     let after = refused.retry_after.as_millis();
     let outcome = Outcome::NotRun {
         reason: refused.reason,
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -6,6 +6,7 @@
 };
 use crate::runners::{RunnerKey, Runners};
 use crate::status::{not_ready_because, runner_status};
+use crate::suspects::Suspects;
 use crate::{
     AnswerPart, CallKey, CallRequest, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind,
     Target,
@@ -13,6 +14,7 @@
 use egretstage_config::{Configuration, RecordKind};
 use egretstage_link::LinkKey;
 use egretstage_observe::{StatusCadence, WorkStatus};
+use egretstage_once::OwnerSet;
 use egretstage_routing::{
     CallResult, Choice, Demand, EjectionLimits, RetryLimits, RouteReason, RoutingPolicy,
 };
@@ -21,6 +23,7 @@
     AnswerHead, CallStart, CallWork, Chunk, Frame, Incarnation, NotRunReason, Outcome, ServiceName,
     StreamEnd, StreamIds, UnknownReason, ZoneName,
 };
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -32,6 +35,9 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// When to ask again with the key of a call whose budget has passed.
+const EXPIRED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Limits of an entry's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryLimits {
@@ -44,6 +50,9 @@
     pub retries: RetryLimits,
     /// Limits of the ejection of outliers.
     pub ejection: EjectionLimits,
+    /// How long an owner of keys is neither linked nor live on the instance
+    /// list before it is removed.
+    pub remove_owner_after: Duration,
 }
 
 impl Default for EntryLimits {
@@ -53,15 +62,16 @@
             not_ready_grace: Duration::from_secs(1),
             retries: RetryLimits::default(),
             ejection: EjectionLimits::default(),
+            remove_owner_after: Duration::from_secs(3),
         }
     }
 }
 
 /// The upstream of a call.
 #[derive(Clone, Copy, Debug)]
-struct Chosen {
-    runner: RunnerKey,
-    reason: RouteReason,
+pub(crate) struct Chosen {
+    pub(crate) runner: RunnerKey,
+    pub(crate) reason: RouteReason,
 }
 
 /// How far a planned stop has come.
@@ -75,15 +85,17 @@
 /// Makes all decisions of an entry.
 pub struct EntryReducer {
     clock_start: Instant,
-    router: Router,
+    pub(crate) router: Router,
     streams: StreamIds,
-    configuration: Option<Arc<Configuration>>,
+    pub(crate) configuration: Option<Arc<Configuration>>,
     listed: bool,
     ready: bool,
     stopping: Stopping,
-    runners: Runners,
-    calls: Calls,
     status: StatusCadence,
+    pub(crate) runners: Runners,
+    pub(crate) calls: Calls,
+    pub(crate) owners: HashMap<ServiceName, OwnerSet>,
+    pub(crate) suspects: Suspects,
 }
 
 impl EntryReducer {
@@ -107,6 +119,8 @@
             runners: Runners::default(),
             calls: Calls::default(),
             status: StatusCadence::default(),
+            owners: HashMap::new(),
+            suspects: Suspects::new(incarnation, limits.remove_owner_after),
         }
     }
 
@@ -142,20 +156,8 @@
         if cfg.unreadable_of(RecordKind::PlacementRule, None).is_some() {
             return Err(UNREADABLE);
         }
-        Ok(Call {
-            deadline: now + req.budget,
-            req,
-            organisation,
-            service,
-            repeatable,
-            sent: None,
-            attempts: 0,
-            doubt: None,
-            head_passed: false,
-            streamed: false,
-            events: 0,
-            received_bytes: 0,
-        })
+        let deadline = now + req.budget;
+        Ok(Call::new(req, organisation, service, repeatable, deadline))
     }
 
     /// Chooses an upstream for a call and sends it there, or refuses it.
@@ -163,13 +165,17 @@
         let Some(call) = self.calls.get(key) else {
             return;
         };
+        if call.digest.is_some() {
+            self.route_keyed(now, key, fx);
+            return;
+        }
         let cfg = self.configuration.as_deref();
         let rule = AppliedRule::find(cfg, &call.organisation, &call.service);
         self.router.eject(now, &call.service, &mut self.runners);
         let demand = self.router.demand(now, call);
         let candidates = self.router.candidates(now, call, &rule, &self.runners);
         let choice = self.router.choose(&demand, &candidates);
-        let mut line = self.decision_line(call, rule, &demand, &candidates, choice);
+        let mut line = self.decision_line(call, rule, &demand, &candidates, choice.index());
         match choice {
             Choice::Send { index, reason } => {
                 let runner = candidates.keys[index];
@@ -182,27 +188,31 @@
             } => {
                 line.refused = Some(reason);
                 fx.push(EntryEffect::Log(Box::new(line)));
-                let refusal = Refusal {
-                    kind: call.refusal(reason),
-                    retry_after: Some(retry_after),
-                };
-                self.finish(key, AnswerPart::Refused(refusal), fx);
+                self.refuse_call(key, reason, Some(retry_after), fx);
             }
         }
     }
 
-    fn decision_line(
+    /// Tells whether some companion can take a call now.
+    pub(crate) fn has_candidate(&self, now: Instant, key: CallKey) -> bool {
+        let Some(call) = self.calls.get(key) else {
+            return false;
+        };
+        let cfg = self.configuration.as_deref();
+        let rule = AppliedRule::find(cfg, &call.organisation, &call.service);
+        let candidates = self.router.candidates(now, call, &rule, &self.runners);
+        !candidates.keys.is_empty()
+    }
+
+    /// Prepares the log line of a decision on a call.
+    pub(crate) fn decision_line(
         &self,
         call: &Call,
         rule: AppliedRule,
         demand: &Demand,
         candidates: &Candidates,
-        choice: Choice,
+        chosen: Option<usize>,
     ) -> DecisionLine {
-        let chosen = match choice {
-            Choice::Send { index, .. } => Some(index),
-            Choice::Refuse { .. } => None,
-        };
         DecisionLine {
             request: call.req.request.clone(),
             organisation: call.organisation.clone(),
@@ -216,7 +226,8 @@
         }
     }
 
-    fn send(
+    /// Sends a call to the upstream chosen.
+    pub(crate) fn send(
         &mut self,
         now: Instant,
         key: CallKey,
@@ -229,7 +240,8 @@
             .runners
             .get_mut(chosen.runner)
             .expect("a candidate is in the arena");
-        let link = runner.open_link().expect("a candidate has an open link");
+        let link = runner.any_link().expect("a candidate has a link");
+        let incarnation = runner.incarnation.unwrap_or_default();
         let call = self.calls.get(key).expect("the call is being routed");
         let work = runner.tracker.sent(demand, prompt(call));
         let weight = weight_milli(self.configuration.as_deref(), &call.organisation);
@@ -242,6 +254,7 @@
             link,
             stream,
             work,
+            incarnation,
         };
         self.calls.set_sent(key, Some(sent));
         let priority = self.priority(key);
@@ -256,6 +269,7 @@
             key: call.req.key.clone(),
             repeatable: call.repeatable,
             sent_ms: as_millis(now.saturating_duration_since(self.clock_start)),
+            claim: call.claim,
             budget_ms: as_millis(call.deadline.saturating_duration_since(now)),
             priority,
             work: CallWork {
@@ -311,6 +325,10 @@
             | Frame::Resume { .. }
             | Frame::Group(_) => fx.push(EntryEffect::Close(link)),
             Frame::Configuration(_) => {}
+            Frame::Owners(view) => self.owners_read(view),
+            Frame::AskFormerOwner { stream, instance } => {
+                self.ask_former_owner(now, link, (stream, &instance), fx);
+            }
         }
     }
 
@@ -320,7 +338,11 @@
     }
 
     /// Finds the call of a stream, if the stream belongs to the link.
-    fn call_on(&self, link: LinkKey, stream: egretstage_wire::StreamId) -> Option<CallKey> {
+    pub(crate) fn call_on(
+        &self,
+        link: LinkKey,
+        stream: egretstage_wire::StreamId,
+    ) -> Option<CallKey> {
         let key = self.calls.of_stream(stream)?;
         let sent = self.calls.get(key)?.sent?;
         (sent.link == link).then_some(key)
@@ -356,6 +378,7 @@
         if call.streamed {
             call.events += count_events(&chunk.bytes);
         }
+        call.received_chunks += 1;
         self.first_token(key);
         let part = AnswerPart::Bytes(chunk.bytes);
         fx.push(EntryEffect::Answer { call: key, part });
@@ -393,7 +416,7 @@
     }
 
     /// Ends a call with its final answer part.
-    fn finish(&mut self, key: CallKey, part: AnswerPart, fx: &mut Vec<EntryEffect>) {
+    pub(crate) fn finish(&mut self, key: CallKey, part: AnswerPart, fx: &mut Vec<EntryEffect>) {
         self.release(key, CallResult::Neutral);
         if self.calls.remove(key).is_some() {
             fx.push(EntryEffect::Answer { call: key, part });
@@ -401,7 +424,7 @@
     }
 
     /// Gives back the place that a call has at its runner.
-    fn release(&mut self, key: CallKey, result: CallResult) {
+    pub(crate) fn release(&mut self, key: CallKey, result: CallResult) {
         let sent = self.calls.get(key).and_then(|call| call.sent);
         if let Some(sent) = sent
             && let Some(runner) = self.runners.get_mut(sent.runner)
@@ -428,6 +451,14 @@
             _ => CallResult::Neutral,
         };
         self.release(key, result);
+        if self
+            .calls
+            .get(key)
+            .is_some_and(|call| call.digest.is_some())
+        {
+            self.keyed_not_run(now, key, reason, fx);
+            return;
+        }
         let elsewhere = matches!(
             reason,
             NotRunReason::Leaving | NotRunReason::UpstreamUnreachable | NotRunReason::Overloaded
@@ -437,14 +468,7 @@
             self.route(now, key, fx);
             return;
         }
-        let Some(call) = self.calls.get(key) else {
-            return;
-        };
-        let refusal = Refusal {
-            kind: call.refusal(reason),
-            retry_after,
-        };
-        self.finish(key, AnswerPart::Refused(refusal), fx);
+        self.refuse_call(key, reason, retry_after, fx);
     }
 
     /// Remembers that an upstream has no place for an organisation for a time.
@@ -465,7 +489,7 @@
         }
     }
 
-    fn may_retry(&self, now: Instant, key: CallKey) -> bool {
+    pub(crate) fn may_retry(&self, now: Instant, key: CallKey) -> bool {
         let max_attempts = self.router.limits().max_attempts;
         self.calls.get(key).is_some_and(|call| {
             !call.head_passed && call.attempts < max_attempts && call.deadline > now
@@ -479,7 +503,7 @@
     }
 
     /// Handles a call whose answer is lost: sends it again if that is allowed.
-    fn lost(
+    pub(crate) fn lost(
         &mut self,
         now: Instant,
         key: CallKey,
@@ -487,14 +511,19 @@
         fx: &mut Vec<EntryEffect>,
     ) {
         self.release(key, CallResult::Failed);
+        let never_arrived = reason == UnknownReason::AnswerForgotten;
+        let may_retry = self.may_retry(now, key) || never_arrived;
         let Some(call) = self.calls.get_mut(key) else {
             return;
         };
         call.doubt = Some(reason);
         let (head_passed, repeatable) = (call.head_passed, call.repeatable);
+        let keyed = call.digest.is_some();
         if head_passed {
             self.finish(key, AnswerPart::Cut, fx);
-        } else if repeatable && self.may_retry(now, key) && self.take_retry(key) {
+        } else if keyed {
+            self.keyed_unknown(key, reason, fx);
+        } else if repeatable && may_retry && self.take_retry(key) {
             self.route(now, key, fx);
         } else {
             let refusal = Refusal {
@@ -520,8 +549,12 @@
         self.calls.remove(key);
     }
 
-    fn caller_read(&self, key: CallKey, chunks: u32, fx: &mut Vec<EntryEffect>) {
-        if let Some(sent) = self.calls.get(key).and_then(|call| call.sent) {
+    fn caller_read(&mut self, key: CallKey, chunks: u32, fx: &mut Vec<EntryEffect>) {
+        let Some(call) = self.calls.get_mut(key) else {
+            return;
+        };
+        call.read_chunks += chunks;
+        if let Some(sent) = call.sent {
             fx.push(EntryEffect::Send {
                 link: sent.link,
                 frame: Frame::Credit {
@@ -545,7 +578,7 @@
                 };
                 AnswerPart::Refused(Refusal {
                     kind,
-                    retry_after: None,
+                    retry_after: call.digest.map(|_| EXPIRED_RETRY_AFTER),
                 })
             };
             self.release(key, CallResult::Failed);
@@ -553,13 +586,6 @@
         }
     }
 
-    fn link_down(&mut self, now: Instant, link: LinkKey, fx: &mut Vec<EntryEffect>) {
-        self.runners.link_down(now, link);
-        for key in self.calls.on_link(link) {
-            self.lost(now, key, UnknownReason::LinkLost, fx);
-        }
-    }
-
     fn stop(&mut self, now: Instant) {
         if self.stopping == Stopping::No {
             self.stopping = Stopping::NotReady {
@@ -614,14 +640,17 @@
             EntryEvent::Listed(listed) => {
                 self.listed = true;
                 self.runners.update(now, listed);
+                self.check_owners(now, fx);
             }
             EntryEvent::Configured { configuration, .. } => {
                 self.configuration = Some(configuration);
             }
             EntryEvent::ConfigurationIncomplete => self.configuration = None,
             EntryEvent::LinkUp { link, hello } => {
-                if !self.runners.link_up(link, &hello.instance) {
-                    fx.push(EntryEffect::Close(link));
+                let incarnation = hello.incarnation;
+                match self.runners.link_up(link, &hello.instance, incarnation) {
+                    Some(runner) => self.resume_calls(now, link, runner, fx),
+                    None => fx.push(EntryEffect::Close(link)),
                 }
             }
             EntryEvent::LinkDown { link } => self.link_down(now, link, fx),
@@ -634,6 +663,7 @@
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<EntryEffect>) {
         self.expire(now, fx);
+        self.end_waits(now, fx);
         self.settle(now, fx);
     }
 
@@ -644,6 +674,7 @@
         };
         [
             self.calls.next_deadline(),
+            self.calls.next_wait(),
             self.runners.next_dial(),
             self.status.next_due(),
             stop,
--- a/crates/egretstage_routing/src/candidate.rs
+++ b/crates/egretstage_routing/src/candidate.rs
@@ -85,6 +85,15 @@
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Choice {
+    /// Returns the index of the candidate that gets the request.
+    #[must_use]
+    pub fn index(&self) -> Option<usize> {
+        match self {
+            Self::Send { index, .. } => Some(*index),
+            Self::Refuse { .. } => None,
+        }
+    }
+
     /// Refuses a request for which there is no upstream.
     #[must_use]
     pub fn no_upstream() -> Self {
