Check the time in the write that starts a request

Cause: a companion that was paused with a call in hand sent it when it woke, 5.4 s after the pause: the time was checked before the connect and before the connection's task had its turn, and the pause fell in between (1 late call in one of three runs of after_its_companion_was_paused on a busy machine).

Ruled out: one more check before the send; the request still waits for the connection's task.

Change: a gate inside the connection's writes lets the first byte of a request out before its instant alone, and tells afterwards whether nothing was written, which proves 'not run'. Connections are kept by this crate, one request at a time, because the pooled client can't tell.

Seen: 0 late calls in 6 runs of all invariant tests (load average 35). One of the 6 failed for another reason: an upstream got no work at all for 30 s.

--- a/crates/egretstage_companion/src/lib.rs
+++ b/crates/egretstage_companion/src/lib.rs
@@ -4,6 +4,7 @@
 //! the links from entries and the HTTP client of the upstream.
 
 mod answer;
+mod connections;
 pub mod daemon;
 mod event;
 mod keyed;
@@ -18,6 +19,7 @@
 mod streams;
 mod timers;
 mod upstream;
+mod write_gate;
 
 pub use event::{
     CompanionEffect, CompanionEvent, PlacementDecision, PlacementLine, RunKey, UpstreamFailure,
