Estimate other entries' calls between reports instead of trusting the last

Cause: the calls of other entries were taken from the last report as they stood.

Reports 5 s late at the target's size stay the weak end.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -1,6 +1,8 @@
 //! Measures every routing policy against its baselines in virtual time.
 //!
 //! All figures repeat exactly: the same seeds for every policy, no wall clock.
+//! Names after `--` choose parts: `drafting`, `booking`, `target`, `reports`,
+//! `cache`, `faults`, `storm`, and `own` for the product's own policy alone.
 
 use egretstage_standins::queueing::{
     CallerHabit, Fault, FaultAt, Figures, Mechanisms, PolicyKind, Scenario, Site, booking_site,
@@ -18,20 +20,33 @@
 const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
 
 fn main() {
+    let wanted: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|arg| !arg.starts_with('-'))
+        .collect();
+    let wants = |part: &str| wanted.is_empty() || wanted.iter().any(|w| w == part);
     let sites = [drafting_site(), booking_site(), target_site()];
-    for site in &sites {
+    for site in sites.iter().filter(|site| wants(site.name)) {
         for load in LOADS {
             let title = format!("{}: load {load}", site.name);
             table(&title, &Scenario::steady(site.clone(), load, SEED));
         }
     }
-    reports(&sites[0]);
-    reports(&sites[2]);
-    cache_events(&sites[0]);
-    cache_events(&sites[2]);
-    faults(&sites[0]);
-    faults(&sites[1]);
-    storm(&sites[0]);
+    if wants("reports") {
+        reports(&sites[0]);
+        reports(&sites[2]);
+    }
+    if wants("cache") {
+        cache_events(&sites[0]);
+        cache_events(&sites[2]);
+    }
+    if wants("faults") {
+        faults(&sites[0]);
+        faults(&sites[1]);
+    }
+    if wants("storm") {
+        storm(&sites[0]);
+    }
 }
 
 fn contenders() -> Vec<Mechanisms> {
@@ -66,6 +81,9 @@
         "lost"
     );
     for mechanisms in contenders() {
+        if mechanisms.policy != PolicyKind::Predicted && std::env::args().any(|arg| arg == "own") {
+            continue;
+        }
         let figures = simulate(scenario, mechanisms);
         row(&mechanisms.name(), &figures);
     }
--- a/crates/egretstage_routing/src/candidate.rs
+++ b/crates/egretstage_routing/src/candidate.rs
@@ -12,8 +12,11 @@
     pub same_zone: bool,
     /// The newest load report.
     pub load: LoadReport,
-    /// Time since that report arrived, in milliseconds.
+    /// Least age of that report, in milliseconds: since it arrived, or since
+    /// the oldest call that it doesn't count.
     pub report_age_ms: u32,
+    /// Mean of the other entries' calls in its reports.
+    pub others_mean: f32,
     /// Calls sent to it that the report doesn't count.
     pub sent_since_report: u32,
     /// Calls of this entry that it holds.
--- a/crates/egretstage_routing/src/estimate.rs
+++ b/crates/egretstage_routing/src/estimate.rs
@@ -19,9 +19,14 @@
 
     /// Adds a sample; a sample that isn't finite is ignored.
     pub fn add(&mut self, sample: f32) {
+        self.add_weighted(sample, self.weight);
+    }
+
+    /// Adds a sample with a weight of its own.
+    pub fn add_weighted(&mut self, sample: f32, weight: f32) {
         if sample.is_finite() {
             let old = self.value.unwrap_or(sample);
-            self.value = Some(old + self.weight * (sample - old));
+            self.value = Some(old + weight.clamp(0.0, 1.0) * (sample - old));
         }
     }
 
--- a/crates/egretstage_routing/src/predicted.rs
+++ b/crates/egretstage_routing/src/predicted.rs
@@ -15,6 +15,9 @@
     pub sample: usize,
     /// Gain of the first token that makes another zone worth it.
     pub zone_gain: Duration,
+    /// Gain of the first token that makes a full upstream as good as an idle
+    /// one, whose tokens come faster.
+    pub crowding: Duration,
     /// Shortest time to come back after.
     pub min_retry_after: Duration,
     /// Longest time to come back after.
@@ -26,6 +29,7 @@
         Self {
             sample: 4,
             zone_gain: Duration::from_millis(10),
+            crowding: Duration::from_millis(40),
             min_retry_after: Duration::from_millis(100),
             max_retry_after: Duration::from_secs(30),
         }
@@ -97,9 +101,10 @@
             self.limits.zone_gain
         };
         let first = Duration::from_micros(u64::from(prediction.first_token_us));
+        let crowding = self.limits.crowding * prediction.occupancy_milli / 1000;
         Cost {
             late: prediction.finish().saturating_sub(demand.budget),
-            first_token: first + zone,
+            first_token: first + zone + crowding,
         }
     }
 
--- a/crates/egretstage_routing/src/prediction.rs
+++ b/crates/egretstage_routing/src/prediction.rs
@@ -19,6 +19,8 @@
     pub first_token_us: u32,
     /// Until the answer is whole.
     pub finish_us: u32,
+    /// Calls probably held, for each thousand slots.
+    pub occupancy_milli: u32,
 }
 
 impl Prediction {
@@ -41,6 +43,7 @@
             prefill_us: as_micros(prefill),
             first_token_us: as_micros(first),
             finish_us: as_micros(first + rest),
+            occupancy_milli: occupancy_milli(candidate),
         }
     }
 
@@ -51,32 +54,83 @@
     }
 }
 
-/// Returns the calls that the upstream holds now: those of other entries as
-/// last reported, those of this entry as they are.
-pub(crate) fn occupancy(candidate: &Candidate) -> u32 {
-    let load = &candidate.load;
-    let reported = load.running.saturating_add(load.waiting);
-    let others = reported.saturating_sub(load.held_from_peer);
-    others.saturating_add(candidate.own_in_flight)
+/// Calls that an upstream probably holds.
+#[derive(Clone, Copy, Debug)]
+struct Occupancy {
+    mean: f32,
+    deviation: f32,
+}
+
+impl Occupancy {
+    /// Estimates the calls that an upstream holds now: this entry's are known;
+    /// those of other entries return from the report to their mean as calls
+    /// end and others come.
+    fn of(candidate: &Candidate) -> Self {
+        let load = &candidate.load;
+        let reported = to_f32(load.others());
+        let kept = if load.service_ms > 0.0 {
+            (-REPORT_FADE * age_ms(candidate) / load.service_ms).exp()
+        } else {
+            1.0
+        };
+        let others = candidate.others_mean + (reported - candidate.others_mean) * kept;
+        let variance = candidate.others_mean * (1.0 - kept * kept);
+        Self {
+            mean: others + to_f32(candidate.own_in_flight),
+            deviation: variance.max(0.0).sqrt(),
+        }
+    }
+
+    /// Returns how many calls are expected to wait before one more starts.
+    fn ahead(self, slots: u32) -> f32 {
+        let excess = self.mean + 1.0 - to_f32(slots);
+        let width = self.deviation * LOGISTIC_WIDTH;
+        if width < f32::EPSILON || excess > MAX_WIDTHS * width {
+            return excess.max(0.0);
+        }
+        width * (excess / width).exp().ln_1p()
+    }
+}
+
+/// Service times after which a report counts by a factor of e less, inverted:
+/// it fades faster than calls end, since other entries react to it too.
+const REPORT_FADE: f32 = 3.0;
+
+/// Width of the logistic distribution with a deviation of one.
+const LOGISTIC_WIDTH: f32 = 0.551;
+
+/// Widths beyond which the logistic correction vanishes.
+const MAX_WIDTHS: f32 = 20.0;
+
+fn occupancy_milli(candidate: &Candidate) -> u32 {
+    let slots = to_f32(candidate.load.slots.max(1));
+    crate::estimate::to_u32(Occupancy::of(candidate).mean / slots * 1000.0)
+}
+
+fn age_ms(candidate: &Candidate) -> f32 {
+    to_f32(
+        candidate
+            .report_age_ms
+            .saturating_add(candidate.load.age_ms),
+    )
 }
 
 fn slot_wait_ms(demand: &Demand, candidate: &Candidate) -> f32 {
     let load = &candidate.load;
     let slots = load.slots.max(1);
-    let ahead = occupancy(candidate).saturating_add(1).saturating_sub(slots);
     let service = if load.service_ms > 0.0 {
         load.service_ms
     } else {
         to_f32(demand.output_tokens) * load.token_interval_ms
     };
-    to_f32(ahead) * service / to_f32(slots)
+    Occupancy::of(candidate).ahead(slots) * service / to_f32(slots)
 }
 
 fn prefill_backlog_ms(candidate: &Candidate) -> f32 {
     let load = &candidate.load;
     let reported = to_f32(load.running.saturating_add(load.waiting).max(1));
     let others_share = 1.0 - (to_f32(load.held_from_peer) / reported).min(1.0);
-    let half_lives = to_f32(candidate.report_age_ms + load.age_ms) / BACKLOG_HALF_LIFE_MS;
+    let half_lives = age_ms(candidate) / BACKLOG_HALF_LIFE_MS;
     let waiting = u32::try_from(load.waiting_prompt_tokens).unwrap_or(u32::MAX);
     let others = to_f32(waiting) * others_share * (-half_lives).exp2();
     prefill_ms(candidate, others + to_f32(candidate.own_prefill_tokens))
--- a/crates/egretstage_routing/src/tracker.rs
+++ b/crates/egretstage_routing/src/tracker.rs
@@ -1,13 +1,24 @@
 //! What an entry knows of one upstream.
 
-use crate::{CacheIndex, CallResult, Candidate, Demand, Health, PrefixFingerprint};
+use crate::estimate::to_f32;
+use crate::{CacheIndex, CallResult, Candidate, Demand, Ewma, Health, PrefixFingerprint};
 use egretstage_wire::{LoadReport, OrganisationName};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
 /// Most organisations whose refusals are remembered.
 const MAX_BLOCKED: usize = 256;
 
+/// Most calls whose sending is remembered until a report counts them.
+const MAX_UNREPORTED: usize = 1024;
+
+/// Time over which the other entries' calls are averaged.
+const MEAN_SPAN: Duration = Duration::from_millis(2500);
+
+/// Ages of a report by which that time grows, so that entries that all follow
+/// one late report don't swing together.
+const MEAN_SPAN_AGES: u32 = 4;
+
 /// A call that was sent to an upstream, as long as it is there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SentWork {
@@ -25,11 +36,14 @@
 
 /// What an entry knows of one upstream: its reports, the entry's own calls
 /// there, its probable cache, its failures and its refusals.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UpstreamTracker {
     report: LoadReport,
     reported_at: Option<Instant>,
+    others: Ewma,
     sent: u64,
+    /// Times of the newest calls, newest last.
+    sent_at: VecDeque<Instant>,
     in_flight: u32,
     prefill_tokens: u32,
     cache: CacheIndex,
@@ -37,6 +51,23 @@
     pub(crate) health: Health,
 }
 
+impl Default for UpstreamTracker {
+    fn default() -> Self {
+        Self {
+            report: LoadReport::default(),
+            reported_at: None,
+            others: Ewma::new(1.0),
+            sent: 0,
+            sent_at: VecDeque::new(),
+            in_flight: 0,
+            prefill_tokens: 0,
+            cache: CacheIndex::default(),
+            blocked: HashMap::new(),
+            health: Health::default(),
+        }
+    }
+}
+
 impl UpstreamTracker {
     /// Returns the newest load report.
     #[must_use]
@@ -66,7 +97,9 @@
     pub fn relinked(&mut self) {
         self.report = LoadReport::default();
         self.reported_at = None;
+        self.others = Ewma::new(1.0);
         self.sent = 0;
+        self.sent_at.clear();
         self.cache.clear();
         self.blocked.clear();
     }
@@ -74,15 +107,42 @@
     /// Notes a load report.
     pub fn reported(&mut self, now: Instant, report: LoadReport) {
         self.report = report;
-        self.reported_at = Some(now);
+        let since = self.reported_at.replace(now);
+        while self.sent_at.len() as u64 > self.unreported() {
+            self.sent_at.pop_front();
+        }
+        let span = MEAN_SPAN + self.report_age(now) * MEAN_SPAN_AGES;
+        let passed = since.map_or(span, |since| now.saturating_duration_since(since));
+        let weight = passed.as_secs_f32() / span.as_secs_f32();
+        self.others.add_weighted(to_f32(report.others()), weight);
+    }
+
+    /// Returns the calls that the newest report doesn't count.
+    fn unreported(&self) -> u64 {
+        self.sent.saturating_sub(self.report.received_from_peer)
+    }
+
+    /// Returns the least age of the newest report: a call that it doesn't
+    /// count was sent after the report was made.
+    fn report_age(&self, now: Instant) -> Duration {
+        let oldest = self.sent_at.front().copied();
+        let made = match (self.reported_at, oldest) {
+            (Some(arrived), Some(sent)) => Some(arrived.min(sent)),
+            (arrived, _) => arrived,
+        };
+        made.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
     }
 
     /// Notes a call that is sent there.
-    pub fn sent(&mut self, demand: &Demand, prompt: &PrefixFingerprint) -> SentWork {
+    pub fn sent(&mut self, now: Instant, demand: &Demand, prompt: &PrefixFingerprint) -> SentWork {
         let cached = self.cache.cached_tokens(prompt);
         let prefill_tokens = demand.prompt_tokens.saturating_sub(cached);
         self.cache.used(prompt);
         self.sent += 1;
+        if self.sent_at.len() == MAX_UNREPORTED {
+            self.sent_at.pop_front();
+        }
+        self.sent_at.push_back(now);
         self.in_flight += 1;
         self.prefill_tokens = self.prefill_tokens.saturating_add(prefill_tokens);
         SentWork { prefill_tokens }
@@ -119,10 +179,6 @@
         prompt: &PrefixFingerprint,
         return_time: Duration,
     ) -> Candidate {
-        let unreported = self.sent.saturating_sub(self.report.received_from_peer);
-        let age = self
-            .reported_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let blocked = self
             .blocked
             .get(organisation)
@@ -130,8 +186,9 @@
         Candidate {
             same_zone,
             load: self.report,
-            report_age_ms: as_millis(age),
-            sent_since_report: u32::try_from(unreported).unwrap_or(u32::MAX),
+            report_age_ms: as_millis(self.report_age(now)),
+            others_mean: self.others.get().unwrap_or(0.0),
+            sent_since_report: u32::try_from(self.unreported()).unwrap_or(u32::MAX),
             own_in_flight: self.in_flight,
             own_prefill_tokens: self.prefill_tokens,
             cached_tokens: self.cache.cached_tokens(prompt),
--- a/crates/egretstage_standins/src/queueing/entry.rs
+++ b/crates/egretstage_standins/src/queueing/entry.rs
@@ -95,7 +95,7 @@
                 let runner = runners[index];
                 Ok(Route {
                     runner,
-                    work: self.trackers[runner].sent(&demand, &req.prompt),
+                    work: self.trackers[runner].sent(now, &demand, &req.prompt),
                     output_tokens: demand.output_tokens,
                     same_zone: candidates[index].same_zone,
                 })
--- a/crates/egretstage_wire/src/load.rs
+++ b/crates/egretstage_wire/src/load.rs
@@ -28,3 +28,12 @@
     #[serde(default)]
     pub held_from_peer: u32,
 }
+
+impl LoadReport {
+    /// Returns the calls of other entries that the upstream held.
+    #[must_use]
+    pub fn others(&self) -> u32 {
+        let held = self.running.saturating_add(self.waiting);
+        held.saturating_sub(self.held_from_peer)
+    }
+}
