--- a/crates/egretstage_entry/src/routing.rs
+++ b/crates/egretstage_entry/src/routing.rs
@@ -13,6 +13,7 @@
 use egretstage_wire::{DEFAULT_WEIGHT_MILLI, OrganisationName, ServiceName, ZoneName};
 use smallvec::SmallVec;
 use std::collections::HashMap;
+use std::sync::LazyLock;
 use std::time::Instant;
 
 /// Most candidates in a log line; the chosen one is always among them.
@@ -178,7 +179,7 @@
 
 /// Returns the fingerprint of a call's prompt.
 pub(crate) fn prompt(call: &Call) -> &PrefixFingerprint {
-    static NONE: PrefixFingerprint = PrefixFingerprint::none();
+    static NONE: LazyLock<PrefixFingerprint> = LazyLock::new(PrefixFingerprint::default);
     match &call.req.target {
         Target::Chat { prompt, .. } => prompt,
         Target::Plain { .. } => &NONE,
--- a/crates/egretstage_routing/src/fingerprint.rs
+++ b/crates/egretstage_routing/src/fingerprint.rs
@@ -22,12 +22,6 @@
 pub struct PrefixFingerprint(SmallVec<[BlockHash; 8]>);
 
 impl PrefixFingerprint {
-    /// Returns the fingerprint of a prompt without a whole block.
-    #[must_use]
-    pub const fn none() -> Self {
-        Self(SmallVec::new_const())
-    }
-
     /// Hashes the leading whole blocks of a prompt's text.
     #[must_use]
     pub fn of_text(text: &[u8]) -> Self {
--- a/crates/egretstage_routing/src/predicted.rs
+++ b/crates/egretstage_routing/src/predicted.rs
@@ -145,14 +145,16 @@
             return self.refuse(NotRunReason::Overloaded, after);
         }
         let sample = self.sample(&open, candidates);
-        let (mut index, mut cost) = self.best(demand, &sample, candidates);
+        let (mut index, cost) = self.best(demand, &sample, candidates);
         let mut reason = RouteReason::EarliestFirstToken;
         if !cost.late.is_zero() {
-            (index, cost) = self.best(demand, &open, candidates);
+            (index, _) = self.best(demand, &open, candidates);
             reason = RouteReason::InTime;
         }
-        if !cost.late.is_zero() {
-            return self.refuse(NotRunReason::DeadlineTooClose, cost.late);
+        let run = Prediction::of(demand, &candidates[index]).run();
+        if run > demand.budget {
+            let short = run.saturating_sub(demand.budget);
+            return self.refuse(NotRunReason::DeadlineTooClose, short);
         }
         if candidates.len() == 1 {
             reason = RouteReason::OnlyCandidate;
--- a/crates/egretstage_routing/src/prediction.rs
+++ b/crates/egretstage_routing/src/prediction.rs
@@ -47,6 +47,13 @@
         }
     }
 
+    /// Returns the time that the answer takes once it has its turn: a lower
+    /// bound, since the wait differs among organisations.
+    #[must_use]
+    pub fn run(&self) -> Duration {
+        Duration::from_micros(u64::from(self.finish_us.saturating_sub(self.wait_us)))
+    }
+
     /// Returns the time until the answer is whole.
     #[must_use]
     pub fn finish(&self) -> Duration {
