--- a/crates/egretstage_entry/src/routing.rs
+++ b/crates/egretstage_entry/src/routing.rs
@@ -13,6 +13,7 @@
 use egretstage_wire::{DEFAULT_WEIGHT_MILLI, OrganisationName, ServiceName, ZoneName};
 use smallvec::SmallVec;
 use std::collections::HashMap;
+use std::sync::LazyLock;
 use std::time::Instant;
 
 /// Most candidates in a log line; the chosen one is always among them.
@@ -125,7 +126,7 @@
             } => Demand {
                 budget,
                 prompt_tokens,
-                output_tokens: self.service(&call.service).output.expected(max_tokens),
+                output_tokens: self.service(&call.service).output.likely_most(max_tokens),
             },
             Target::Plain { .. } => Demand {
                 budget,
@@ -178,7 +179,7 @@
 
 /// Returns the fingerprint of a call's prompt.
 pub(crate) fn prompt(call: &Call) -> &PrefixFingerprint {
-    static NONE: PrefixFingerprint = PrefixFingerprint::none();
+    static NONE: LazyLock<PrefixFingerprint> = LazyLock::new(PrefixFingerprint::default);
     match &call.req.target {
         Target::Chat { prompt, .. } => prompt,
         Target::Plain { .. } => &NONE,
--- a/crates/egretstage_routing/src/predicted.rs
+++ b/crates/egretstage_routing/src/predicted.rs
@@ -15,6 +15,9 @@
     pub sample: usize,
     /// Gain of the first token that makes another zone worth it.
     pub zone_gain: Duration,
+    /// Gain of the first token that makes a full upstream as good as an idle
+    /// one, whose tokens come faster.
+    pub crowding: Duration,
     /// Shortest time to come back after.
     pub min_retry_after: Duration,
     /// Longest time to come back after.
@@ -26,6 +29,7 @@
         Self {
             sample: 4,
             zone_gain: Duration::from_millis(10),
+            crowding: Duration::from_millis(40),
             min_retry_after: Duration::from_millis(100),
             max_retry_after: Duration::from_secs(30),
         }
@@ -97,9 +101,10 @@
             self.limits.zone_gain
         };
         let first = Duration::from_micros(u64::from(prediction.first_token_us));
+        let crowding = self.limits.crowding * prediction.occupancy_milli / 1000;
         Cost {
             late: prediction.finish().saturating_sub(demand.budget),
-            first_token: first + zone,
+            first_token: first + zone + crowding,
         }
     }
 
@@ -140,14 +145,16 @@
             return self.refuse(NotRunReason::Overloaded, after);
         }
         let sample = self.sample(&open, candidates);
-        let (mut index, mut cost) = self.best(demand, &sample, candidates);
+        let (mut index, cost) = self.best(demand, &sample, candidates);
         let mut reason = RouteReason::EarliestFirstToken;
         if !cost.late.is_zero() {
-            (index, cost) = self.best(demand, &open, candidates);
+            (index, _) = self.best(demand, &open, candidates);
             reason = RouteReason::InTime;
         }
-        if !cost.late.is_zero() {
-            return self.refuse(NotRunReason::DeadlineTooClose, cost.late);
+        let run = Prediction::of(demand, &candidates[index]).run();
+        if run > demand.budget {
+            let short = run.saturating_sub(demand.budget);
+            return self.refuse(NotRunReason::DeadlineTooClose, short);
         }
         if candidates.len() == 1 {
             reason = RouteReason::OnlyCandidate;
