Keep links to a stable subset of runners

Cause: each entry dialled every companion: 1,500 entries before 10,000 runners are 15 million links, 10,000 an entry.

Ruled out: a ring by rank (even coverage, but each entry that goes shifts every other entry's links); shuffled rounds (the same, worse); rendezvous with bounded load (each entry would have to compute all entries' choices).

Seen red once in a parallel run of the workspace, also before this change, and green alone: leaving_upstream_gets_no_new_work waited 30 s for work on one of two runners (after_its_link_is_cut, after_the_list_says_so).

Left: a plain service of more than 32 runners with keyed calls needs links to the owners of keys outside the subset.

--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod resume;
 mod routing;
 mod runners;
+mod selection;
 mod status;
 mod suspects;
 
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -5,6 +5,7 @@
     AppliedRule, Candidates, Router, candidate_lines, count_events, prompt, weight_milli,
 };
 use crate::runners::{RunnerKey, Runners};
+use crate::selection::Selection;
 use crate::status::{not_ready_because, runner_status};
 use crate::suspects::Suspects;
 use crate::{
@@ -108,6 +109,7 @@
         limits: EntryLimits,
         policy: Box<dyn RoutingPolicy>,
     ) -> Self {
+        let selection = Selection::new(zone.clone(), incarnation);
         Self {
             clock_start: now,
             router: Router::new(zone, limits, policy),
@@ -116,7 +118,7 @@
             listed: false,
             ready: false,
             stopping: Stopping::No,
-            runners: Runners::default(),
+            runners: Runners::new(selection),
             calls: Calls::default(),
             status: StatusCadence::default(),
             owners: HashMap::new(),
@@ -640,6 +642,12 @@
             EntryEvent::Listed(listed) => {
                 self.listed = true;
                 self.runners.update(now, listed);
+                fx.extend(
+                    self.runners
+                        .surplus_links()
+                        .into_iter()
+                        .map(EntryEffect::Close),
+                );
                 self.check_owners(now, fx);
             }
             EntryEvent::Configured { configuration, .. } => {
--- a/crates/egretstage_entry/src/runners.rs
+++ b/crates/egretstage_entry/src/runners.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry knows, each with its companion.
 
+use crate::selection::Selection;
 use egretstage_link::LinkKey;
 use egretstage_platform::{InstanceState, ListedInstance};
 use egretstage_routing::UpstreamTracker;
@@ -40,6 +41,8 @@
     pub(crate) incarnation: Option<Incarnation>,
     pub(crate) listed: bool,
     pub(crate) leaving: bool,
+    /// Whether the runner is in the entry's subset.
+    pub(crate) selected: bool,
     pub(crate) tracker: UpstreamTracker,
 }
 
@@ -47,7 +50,7 @@
     /// Returns the link if new work may be sent on it.
     pub(crate) fn open_link(&self) -> Option<LinkKey> {
         match self.link {
-            LinkState::Up(link) if !self.leaving => Some(link),
+            LinkState::Up(link) if !self.leaving && self.selected => Some(link),
             _ => None,
         }
     }
@@ -67,14 +70,25 @@
 }
 
 /// All upstreams that an entry knows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Runners {
+    selection: Selection,
     arena: SlotMap<RunnerKey, Runner>,
     by_instance: HashMap<InstanceId, RunnerKey>,
     by_link: HashMap<LinkKey, RunnerKey>,
 }
 
 impl Runners {
+    /// Starts without runners.
+    pub(crate) fn new(selection: Selection) -> Self {
+        Self {
+            selection,
+            arena: SlotMap::default(),
+            by_instance: HashMap::new(),
+            by_link: HashMap::new(),
+        }
+    }
+
     pub(crate) fn get(&self, key: RunnerKey) -> Option<&Runner> {
         self.arena.get(key)
     }
@@ -103,6 +117,7 @@
     /// Takes over the instance list: adds, updates and removes companions.
     pub(crate) fn update(&mut self, now: Instant, listed: Vec<ListedInstance>) {
         let mut seen = HashSet::with_capacity(listed.len());
+        let selected = self.selection.choose(&listed);
         for item in listed {
             if let (Role::Companion, Some(service)) = (item.role, item.service.clone()) {
                 seen.insert(item.instance.clone());
@@ -114,9 +129,23 @@
             runner.listed = false;
             runner.leaving = true;
         }
+        for runner in self.arena.values_mut() {
+            runner.selected = selected.contains(&runner.instance);
+        }
         self.drop_unlisted();
     }
 
+    /// Returns the idle links to runners outside the entry's subset.
+    pub(crate) fn surplus_links(&self) -> Vec<LinkKey> {
+        let idle =
+            |r: &&Runner| r.listed && !r.leaving && !r.selected && r.tracker.in_flight() == 0;
+        let link = |r: &Runner| match r.link {
+            LinkState::Up(link) => Some(link),
+            _ => None,
+        };
+        self.arena.values().filter(idle).filter_map(link).collect()
+    }
+
     fn upsert(&mut self, now: Instant, item: ListedInstance, service: ServiceName) {
         let leaving = item.state == InstanceState::Leaving;
         let known = self.by_instance.get(&item.instance).copied();
@@ -136,6 +165,7 @@
             incarnation: None,
             listed: true,
             leaving,
+            selected: false,
             tracker: UpstreamTracker::default(),
         });
         self.by_instance.insert(instance, key);
@@ -203,7 +233,9 @@
 
     /// Takes the companions that are due to be dialled.
     pub(crate) fn take_dials(&mut self, now: Instant) -> Vec<(InstanceId, SocketAddr)> {
-        let due = |r: &&mut Runner| matches!(r.link, LinkState::Down(at) if at <= now) && r.listed;
+        let due = |r: &&mut Runner| {
+            matches!(r.link, LinkState::Down(at) if at <= now) && r.listed && r.selected
+        };
         self.arena
             .values_mut()
             .filter(due)
@@ -218,7 +250,7 @@
     pub(crate) fn next_dial(&self) -> Option<Instant> {
         self.arena
             .values()
-            .filter(|r| r.listed)
+            .filter(|r| r.listed && r.selected)
             .filter_map(|r| match r.link {
                 LinkState::Down(at) => Some(at),
                 _ => None,
