Run the group protocol in the companion, between real processes

The reducers of a group were without processes. A companion with a [rank] section now runs a group member on a loop of its own: it reads and appends claims on its group's stream, dials the holder, and calls its engine over one client, one call in flight. Before anything else it binds the instance's sender address; the operating system releases it at the end of the process and no earlier.

Stakker refuses a second instance in one process unless its feature multi-stakker is on: the companion's own loop panicked at start. Ruled out: one reducer over both, which share no state and change at different rates.

With the sender lock on any port, the successor starts beside the frozen decider (both modes), and where engines ignore fencing numbers the superseded order takes effect last: fences 1, 4, 3.

The engine's rules are one type in the stand-ins, used behind HTTP and, in virtual time, by the tests of the reducers, which depend on it in tests alone.

--- a/crates/egretstage_companion/src/lib.rs
+++ b/crates/egretstage_companion/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 mod event;
+mod group;
 mod links;
 mod load;
 mod meters;
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -6,6 +6,7 @@
 pub use bounded::{Bounded, OutOfRange};
 pub use parse::{Clash, InvalidSetting, SettingsError, SettingsFile, load, parse};
 
+use crate::RankSettings;
 use bounded::bounded;
 use compact_str::format_compact;
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
@@ -208,6 +209,8 @@
     pub listen: SocketAddr,
     /// The upstream beside the companion.
     pub upstream: UpstreamSettings,
+    /// The rank of a model group that the upstream is, if it is one.
+    pub rank: Option<RankSettings>,
 }
 
 /// The upstream beside a companion.
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -4,4 +4,7 @@
 //! with what callers were told.
 
 mod leaving_upstream_gets_no_new_work;
+mod one_expert_map_per_step;
 mod planned_stop_cuts_off_no_request;
+mod rank_fleet;
+mod superseded_orders;
