--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The companion as a process.
 
+use crate::group::{GroupLinks, SenderLock};
 use crate::meters::CompanionMeters;
 use crate::owners_feed;
 use crate::upstream::UpstreamClient;
@@ -32,6 +33,11 @@
 ///
 /// Returns an error when an address can't be used or a thread can't start.
 pub fn run(settings: &CompanionSettings) -> miette::Result<()> {
+    let rank = settings.rank.as_ref();
+    let _sender_lock = rank
+        .map(|rank| SenderLock::acquire(rank.sender_lock))
+        .transpose()
+        .into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(IO_THREADS)
         .enable_all()
@@ -46,6 +52,14 @@
     let links = table.clone();
     let (exit, mut exited) = watch::channel(false);
     let incarnation = Incarnation(rand::random());
+    let identity = LinkIdentity::new(
+        hello(settings, incarnation),
+        settings.process.link_key.expose(),
+    );
+    let identity = Arc::new(identity.into_diagnostic()?);
+    let group = rank
+        .map(|rank| GroupLinks::start(settings, rank, &identity, &table, runtime.handle()))
+        .transpose()?;
     let client = UpstreamClient::new(
         settings.upstream.address,
         runtime.handle().clone(),
@@ -53,7 +67,6 @@
     );
     let board = StatusBoard::new(first_status(settings, incarnation));
     let relay = start_relay(&events, &table, &board)?;
-    let hello = hello(settings, incarnation);
     let keys = key_options(settings, incarnation);
     let owners = keys.as_ref().map(|keys| {
         let url = &settings.process.log_url;
@@ -73,8 +86,6 @@
     let limits = CompanionLimits {
         slots: settings.upstream.slots,
     };
-    let identity = LinkIdentity::new(hello, settings.process.link_key.expose());
-    let identity = Arc::new(identity.into_diagnostic()?);
     let spawned = EventLoop::spawn("reducer", rx, move || {
         let mut reducer = CompanionReducer::new(Instant::now(), limits);
         if let Some(keys) = keys {
@@ -95,7 +106,11 @@
             .wrap_err_with(|| format!("link address {address} can't be used"))?;
         log::info!(address:display = address; "companion started");
         ready.set_ready(true);
-        let observer = Arc::new(Observer { events, relay });
+        let observer = Arc::new(Observer {
+            events,
+            relay,
+            group,
+        });
         tokio::spawn(serve(listener, identity, table, observer));
         exited
             .wait_for(|exit| *exit)
@@ -179,25 +194,35 @@
 struct Observer {
     events: EventSender<CompanionEvent>,
     relay: Relay,
+    group: Option<GroupLinks>,
 }
 
 impl LinkObserver for Observer {
     fn link_up(&self, link: LinkKey, hello: Hello) {
         log::info!(link = link.0, peer = hello.instance.as_str(); "link up");
-        let hello = Box::new(hello);
-        self.events.send(CompanionEvent::LinkUp { link, hello });
-        self.relay.link_up(link);
+        match &self.group {
+            Some(group) if hello.role == Role::Companion => group.link_up(link, &hello),
+            _ => {
+                let hello = Box::new(hello);
+                self.events.send(CompanionEvent::LinkUp { link, hello });
+                self.relay.link_up(link);
+            }
+        }
     }
 
     fn frame(&self, link: LinkKey, frame: Frame) {
-        match frame {
-            Frame::Configuration(frame) => self.relay.frame(link, frame),
-            frame => self.events.send(CompanionEvent::Frame { link, frame }),
+        match (&self.group, frame) {
+            (_, Frame::Configuration(frame)) => self.relay.frame(link, frame),
+            (Some(group), Frame::Group(frame)) => group.frame(link, *frame),
+            (_, frame) => self.events.send(CompanionEvent::Frame { link, frame }),
         }
     }
 
     fn link_down(&self, link: LinkKey, reason: String) {
         log::info!(link = link.0, reason = reason.as_str(); "link down");
+        if let Some(group) = &self.group {
+            group.link_down(link);
+        }
         self.events.send(CompanionEvent::LinkDown { link });
         self.relay.link_down(link);
     }
