Prove that an accepted configuration never reverts

Cause: the point had a mechanism and proofs in virtual time, but none with real processes; egretctl waited in real time inside its tests; a dead checkpoint writer blocked others for 10 s however short the interval is.

Ruled out: a check of /status alone (a node could show an offset and serve by another, so the watcher also probes which token each entry knows).

--- a/crates/egretstage_control/src/apply.rs
+++ b/crates/egretstage_control/src/apply.rs
@@ -10,11 +10,23 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-/// Longest time in which a record is tried again.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// How long a record whose fate isn't known is tried again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryPolicy {
+    /// Longest time.
+    pub patience: Duration,
+    /// Pause between two tries.
+    pub delay: Duration,
+}
 
-/// Pause between two tries.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        Self {
+            patience: Duration::from_secs(20),
+            delay: Duration::from_millis(200),
+        }
+    }
+}
 
 /// What became of one record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -100,7 +112,11 @@
 /// # Errors
 ///
 /// Returns an error when the log refuses the record for good.
-pub fn publish(view: &mut LogView<'_>, file: RecordFile) -> Result<Applied, ApplyError> {
+pub fn publish(
+    view: &mut LogView<'_>,
+    file: RecordFile,
+    retry: RetryPolicy,
+) -> Result<Applied, ApplyError> {
     let newest = view.fold().revision(&file.kind, &file.name);
     if let Some(applied) = unchanged(view, &file) {
         return Ok(applied);
@@ -120,7 +136,8 @@
     let mut attempt = Attempt {
         record: &record,
         may_be_published: false,
-        deadline: Instant::now() + PATIENCE,
+        deadline: Instant::now() + retry.patience,
+        delay: retry.delay,
     };
     let fate = attempt.run(view)?;
     Ok(Applied {
@@ -157,6 +174,7 @@
     record: &'a Record,
     may_be_published: bool,
     deadline: Instant,
+    delay: Duration,
 }
 
 impl Attempt<'_> {
@@ -184,7 +202,7 @@
             if self.is_over() && self.may_be_published {
                 return Ok(Fate::Unknown);
             }
-            std::thread::sleep(RETRY_DELAY);
+            std::thread::sleep(self.delay);
         }
     }
 
--- a/crates/egretstage_control/src/lib.rs
+++ b/crates/egretstage_control/src/lib.rs
@@ -13,12 +13,12 @@
 mod settings;
 mod table;
 
-pub use apply::{Applied, ApplyError, Fate, publish};
+pub use apply::{Applied, ApplyError, Fate, RetryPolicy, publish};
 pub use args::{Command, Invocation, UsageError};
 pub use explain::{ExplainedRunner, Explanation, explain};
 pub use log_view::{FoldedRecord, LogView, ViewError, held_records};
 pub use nodes::{ListedNode, NodeReport, SystemStatus};
-pub use objects::{Difference, Selection, diff, get, history, upgrade, upgrades};
+pub use objects::{Difference, Selection, diff, get, history, upgrades};
 pub use records::{InvalidFile, Problem, RecordFile, parse_records, read_records};
 pub use settings::{Places, SETTINGS_VARIABLE};
 
@@ -149,7 +149,7 @@
     ) -> miette::Result<Exit> {
         let mut exit = Exit::Done;
         for record in records {
-            let applied = publish(view, record).into_diagnostic()?;
+            let applied = publish(view, record, RetryPolicy::default()).into_diagnostic()?;
             self.print(&applied, |applied| println!("{applied}"));
             exit = exit.max(match applied.fate {
                 Fate::Accepted { .. } | Fate::Unchanged { .. } => Exit::Done,
--- a/crates/egretstage_control/src/objects.rs
+++ b/crates/egretstage_control/src/objects.rs
@@ -1,8 +1,8 @@
 //! `get`, `history`, `diff` and `upgrade`.
 
+use crate::RecordFile;
 use crate::log_view::{FoldedRecord, LogView};
 use crate::table::Table;
-use crate::{Applied, ApplyError, RecordFile, publish};
 use compact_str::{CompactString, ToCompactString, format_compact};
 use egretstage_config::{RecordKind, read_body, write_newest};
 use egretstage_wire::{KindName, ObjectName, ObjectState};
@@ -223,15 +223,3 @@
         body: write_newest(&body),
     })
 }
-
-/// Publishes all upgrades and tells of each.
-///
-/// # Errors
-///
-/// Returns an error when the log refuses a record for good.
-pub fn upgrade(view: &mut LogView<'_>, mut tell: impl FnMut(Applied)) -> Result<(), ApplyError> {
-    for file in upgrades(view) {
-        tell(publish(view, file)?);
-    }
-    Ok(())
-}
--- /dev/null
+++ b/crates/egretstage_control/tests/publish.rs
@@ -0,0 +1,254 @@
+//! Publishing: what an operator is told is what the log holds.
+
+#[path = "../../egretstage_relay/tests/support/memory_log.rs"]
+#[allow(dead_code, reason = "this test uses a part of it")]
+mod memory_log;
+
+use egretstage_config::{CONFIGURATION_STREAM, Offset};
+use egretstage_control::{
+    Fate, LogView, RecordFile, RetryPolicy, ViewError, diff, publish, upgrades,
+};
+use egretstage_relay::publish as publish_checkpoint;
+use memory_log::{Faults, MemoryLog};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// Tries at once and again without a pause.
+const QUICK: RetryPolicy = RetryPolicy {
+    patience: Duration::from_secs(5),
+    delay: Duration::ZERO,
+};
+
+fn record(name: &str, schema: u16, base: Option<u64>, body: &Value) -> RecordFile {
+    let mut record = json!({"kind": "service", "name": name, "schema": schema, "body": body});
+    if let Some(base) = base {
+        record["base"] = base.into();
+    }
+    serde_json::from_value(record).unwrap()
+}
+
+fn fate(log: &MemoryLog, record: RecordFile) -> Fate {
+    let mut view = LogView::open(log).unwrap();
+    publish(&mut view, record, QUICK).unwrap().fate
+}
+
+#[test]
+fn a_lost_answer_leads_to_one_change_that_is_found() {
+    for faults in [
+        Faults {
+            lost_answers: 1,
+            ..Faults::default()
+        },
+        Faults {
+            lost_answers: 2,
+            ..Faults::default()
+        },
+        Faults {
+            lost_appends: 1,
+            ..Faults::default()
+        },
+        Faults {
+            lost_appends: 2,
+            lost_answers: 1,
+            ..Faults::default()
+        },
+    ] {
+        let log = MemoryLog::default();
+        let mut view = LogView::open(&log).unwrap();
+        *log.faults.lock().unwrap() = faults;
+        let applied = publish(&mut view, record("booking", 1, None, &json!({})), QUICK).unwrap();
+        assert_eq!(
+            applied.fate,
+            Fate::Accepted {
+                revision: Offset(1)
+            }
+        );
+        let fresh = LogView::open(&log).unwrap();
+        assert_eq!(fresh.fold().objects().count(), 1);
+    }
+}
+
+#[test]
+fn a_log_that_falls_silent_leaves_the_fate_unknown_until_it_answers() {
+    let log = MemoryLog::default();
+    let mut view = LogView::open(&log).unwrap();
+    *log.faults.lock().unwrap() = Faults {
+        lost_answers: u32::MAX,
+        failed_reads: u32::MAX,
+        ..Faults::default()
+    };
+    let hasty = RetryPolicy {
+        patience: Duration::ZERO,
+        delay: Duration::ZERO,
+    };
+    let file = record("booking", 1, None, &json!({}));
+    let applied = publish(&mut view, file.clone(), hasty).unwrap();
+    assert_eq!(applied.fate, Fate::Unknown);
+    *log.faults.lock().unwrap() = Faults::default();
+    assert_eq!(
+        fate(&log, file),
+        Fate::Unchanged {
+            revision: Offset(1)
+        },
+        "applying again does no harm"
+    );
+}
+
+#[test]
+fn the_same_settings_again_publish_nothing() {
+    let log = MemoryLog::default();
+    let file = record("booking", 2, None, &json!({"idempotent": []}));
+    assert_eq!(
+        fate(&log, file.clone()),
+        Fate::Accepted {
+            revision: Offset(1)
+        }
+    );
+    assert_eq!(
+        fate(&log, file),
+        Fate::Unchanged {
+            revision: Offset(1)
+        }
+    );
+    assert_eq!(log.records(CONFIGURATION_STREAM).len(), 1);
+}
+
+#[test]
+fn a_conflict_names_the_current_revision() {
+    let log = MemoryLog::default();
+    let first = record("booking", 1, Some(0), &json!({}));
+    let second = record("booking", 2, Some(0), &json!({}));
+    assert_eq!(
+        fate(&log, first),
+        Fate::Accepted {
+            revision: Offset(1)
+        }
+    );
+    let conflict = Fate::Conflict {
+        base: Offset(0),
+        current: Offset(1),
+    };
+    assert_eq!(fate(&log, second), conflict);
+    let future = record("booking", 2, Some(99), &json!({}));
+    let conflict = Fate::Conflict {
+        base: Offset(99),
+        current: Offset(1),
+    };
+    assert_eq!(fate(&log, future), conflict);
+}
+
+#[test]
+fn upgrades_rewrite_old_bodies_once() {
+    let log = MemoryLog::default();
+    let old = json!({"repeatable": [{"method": "POST", "path_prefix": "/search"}]});
+    fate(&log, record("booking", 1, None, &old));
+    fate(&log, record("lookup", 2, None, &json!({})));
+    let mut view = LogView::open(&log).unwrap();
+    let files = upgrades(&view);
+    assert_eq!(files.len(), 1);
+    assert_eq!((files[0].schema, files[0].base), (2, Some(Offset(1))));
+    for file in files {
+        let applied = publish(&mut view, file, QUICK).unwrap();
+        assert_eq!(
+            applied.fate,
+            Fate::Accepted {
+                revision: Offset(3)
+            }
+        );
+    }
+    assert!(upgrades(&view).is_empty());
+}
+
+#[test]
+fn a_diff_names_each_field() {
+    let log = MemoryLog::default();
+    fate(&log, record("booking", 1, None, &json!({"repeatable": []})));
+    let view = LogView::open(&log).unwrap();
+    let files = [
+        record("booking", 2, None, &json!({"idempotent": []})),
+        record("new", 2, None, &json!({})),
+    ];
+    let fields: Vec<_> = diff(&view, &files).into_iter().map(|d| d.field).collect();
+    assert_eq!(
+        fields,
+        ["schema", "body.repeatable", "body.idempotent", "object"]
+    );
+}
+
+#[test]
+fn a_view_reads_the_checkpoint_and_says_what_is_missing() {
+    let log = MemoryLog::default();
+    for name in ["a", "b", "c"] {
+        fate(&log, record(name, 2, None, &json!({})));
+    }
+    let chunks = LogView::open(&log)
+        .unwrap()
+        .fold()
+        .delta(Offset(0))
+        .into_chunks();
+    log.expire(CONFIGURATION_STREAM, 4);
+    let missing = LogView::open(&log).err().expect("records are missing");
+    assert!(
+        matches!(missing, ViewError::Incomplete { first: 4 }),
+        "{missing}"
+    );
+    publish_checkpoint(&log, &chunks, Duration::from_hours(1)).unwrap();
+    let view = LogView::open(&log).unwrap();
+    assert_eq!(view.fold().objects().count(), 3);
+    assert_eq!(
+        fate(&log, record("a", 2, Some(1), &json!({"idempotent": []}))),
+        Fate::Accepted {
+            revision: Offset(4)
+        }
+    );
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Operators with their own, often stale, views race over a bad network.
+    #[test]
+    fn each_operator_is_told_what_every_reader_finds(
+        steps in prop::collection::vec((0..3_usize, 0..2_u8, 0..2_u32, 0..2_u32), 1..12),
+    ) {
+        let log = MemoryLog::default();
+        let mut views: Vec<LogView<'_>> = (0..3).map(|_| LogView::open(&log).unwrap()).collect();
+        let mut accepted = 0;
+        for (at, (operator, name, lost_answers, lost_appends)) in steps.into_iter().enumerate() {
+            *log.faults.lock().unwrap() = Faults {
+                lost_answers,
+                lost_appends: if at % 5 == 0 { lost_appends } else { 0 },
+                ..Faults::default()
+            };
+            let body = json!({"idempotent": [{"methods": ["POST"], "path_prefix": format!("/{at}")}]});
+            let file = record(&format!("s{name}"), 2, None, &body);
+            let applied = publish(&mut views[operator], file, QUICK).unwrap();
+            *log.faults.lock().unwrap() = Faults::default();
+            let reader = LogView::open(&log).unwrap();
+            let object = reader.fold().object(&applied.kind, &applied.name).unwrap();
+            let own = Some(&object.envelope.id) == applied.id.as_ref();
+            match applied.fate {
+                Fate::Accepted { revision } => {
+                    accepted += 1;
+                    prop_assert!(own);
+                    prop_assert_eq!(object.revision, revision);
+                }
+                Fate::Conflict { current, .. } => {
+                    prop_assert!(!own);
+                    prop_assert_eq!(object.revision, current);
+                }
+                Fate::Unchanged { .. } | Fate::Unknown => prop_assert!(false, "{:?}", applied),
+            }
+        }
+        let reader = LogView::open(&log).unwrap();
+        let revisions: std::collections::BTreeSet<_> = egretstage_control::held_records(&log)
+            .unwrap()
+            .into_iter()
+            .filter(|held| held.verdict == egretstage_config::Verdict::Accepted)
+            .map(|held| held.offset)
+            .collect();
+        prop_assert_eq!(revisions.len(), accepted);
+        prop_assert!(reader.fold().objects().all(|o| revisions.contains(&o.revision)));
+    }
+}
--- a/crates/egretstage_relay/src/checkpoint.rs
+++ b/crates/egretstage_relay/src/checkpoint.rs
@@ -77,7 +77,7 @@
 ///
 /// Returns an error when the log can't be read.
 pub fn newest_checkpoint(log: &dyn AppendLog) -> Result<Option<FoundCheckpoint>, PlatformError> {
-    Ok(View::read(log)?.newest)
+    Ok(View::read(log, Duration::ZERO)?.newest)
 }
 
 /// Writes a checkpoint unless another node has done so or does so now.
@@ -98,7 +98,7 @@
     let Some(through) = chunks.first().map(|chunk| chunk.through) else {
         return Ok(Published::Claimed);
     };
-    let view = View::read(log)?;
+    let view = View::read(log, interval)?;
     if let Some(found) = &view.newest {
         let recent = found.age < interval / 2;
         if found.delta.through >= through && recent {
@@ -111,7 +111,12 @@
     let base = view.newest.map_or(Offset(0), |found| found.at);
     let id = ChangeId::try_from(&*format_compact!("{:032x}", rand::random::<u128>()))
         .expect("hexadecimal digits are valid");
-    let writer = Writer { log, id, base };
+    let writer = Writer {
+        log,
+        id,
+        base,
+        interval,
+    };
     writer.write(chunks, through)
 }
 
@@ -120,12 +125,13 @@
     log: &'a dyn AppendLog,
     id: ChangeId,
     base: Offset,
+    interval: Duration,
 }
 
 impl Writer<'_> {
     fn write(&self, chunks: &[StateChunk], through: Offset) -> Result<Published, PlatformError> {
         for _ in 0..MAX_ROUNDS {
-            let view = View::read(self.log)?;
+            let view = View::read(self.log, self.interval)?;
             let held = view.parts_of(&self.id);
             if held.len() == chunks.len() {
                 let age = Duration::ZERO;
@@ -145,7 +151,7 @@
     }
 
     fn is_first_claim(&self) -> Result<bool, PlatformError> {
-        let view = View::read(self.log)?;
+        let view = View::read(self.log, self.interval)?;
         let first = view.first_claim(self.base);
         Ok(first.is_none_or(|id| *id == self.id))
     }
--- a/crates/egretstage_relay/src/checkpoint/view.rs
+++ b/crates/egretstage_relay/src/checkpoint/view.rs
@@ -7,8 +7,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// Time after which a claim without a whole checkpoint counts no more.
-const CLAIM_TIMEOUT_MS: u64 = 10_000;
+/// Longest time after which a claim without a whole checkpoint counts no more.
+const MAX_CLAIM_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A record of the checkpoint stream with its place.
 struct Held {
@@ -21,12 +21,15 @@
     /// The newest whole checkpoint.
     pub(super) newest: Option<FoundCheckpoint>,
     records: Vec<Held>,
-    now_unix_ms: u64,
+    oldest_claim_unix_ms: u64,
 }
 
 impl View {
     /// Reads the stream backwards until a whole checkpoint is in view.
-    pub(super) fn read(log: &dyn AppendLog) -> Result<Self, PlatformError> {
+    ///
+    /// A claim counts for at most half of the interval between checkpoints,
+    /// so that a dead writer can't use up the retention.
+    pub(super) fn read(log: &dyn AppendLog, interval: Duration) -> Result<Self, PlatformError> {
         let end = log.read(CHECKPOINT_STREAM, u64::MAX, Duration::ZERO)?;
         let mut window = 1;
         loop {
@@ -34,10 +37,12 @@
             let records = read_from(log, from)?;
             let newest = newest(&records);
             if newest.is_some() || from <= end.first {
+                let timeout = MAX_CLAIM_TIMEOUT.min(interval / 2);
+                let timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
                 return Ok(Self {
                     newest,
                     records,
-                    now_unix_ms: unix_ms(),
+                    oldest_claim_unix_ms: unix_ms().saturating_sub(timeout_ms),
                 });
             }
             let parts = records.iter().map(|held| held.record.chunk.parts).max();
@@ -62,7 +67,7 @@
         let claims = self.records.iter().map(|held| &held.record);
         claims
             .filter(|record| record.chunk.part == 1 && record.base == base)
-            .find(|record| record.written_unix_ms + CLAIM_TIMEOUT_MS > self.now_unix_ms)
+            .find(|record| record.written_unix_ms > self.oldest_claim_unix_ms)
             .map(|record| &record.id)
     }
 }
--- a/crates/egretstage_relay/src/reducer.rs
+++ b/crates/egretstage_relay/src/reducer.rs
@@ -20,7 +20,7 @@
 /// Time that the log has to deliver a change before a peer is asked for it.
 const LOG_HEAD_START: Duration = Duration::from_secs(1);
 
-/// Time between two looks at what operators are shown.
+/// Shortest time between two status snapshots.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How a node keeps its configuration.
@@ -48,7 +48,17 @@
     behind_since: Option<Instant>,
     diverged: bool,
     next_status: Instant,
-    shown: Option<ConfigurationStatus>,
+    shown: Option<ShownState>,
+}
+
+/// What a status snapshot depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ShownState {
+    offset: Offset,
+    needed: Offset,
+    complete: bool,
+    log_failing: bool,
+    diverged: bool,
 }
 
 impl RelayReducer {
@@ -245,10 +255,7 @@
         if let Some(log) = &mut self.log {
             fx.extend(log.take_due(now, held));
         }
-        if self.next_status <= now {
-            self.next_status = now + STATUS_INTERVAL;
-            self.show(fx);
-        }
+        self.show(now, fx);
     }
 
     fn tell(&mut self, held: Offset, fx: &mut Vec<RelayEffect>) {
@@ -305,25 +312,42 @@
         self.behind_since.map(|since| since + wait)
     }
 
-    fn show(&mut self, fx: &mut Vec<RelayEffect>) {
+    fn state(&self) -> ShownState {
+        ShownState {
+            offset: self.fold.offset(),
+            needed: self.log.as_ref().map_or(Offset(0), |log| log.needed),
+            complete: self.complete,
+            log_failing: self.log.as_ref().is_some_and(|log| log.failing),
+            diverged: self.diverged,
+        }
+    }
+
+    /// Shows a changed state to operators, unless it did so just now.
+    fn show(&mut self, now: Instant, fx: &mut Vec<RelayEffect>) {
+        let state = self.state();
+        if self.shown == Some(state) || self.next_status > now {
+            return;
+        }
+        self.shown = Some(state);
+        self.next_status = now + STATUS_INTERVAL;
+        fx.push(RelayEffect::Status(Box::new(self.status(state))));
+    }
+
+    fn status(&self, state: ShownState) -> ConfigurationStatus {
         let configuration = self.fold.configuration();
         let unreadable = configuration.unreadable().map(|object| UnreadableStatus {
             kind: object.kind.clone(),
             name: object.name.clone(),
             reason: format_compact!("{}", object.reason),
         });
-        let status = ConfigurationStatus {
-            offset: self.fold.offset().0,
+        ConfigurationStatus {
+            offset: state.offset.0,
             digest: format_compact!("{:016x}", self.fold.digest().0),
-            complete: self.complete,
-            needed: self.log.as_ref().map_or(0, |log| log.needed.0),
-            log_failing: self.log.as_ref().is_some_and(|log| log.failing),
-            diverged: self.diverged,
+            complete: state.complete,
+            needed: state.needed.0,
+            log_failing: state.log_failing,
+            diverged: state.diverged,
             unreadable: unreadable.collect(),
-        };
-        if self.shown.as_ref() != Some(&status) {
-            self.shown = Some(status.clone());
-            fx.push(RelayEffect::Status(Box::new(status)));
         }
     }
 }
@@ -368,7 +392,7 @@
             self.schedule.next_due().filter(|_| writes),
             announce,
             pull,
-            Some(self.next_status),
+            Some(self.next_status).filter(|_| self.shown != Some(self.state())),
         ]
         .into_iter()
         .flatten()
--- a/crates/egretstage_standins/src/append_log.rs
+++ b/crates/egretstage_standins/src/append_log.rs
@@ -38,6 +38,10 @@
     /// Appends take effect, but their answers are lost.
     #[serde(default)]
     pub lose_append_answers: bool,
+    /// Reads don't show this many of a stream's last records, as a stale
+    /// replica does.
+    #[serde(default)]
+    pub stale_records: u64,
     /// Every answer waits this long, in milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
@@ -62,6 +66,8 @@
 struct Stream {
     dropped: u64,
     records: VecDeque<StoredRecord>,
+    /// All records ever appended, for the checks of a test.
+    appended: Vec<(u64, serde_json::Value)>,
 }
 
 impl Stream {
@@ -79,13 +85,14 @@
         }
     }
 
-    fn page(&self, from: u64) -> serde_json::Value {
+    fn page(&self, from: u64, next: u64) -> serde_json::Value {
         let skip = from.saturating_sub(self.dropped + 1);
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
-        let records: Vec<_> = self.records.iter().skip(skip).take(MAX_PAGE).collect();
+        let shown = self.records.iter().take_while(|r| r.offset < next);
+        let records: Vec<_> = shown.skip(skip).take(MAX_PAGE).collect();
         serde_json::json!({
             "first": self.dropped + 1,
-            "next": self.next(),
+            "next": next,
             "records": records,
         })
     }
@@ -145,6 +152,15 @@
         records.map(|r| r.data.clone()).collect()
     }
 
+    /// Returns all records ever appended to a stream with their offsets, also
+    /// those that have expired.
+    #[must_use]
+    pub fn appended(&self, stream: &str) -> Vec<(u64, serde_json::Value)> {
+        let state = self.lock();
+        let stream = state.streams.get(stream);
+        stream.map_or_else(Vec::new, |stream| stream.appended.clone())
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -166,6 +182,7 @@
         let lost = state.faults.lose_append_answers;
         let stream = state.streams.entry(stream.to_owned()).or_default();
         let offset = stream.next();
+        stream.appended.push((offset, append.data.clone()));
         stream.records.push_back(StoredRecord {
             offset,
             id: append.id,
@@ -187,10 +204,13 @@
             let appended = self.appended.notified();
             {
                 let mut state = self.lock();
+                let stale_records = state.faults.stale_records;
                 let stream = state.streams.entry(stream.to_owned()).or_default();
                 stream.expire(Instant::now(), self.options.retention);
-                if stream.next() > from || tokio::time::Instant::now() >= deadline {
-                    return Reply::Json(200, stream.page(from));
+                let next = stream.next().saturating_sub(stale_records);
+                let next = next.max(stream.dropped + 1);
+                if next > from || tokio::time::Instant::now() >= deadline {
+                    return Reply::Json(200, stream.page(from, next));
                 }
             }
             let _ = tokio::time::timeout_at(deadline, appended).await;
--- a/crates/egretstage_standins/src/caller.rs
+++ b/crates/egretstage_standins/src/caller.rs
@@ -69,8 +69,18 @@
     /// Panics when a header has a character that HTTP rules out.
     #[must_use]
     pub fn send(&self, entry: SocketAddr) -> Told {
+        self.send_within(entry, CALL_TIMEOUT)
+    }
+
+    /// Sends the request and waits at most so long for the whole answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a header has a character that HTTP rules out.
+    #[must_use]
+    pub fn send_within(&self, entry: SocketAddr, timeout: Duration) -> Told {
         let agent: ureq::Agent = ureq::Agent::config_builder()
-            .timeout_global(Some(CALL_TIMEOUT))
+            .timeout_global(Some(timeout))
             .http_status_as_error(false)
             .max_idle_connections(0)
             .build()
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -231,6 +231,15 @@
     pub upstream: SocketAddr,
 }
 
+/// Settings of an entry that a test chooses.
+#[derive(Clone, Debug, Default)]
+pub struct EntryOptions {
+    /// Base URL of the log service, if it isn't the fleet's.
+    pub log_url: Option<String>,
+    /// More settings of the callers' side, and more tables.
+    pub settings: String,
+}
+
 /// The platform's stand-ins and a folder for settings and logs.
 #[derive(Debug)]
 pub struct Fleet {
@@ -426,10 +435,23 @@
     /// it.
     #[must_use]
     pub fn entry_with(&self, instance: &str, zone: &str, callers: &str) -> Program {
+        let options = EntryOptions {
+            settings: callers.to_owned(),
+            ..EntryOptions::default()
+        };
+        self.entry_by(instance, zone, &options)
+    }
+
+    /// Starts an entry with settings of choice, without waiting for it.
+    #[must_use]
+    pub fn entry_by(&self, instance: &str, zone: &str, options: &EntryOptions) -> Program {
         let (address, admin) = (free_address(), free_address());
+        let process = self.process_settings(instance, zone, admin);
+        let log_url = options.log_url.as_ref().unwrap_or(&self.log_url);
         let settings = format!(
-            "{}\n[callers]\nlisten = \"{address}\"\n{callers}",
-            self.process_settings(instance, zone, admin)
+            "{}\n[callers]\nlisten = \"{address}\"\n{}\n",
+            process.replace(&self.log_url, log_url),
+            options.settings,
         );
         self.launch(self.programs.entry, instance, &settings, admin, address)
     }
@@ -483,6 +505,18 @@
         assert!(output.status.success(), "egretctl failed: {output:?}");
     }
 
+    /// Writes a file into the fleet's folder and returns its path.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the file can't be written.
+    #[must_use]
+    pub fn write_file(&self, name: &str, text: &str) -> String {
+        let file = self.work.join(name);
+        std::fs::write(&file, text).expect("a file");
+        path_text(&file)
+    }
+
     /// Runs `egretctl` and returns what it printed.
     ///
     /// # Panics
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -25,7 +25,9 @@
     pub use crate::caller::{Ask, Told, chat_messages};
     pub use crate::engine::{EngineOptions, EngineStandIn};
     pub use crate::fault_proxy::{FaultProxy, LinkFaults};
-    pub use crate::fleet::{Fleet, Placement, Program, Programs, free_address, wait_for};
+    pub use crate::fleet::{
+        EntryOptions, Fleet, Placement, Program, Programs, free_address, wait_for,
+    };
     pub use crate::instance_list::InstanceListStandIn;
     pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
     pub use crate::server::{Reply, StandInHandler, serve};
--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -3,6 +3,7 @@
 //! One module for each point; each compares what the stand-ins really ran
 //! with what callers were told.
 
+mod accepted_configuration_never_reverts;
 mod leaving_upstream_gets_no_new_work;
 mod planned_stop_cuts_off_no_request;
 mod seeds;
