--- a/crates/egretstage_relay/src/lib.rs
+++ b/crates/egretstage_relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod reducer;
 mod runner;
 mod schedule;
+mod shown;
 
 pub use checkpoint::{
     CHECKPOINT_STREAM, CheckpointRecord, FoundCheckpoint, Published, newest_checkpoint, publish,
--- a/crates/egretstage_relay/src/peers.rs
+++ b/crates/egretstage_relay/src/peers.rs
@@ -92,11 +92,11 @@
         if self.pull.is_some() {
             return;
         }
-        let ahead = self
-            .by_link
-            .iter()
-            .filter_map(|(link, peer)| Some((peer.holds?, *link)));
-        let Some((_, link)) = ahead.filter(|(holds, _)| *holds > held).max() else {
+        let ahead = self.by_link.iter().filter_map(|(link, peer)| {
+            let holds = peer.holds.filter(|holds| *holds > held)?;
+            Some((holds, spread(*link, held), *link))
+        });
+        let Some((_, _, link)) = ahead.max() else {
             return;
         };
         self.pull = Some(Pull {
@@ -134,3 +134,11 @@
         self.pull.as_ref().map(|pull| pull.deadline)
     }
 }
+
+/// Returns a number that varies with the link and the offset, so that pulls
+/// spread over peers that hold the same.
+fn spread(link: LinkKey, held: Offset) -> u64 {
+    /// The golden ratio in 64 bits; multiples of it are evenly spread.
+    const MULTIPLIER: u64 = 0x9E37_79B9_7F4A_7C15;
+    (link.0 ^ held.0.rotate_left(32)).wrapping_mul(MULTIPLIER)
+}
--- a/crates/egretstage_relay/src/reducer.rs
+++ b/crates/egretstage_relay/src/reducer.rs
@@ -3,11 +3,10 @@
 use crate::log_state::LogState;
 use crate::peers::Peers;
 use crate::schedule::CheckpointSchedule;
+use crate::shown::ShownState;
 use crate::{ChangeLine, CheckpointNews, RelayEffect, RelayEvent, RelayNews};
-use compact_str::format_compact;
 use egretstage_config::{ConfigurationFold, Merge, Offset, Record, StateDelta, Verdict};
 use egretstage_link::LinkKey;
-use egretstage_observe::{ConfigurationStatus, UnreadableStatus};
 use egretstage_platform::{LogPage, LogRecord};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{ConfigurationFrame, StateDigest};
@@ -51,23 +50,13 @@
     shown: Option<ShownState>,
 }
 
-/// What a status snapshot depends on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct ShownState {
-    offset: Offset,
-    needed: Offset,
-    complete: bool,
-    log_failing: bool,
-    diverged: bool,
-}
-
 impl RelayReducer {
     /// Starts a node that holds nothing yet.
     #[must_use]
     pub fn new(now: Instant, options: RelayOptions) -> Self {
         Self {
             fold: ConfigurationFold::default(),
-            log: options.reads_log.then(|| LogState::new(now)),
+            log: options.reads_log.then(|| LogState::new(now, options.seed)),
             peers: Peers::default(),
             schedule: CheckpointSchedule::new(options.checkpoint_interval, options.seed),
             complete: false,
@@ -330,25 +319,7 @@
         }
         self.shown = Some(state);
         self.next_status = now + STATUS_INTERVAL;
-        fx.push(RelayEffect::Status(Box::new(self.status(state))));
-    }
-
-    fn status(&self, state: ShownState) -> ConfigurationStatus {
-        let configuration = self.fold.configuration();
-        let unreadable = configuration.unreadable().map(|object| UnreadableStatus {
-            kind: object.kind.clone(),
-            name: object.name.clone(),
-            reason: format_compact!("{}", object.reason),
-        });
-        ConfigurationStatus {
-            offset: state.offset.0,
-            digest: format_compact!("{:016x}", self.fold.digest().0),
-            complete: state.complete,
-            needed: state.needed.0,
-            log_failing: state.log_failing,
-            diverged: state.diverged,
-            unreadable: unreadable.collect(),
-        }
+        fx.push(RelayEffect::Status(Box::new(state.status(&self.fold))));
     }
 }
 
