--- a/crates/egretstage_relay/src/reducer.rs
+++ b/crates/egretstage_relay/src/reducer.rs
@@ -3,11 +3,10 @@
 use crate::log_state::LogState;
 use crate::peers::Peers;
 use crate::schedule::CheckpointSchedule;
+use crate::shown::ShownState;
 use crate::{ChangeLine, CheckpointNews, RelayEffect, RelayEvent, RelayNews};
-use compact_str::format_compact;
 use egretstage_config::{ConfigurationFold, Merge, Offset, Record, StateDelta, Verdict};
 use egretstage_link::LinkKey;
-use egretstage_observe::{ConfigurationStatus, UnreadableStatus};
 use egretstage_platform::{LogPage, LogRecord};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{ConfigurationFrame, StateDigest};
@@ -20,7 +19,7 @@
 /// Time that the log has to deliver a change before a peer is asked for it.
 const LOG_HEAD_START: Duration = Duration::from_secs(1);
 
-/// Time between two looks at what operators are shown.
+/// Shortest time between two status snapshots.
 const STATUS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How a node keeps its configuration.
@@ -48,7 +47,7 @@
     behind_since: Option<Instant>,
     diverged: bool,
     next_status: Instant,
-    shown: Option<ConfigurationStatus>,
+    shown: Option<ShownState>,
 }
 
 impl RelayReducer {
@@ -57,7 +56,7 @@
     pub fn new(now: Instant, options: RelayOptions) -> Self {
         Self {
             fold: ConfigurationFold::default(),
-            log: options.reads_log.then(|| LogState::new(now)),
+            log: options.reads_log.then(|| LogState::new(now, options.seed)),
             peers: Peers::default(),
             schedule: CheckpointSchedule::new(options.checkpoint_interval, options.seed),
             complete: false,
@@ -245,10 +244,7 @@
         if let Some(log) = &mut self.log {
             fx.extend(log.take_due(now, held));
         }
-        if self.next_status <= now {
-            self.next_status = now + STATUS_INTERVAL;
-            self.show(fx);
-        }
+        self.show(now, fx);
     }
 
     fn tell(&mut self, held: Offset, fx: &mut Vec<RelayEffect>) {
@@ -305,27 +301,26 @@
         self.behind_since.map(|since| since + wait)
     }
 
-    fn show(&mut self, fx: &mut Vec<RelayEffect>) {
-        let configuration = self.fold.configuration();
-        let unreadable = configuration.unreadable().map(|object| UnreadableStatus {
-            kind: object.kind.clone(),
-            name: object.name.clone(),
-            reason: format_compact!("{}", object.reason),
-        });
-        let status = ConfigurationStatus {
-            offset: self.fold.offset().0,
-            digest: format_compact!("{:016x}", self.fold.digest().0),
+    fn state(&self) -> ShownState {
+        ShownState {
+            offset: self.fold.offset(),
+            needed: self.log.as_ref().map_or(Offset(0), |log| log.needed),
             complete: self.complete,
-            needed: self.log.as_ref().map_or(0, |log| log.needed.0),
             log_failing: self.log.as_ref().is_some_and(|log| log.failing),
             diverged: self.diverged,
-            unreadable: unreadable.collect(),
-        };
-        if self.shown.as_ref() != Some(&status) {
-            self.shown = Some(status.clone());
-            fx.push(RelayEffect::Status(Box::new(status)));
         }
     }
+
+    /// Shows a changed state to operators, unless it did so just now.
+    fn show(&mut self, now: Instant, fx: &mut Vec<RelayEffect>) {
+        let state = self.state();
+        if self.shown == Some(state) || self.next_status > now {
+            return;
+        }
+        self.shown = Some(state);
+        self.next_status = now + STATUS_INTERVAL;
+        fx.push(RelayEffect::Status(Box::new(state.status(&self.fold))));
+    }
 }
 
 impl Reducer for RelayReducer {
@@ -368,7 +363,7 @@
             self.schedule.next_due().filter(|_| writes),
             announce,
             pull,
-            Some(self.next_status),
+            Some(self.next_status).filter(|_| self.shown != Some(self.state())),
         ]
         .into_iter()
         .flatten()
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -28,7 +28,7 @@
     pub use crate::engine::{EngineOptions, EngineStandIn};
     pub use crate::fault_proxy::{FaultProxy, LinkFaults};
     pub use crate::fleet::{
-        Fleet, Placement, Program, Programs, RankPlacement, free_address, wait_for,
+        EntryOptions, Fleet, Placement, Program, Programs, RankPlacement, free_address, wait_for,
     };
     pub use crate::instance_list::InstanceListStandIn;
     pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
