Run the group protocol in the companion, between real processes

The reducers of a group were without processes. A companion with a [rank] section now runs a group member on a loop of its own: it reads and appends claims on its group's stream, dials the holder, and calls its engine over one client, one call in flight. Before anything else it binds the instance's sender address; the operating system releases it at the end of the process and no earlier.

Ruled out: one reducer over both, which share no state and change at different rates.

Half of the seeds run engines that ignore fencing numbers.

The engine's rules are one type in the stand-ins, used behind HTTP and, in virtual time, by the tests of the reducers, which depend on it in tests alone.

--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The companion as a process.
 
+use crate::group::{GroupLinks, SenderLock};
 use crate::meters::CompanionMeters;
 use crate::owners_feed;
 use crate::upstream::UpstreamClient;
@@ -32,6 +33,11 @@
 ///
 /// Returns an error when an address can't be used or a thread can't start.
 pub fn run(settings: &CompanionSettings) -> miette::Result<()> {
+    let rank = settings.rank.as_ref();
+    let _sender_lock = rank
+        .map(|rank| SenderLock::acquire(rank.sender_lock))
+        .transpose()
+        .into_diagnostic()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(IO_THREADS)
         .enable_all()
@@ -75,6 +81,9 @@
     };
     let identity = LinkIdentity::new(hello, settings.process.link_key.expose());
     let identity = Arc::new(identity.into_diagnostic()?);
+    let group = rank
+        .map(|rank| GroupLinks::start(settings, rank, &identity, &table, runtime.handle()))
+        .transpose()?;
     let spawned = EventLoop::spawn("reducer", rx, move || {
         let mut reducer = CompanionReducer::new(Instant::now(), limits);
         if let Some(keys) = keys {
@@ -95,7 +104,11 @@
             .wrap_err_with(|| format!("link address {address} can't be used"))?;
         log::info!(address:display = address; "companion started");
         ready.set_ready(true);
-        let observer = Arc::new(Observer { events, relay });
+        let observer = Arc::new(Observer {
+            events,
+            relay,
+            group,
+        });
         tokio::spawn(serve(listener, identity, table, observer));
         exited
             .wait_for(|exit| *exit)
@@ -179,25 +192,35 @@
 struct Observer {
     events: EventSender<CompanionEvent>,
     relay: Relay,
+    group: Option<GroupLinks>,
 }
 
 impl LinkObserver for Observer {
     fn link_up(&self, link: LinkKey, hello: Hello) {
         log::info!(link = link.0, peer = hello.instance.as_str(); "link up");
-        let hello = Box::new(hello);
-        self.events.send(CompanionEvent::LinkUp { link, hello });
-        self.relay.link_up(link);
+        match &self.group {
+            Some(group) if hello.role == Role::Companion => group.link_up(link, &hello),
+            _ => {
+                let hello = Box::new(hello);
+                self.events.send(CompanionEvent::LinkUp { link, hello });
+                self.relay.link_up(link);
+            }
+        }
     }
 
     fn frame(&self, link: LinkKey, frame: Frame) {
-        match frame {
-            Frame::Configuration(frame) => self.relay.frame(link, frame),
-            frame => self.events.send(CompanionEvent::Frame { link, frame }),
+        match (&self.group, frame) {
+            (_, Frame::Configuration(frame)) => self.relay.frame(link, frame),
+            (Some(group), Frame::Group(frame)) => group.frame(link, *frame),
+            (_, frame) => self.events.send(CompanionEvent::Frame { link, frame }),
         }
     }
 
     fn link_down(&self, link: LinkKey, reason: String) {
         log::info!(link = link.0, reason = reason.as_str(); "link down");
+        if let Some(group) = &self.group {
+            group.link_down(link);
+        }
         self.events.send(CompanionEvent::LinkDown { link });
         self.relay.link_down(link);
     }
--- /dev/null
+++ b/crates/egretstage_companion/src/group.rs
@@ -0,0 +1,188 @@
+//! The companion's part in its model group.
+//!
+//! A [`GroupMember`] runs on a thread of its own beside the companion's
+//! reducer; the two share no state.
+
+mod claims_log;
+mod engine_client;
+mod sender_lock;
+
+use claims_log::ClaimsLog;
+use egretstage_config::RankSettings;
+use egretstage_config::settings::CompanionSettings;
+use egretstage_group::{
+    ClaimLimits, DeciderLimits, FixedMap, GroupLine, GroupMember, MapSource, MemberEffect,
+    MemberEvent, MemberSettings, PeerLink, PeriodicMaps,
+};
+use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
+use egretstage_observe::DECISION_TARGET;
+use egretstage_runtime::{EventLoop, EventSender};
+use egretstage_wire::{Frame, GroupFrame, Hello};
+use engine_client::EngineClient;
+use miette::IntoDiagnostic;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::runtime::Handle;
+
+pub(crate) use sender_lock::SenderLock;
+
+/// Gives a running member what happens on links.
+#[derive(Clone, Debug)]
+pub(crate) struct GroupLinks(EventSender<MemberEvent>);
+
+impl GroupLinks {
+    /// Starts the member of a rank's group.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a thread can't be started.
+    pub(crate) fn start(
+        settings: &CompanionSettings,
+        rank: &RankSettings,
+        identity: &Arc<LinkIdentity>,
+        table: &LinkTable,
+        io: &Handle,
+    ) -> miette::Result<Self> {
+        let (events, rx) = EventLoop::channel();
+        let log_url = &settings.process.log_url;
+        let incarnation = identity.hello.incarnation;
+        let mut sink = Sink {
+            engine: EngineClient::start(settings.upstream.address, events.clone())?,
+            claims: ClaimsLog::start(log_url, &rank.group, incarnation, &events)?,
+            table: table.clone(),
+            identity: Arc::clone(identity),
+            events: events.clone(),
+            io: io.clone(),
+        };
+        let member = member_settings(settings, rank, &identity.hello);
+        let map_interval = rank.map_interval;
+        let spawned = EventLoop::spawn("group", rx, move || {
+            let make_source = Box::new(move || map_source(map_interval));
+            let member = GroupMember::new(Instant::now(), member, make_source);
+            (member, Box::new(move |effect| sink.carry_out(effect)))
+        });
+        spawned.into_diagnostic()?;
+        Ok(Self(events))
+    }
+
+    /// A link that another companion opened is up.
+    pub(crate) fn link_up(&self, link: LinkKey, hello: &Hello) {
+        self.0.send(MemberEvent::LinkUp {
+            link: PeerLink(link.0),
+            dialed: false,
+            incarnation: hello.incarnation,
+        });
+    }
+
+    /// A frame of another companion has arrived.
+    pub(crate) fn frame(&self, link: LinkKey, frame: GroupFrame) {
+        let link = PeerLink(link.0);
+        self.0.send(MemberEvent::Frame { link, frame });
+    }
+
+    /// A link has ended.
+    pub(crate) fn link_down(&self, link: LinkKey) {
+        self.0.send(MemberEvent::LinkDown(PeerLink(link.0)));
+    }
+}
+
+fn member_settings(
+    settings: &CompanionSettings,
+    rank: &RankSettings,
+    hello: &Hello,
+) -> MemberSettings {
+    MemberSettings {
+        instance: hello.instance.clone(),
+        incarnation: hello.incarnation,
+        address: rank.advertise.unwrap_or(settings.listen),
+        rank: rank.index,
+        claims: ClaimLimits {
+            suspect_after: rank.suspect_after,
+            stagger: rank.claim_stagger,
+            renew_after: rank.claim_renewal,
+        },
+        decider: DeciderLimits {
+            ranks: rank.ranks,
+            horizon_steps: rank.horizon_steps,
+            heartbeat: rank.heartbeat,
+        },
+        loads: rank.loads.clone(),
+    }
+}
+
+fn map_source(interval: Option<std::time::Duration>) -> Box<dyn MapSource> {
+    match interval {
+        Some(interval) => Box::new(PeriodicMaps::new(interval)),
+        None => Box::new(FixedMap),
+    }
+}
+
+/// Hears of a link that the member opened.
+struct DialObserver(GroupLinks);
+
+impl LinkObserver for DialObserver {
+    fn link_up(&self, link: LinkKey, hello: Hello) {
+        self.0.0.send(MemberEvent::LinkUp {
+            link: PeerLink(link.0),
+            dialed: true,
+            incarnation: hello.incarnation,
+        });
+    }
+
+    fn frame(&self, link: LinkKey, frame: Frame) {
+        if let Frame::Group(frame) = frame {
+            self.0.frame(link, *frame);
+        }
+    }
+
+    fn link_down(&self, link: LinkKey, reason: String) {
+        log::info!(link = link.0, reason = reason.as_str(); "link to decider down");
+        self.0.link_down(link);
+    }
+}
+
+/// Carries out the member's effects.
+struct Sink {
+    engine: EngineClient,
+    claims: ClaimsLog,
+    table: LinkTable,
+    identity: Arc<LinkIdentity>,
+    events: EventSender<MemberEvent>,
+    io: Handle,
+}
+
+impl Sink {
+    fn carry_out(&mut self, effect: MemberEffect) {
+        match effect {
+            MemberEffect::Send { link, frame } => {
+                let frame = Frame::Group(Box::new(frame));
+                self.table.send(LinkKey(link.0), frame);
+            }
+            MemberEffect::Close(link) => self.table.close(LinkKey(link.0)),
+            MemberEffect::Dial(address) => self.dial(address),
+            MemberEffect::Read(from) => self.claims.read(from),
+            MemberEffect::Append(record) => self.claims.append(record),
+            MemberEffect::Engine(call) => self.engine.call(call),
+            MemberEffect::Log(line) => log_decision(&line),
+        }
+    }
+
+    fn dial(&self, address: SocketAddr) {
+        let identity = Arc::clone(&self.identity);
+        let table = self.table.clone();
+        let events = self.events.clone();
+        let observer = Arc::new(DialObserver(GroupLinks(events.clone())));
+        self.io.spawn(async move {
+            if let Err(e) = dial(address, identity, table, observer).await {
+                log::debug!(address:display = address, error:display = e; "dial failed");
+            }
+            events.send(MemberEvent::DialEnded);
+        });
+    }
+}
+
+fn log_decision(line: &GroupLine) {
+    let message = <&str>::from(line);
+    log::info!(target: DECISION_TARGET, decision:serde = line; "{message}");
+}
--- /dev/null
+++ b/crates/egretstage_companion/src/group/engine_client.rs
@@ -0,0 +1,63 @@
+//! The HTTP client of an engine rank.
+//!
+//! The published protocol: `POST /rank` with an [`EngineCall`] answers with an
+//! [`EngineReply`].
+
+use egretstage_group::{EngineCall, EngineReply, EngineSilent, MemberEvent};
+use egretstage_runtime::EventSender;
+use miette::IntoDiagnostic;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Sender, channel};
+use std::time::Duration;
+
+/// Longest wait for the answer to a call that may be repeated at once.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Longest wait for the answer to an order, which may load weights.
+const ORDER_TIMEOUT: Duration = Duration::from_mins(10);
+
+/// Makes the calls to an engine rank, one after the other.
+#[derive(Debug)]
+pub(crate) struct EngineClient(Sender<EngineCall>);
+
+impl EngineClient {
+    /// Starts the client's thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the thread can't be started.
+    pub(crate) fn start(
+        address: SocketAddr,
+        events: EventSender<MemberEvent>,
+    ) -> miette::Result<Self> {
+        let (tx, rx) = channel();
+        let url = format!("http://{address}/rank");
+        let agent = ureq::agent();
+        let thread = std::thread::Builder::new().name("rank-engine".to_owned());
+        let spawned = thread.spawn(move || {
+            for call in rx {
+                let result = post(&agent, &url, &call);
+                events.send(MemberEvent::Engine(result.map_err(|e| {
+                    log::debug!(error:display = e; "no answer from the engine");
+                    EngineSilent
+                })));
+            }
+        });
+        spawned.into_diagnostic()?;
+        Ok(Self(tx))
+    }
+
+    /// Makes a call; its end is an event.
+    pub(crate) fn call(&self, call: EngineCall) {
+        let _ = self.0.send(call);
+    }
+}
+
+fn post(agent: &ureq::Agent, url: &str, call: &EngineCall) -> Result<EngineReply, ureq::Error> {
+    let timeout = match call {
+        EngineCall::Order(_) => ORDER_TIMEOUT,
+        _ => CALL_TIMEOUT,
+    };
+    let req = agent.post(url).config().timeout_global(Some(timeout));
+    req.build().send_json(call)?.body_mut().read_json()
+}
--- a/crates/egretstage_companion/src/lib.rs
+++ b/crates/egretstage_companion/src/lib.rs
@@ -7,6 +7,7 @@
 mod connections;
 pub mod daemon;
 mod event;
+mod group;
 mod keyed;
 mod links;
 mod load;
--- a/crates/egretstage_config/src/lib.rs
+++ b/crates/egretstage_config/src/lib.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod fold;
 mod kind;
+mod rank_settings;
 mod record;
 mod schema;
 pub mod settings;
@@ -26,6 +27,7 @@
 pub use egretstage_wire::{Envelope, Offset};
 pub use fold::{ConfigurationFold, Merge, SEEN_OFFSETS, StateDelta, Verdict};
 pub use kind::{RecordKind, UnknownKind};
+pub use rank_settings::{InvalidRankSettings, RankSettings};
 pub use record::{
     BodyReader, CONFIGURATION_STREAM, InvalidReason, InvalidRecord, Record, read_body,
 };
--- /dev/null
+++ b/crates/egretstage_config/src/rank_settings.rs
@@ -0,0 +1,145 @@
+//! Settings of a companion beside one rank of a model group.
+
+use compact_str::CompactString;
+use egretstage_wire::{RankIndex, ServiceName};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Fewest heartbeats that fit into the silence after which a decider is
+/// suspected.
+const HEARTBEATS_BEFORE_SUSPICION: u64 = 3;
+
+/// A rank's settings that contradict each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum InvalidRankSettings {
+    /// The rank isn't one of the group's.
+    #[error("index {index} is not below ranks {ranks}")]
+    Index {
+        /// The rank.
+        index: u16,
+        /// Number of ranks.
+        ranks: u16,
+    },
+    /// A live decider would be suspected between two heartbeats.
+    #[error("suspect_after_ms must be at least {HEARTBEATS_BEFORE_SUSPICION} times heartbeat_ms")]
+    Suspicion,
+    /// A grant would end before the next one.
+    #[error("grant_horizon_ms must be at least twice heartbeat_ms, and step_ms above 0")]
+    Horizon,
+}
+
+/// Settings of a companion beside one rank, as written.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRankSettings {
+    group: ServiceName,
+    index: u16,
+    ranks: u16,
+    sender_lock: SocketAddr,
+    advertise: Option<SocketAddr>,
+    #[serde(default = "default_step_ms")]
+    step_ms: u64,
+    #[serde(default = "default_grant_horizon_ms")]
+    grant_horizon_ms: u64,
+    #[serde(default = "default_heartbeat_ms")]
+    heartbeat_ms: u64,
+    #[serde(default = "default_suspect_after_ms")]
+    suspect_after_ms: u64,
+    #[serde(default = "default_claim_stagger_ms")]
+    claim_stagger_ms: u64,
+    #[serde(default = "default_claim_renewal_ms")]
+    claim_renewal_ms: u64,
+    map_interval_ms: Option<u64>,
+    #[serde(default)]
+    loads: Vec<CompactString>,
+}
+
+fn default_step_ms() -> u64 {
+    35
+}
+
+fn default_grant_horizon_ms() -> u64 {
+    10_000
+}
+
+fn default_heartbeat_ms() -> u64 {
+    1_000
+}
+
+fn default_suspect_after_ms() -> u64 {
+    3_000
+}
+
+fn default_claim_stagger_ms() -> u64 {
+    250
+}
+
+fn default_claim_renewal_ms() -> u64 {
+    600_000
+}
+
+/// Settings of a companion beside one rank of a model group.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(try_from = "RawRankSettings")]
+pub struct RankSettings {
+    /// The model group.
+    pub group: ServiceName,
+    /// The rank.
+    pub index: RankIndex,
+    /// Number of ranks in the group.
+    pub ranks: u16,
+    /// Address that is bound for the life of the process, so that one process
+    /// at a time sends to the engine.
+    pub sender_lock: SocketAddr,
+    /// Address at which the other companions reach this one, if it isn't the
+    /// address that it listens on.
+    pub advertise: Option<SocketAddr>,
+    /// Steps that the decider grants ahead.
+    pub horizon_steps: u64,
+    /// Time between two grants.
+    pub heartbeat: Duration,
+    /// Silence of the decider after which it is suspected.
+    pub suspect_after: Duration,
+    /// Additional wait before a claim for each rank before this one.
+    pub claim_stagger: Duration,
+    /// Age at which a claim is appended again; well below the log's retention.
+    pub claim_renewal: Duration,
+    /// Time between two maps brought in by the periodic source; none keeps
+    /// the first map.
+    pub map_interval: Option<Duration>,
+    /// Models, adapters or versions that a new decider orders all engines to
+    /// load.
+    pub loads: Vec<CompactString>,
+}
+
+impl TryFrom<RawRankSettings> for RankSettings {
+    type Error = InvalidRankSettings;
+
+    fn try_from(raw: RawRankSettings) -> Result<Self, InvalidRankSettings> {
+        let (index, ranks) = (raw.index, raw.ranks);
+        if index >= ranks {
+            return Err(InvalidRankSettings::Index { index, ranks });
+        }
+        if raw.suspect_after_ms < HEARTBEATS_BEFORE_SUSPICION * raw.heartbeat_ms {
+            return Err(InvalidRankSettings::Suspicion);
+        }
+        if raw.step_ms == 0 || raw.grant_horizon_ms < 2 * raw.heartbeat_ms.max(raw.step_ms) {
+            return Err(InvalidRankSettings::Horizon);
+        }
+        Ok(Self {
+            group: raw.group,
+            index: RankIndex(index),
+            ranks,
+            sender_lock: raw.sender_lock,
+            advertise: raw.advertise,
+            horizon_steps: raw.grant_horizon_ms / raw.step_ms,
+            heartbeat: Duration::from_millis(raw.heartbeat_ms),
+            suspect_after: Duration::from_millis(raw.suspect_after_ms),
+            claim_stagger: Duration::from_millis(raw.claim_stagger_ms),
+            claim_renewal: Duration::from_millis(raw.claim_renewal_ms),
+            map_interval: raw.map_interval_ms.map(Duration::from_millis),
+            loads: raw.loads,
+        })
+    }
+}
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -6,6 +6,7 @@
 pub use bounded::{Bounded, OutOfRange};
 pub use parse::{Clash, InvalidSetting, SettingsError, SettingsFile, load, parse};
 
+use crate::RankSettings;
 use bounded::bounded;
 use compact_str::format_compact;
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
@@ -219,6 +220,8 @@
     /// The idempotency keys of a plain service.
     #[serde(default)]
     pub keys: KeySettings,
+    /// The rank of a model group that the upstream is, if it is one.
+    pub rank: Option<RankSettings>,
 }
 
 /// How the companions of a plain service remember idempotency keys; the same
--- a/crates/egretstage_group/src/lib.rs
+++ b/crates/egretstage_group/src/lib.rs
@@ -26,7 +26,7 @@
 pub use event::{ClaimEntry, MemberEffect, MemberEvent};
 pub use gate::RankGate;
 pub use line::{ClaimReason, FormReason, GroupLine};
-pub use map_source::{MapSource, PeriodicMaps};
+pub use map_source::{FixedMap, MapSource, PeriodicMaps};
 pub use member::{GroupMember, MakeMapSource, MemberSettings};
 pub use output::{Output, Peer, PeerLink};
 pub use schedule::Schedule;
--- a/crates/egretstage_group/src/map_source.rs
+++ b/crates/egretstage_group/src/map_source.rs
@@ -46,3 +46,17 @@
         Some(self.count.to_le_bytes().to_vec())
     }
 }
+
+/// Keeps the map that a group starts with.
+#[derive(Clone, Copy, Debug)]
+pub struct FixedMap;
+
+impl MapSource for FixedMap {
+    fn initial(&mut self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn poll(&mut self, _: Instant) -> Option<Vec<u8>> {
+        None
+    }
+}
--- a/crates/egretstage_group/src/member.rs
+++ b/crates/egretstage_group/src/member.rs
@@ -5,8 +5,9 @@
     ClaimEntry, ClaimLimits, ClaimReason, ClaimRecord, ClaimVerdict, Claimant, Claims, Decider,
     DeciderLimits, GroupLine, MapSource, MemberEffect, MemberEvent, RankGate,
 };
+use compact_str::CompactString;
 use egretstage_runtime::Reducer;
-use egretstage_wire::{Fence, GroupFrame, Incarnation, InstanceId, RankIndex};
+use egretstage_wire::{Fence, GroupFrame, Incarnation, InstanceId, OrderAction, RankIndex};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -44,6 +45,8 @@
     pub claims: ClaimLimits,
     /// Its limits as decider.
     pub decider: DeciderLimits,
+    /// What it orders all engines to load when it becomes decider.
+    pub loads: Vec<CompactString>,
 }
 
 /// Makes all decisions of a companion about its group.
@@ -162,17 +165,26 @@
             fx.push(MemberEffect::Close(link));
         }
         if self.is_holder() {
-            let source = (self.make_source)();
-            let limits = self.settings.decider;
-            let active = self.gate.active_map();
-            let decider = Decider::new(now, fence, limits, source, active, &mut self.out);
-            self.decider = Some(decider);
-            self.gate.set_decider(now, Some(Peer::Local), &mut self.out);
+            self.decide(now, fence);
         } else {
             self.dial_at = now;
         }
     }
 
+    fn decide(&mut self, now: Instant, fence: Fence) {
+        let source = (self.make_source)();
+        let limits = self.settings.decider;
+        let active = self.gate.active_map();
+        let mut decider = Decider::new(now, fence, limits, source, active, &mut self.out);
+        for load in &self.settings.loads {
+            for rank in (0..limits.ranks).map(RankIndex) {
+                decider.order(rank, OrderAction::Load(load.clone()), &mut self.out);
+            }
+        }
+        self.decider = Some(decider);
+        self.gate.set_decider(now, Some(Peer::Local), &mut self.out);
+    }
+
     fn stand_down(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
         if let Some(decider) = self.decider.take() {
             let fence = decider.fence();
--- a/crates/egretstage_group/tests/lockstep/main.rs
+++ b/crates/egretstage_group/tests/lockstep/main.rs
@@ -1,12 +1,11 @@
 //! All ranks of a group use one map in every step, whatever fails: thousands
 //! of seeded schedules of faults in virtual time.
 
-mod engine;
 mod faults;
 mod links;
 mod world;
 
-use engine::Discipline;
+use egretstage_standins::rank_engine::Discipline;
 use faults::Fault;
 use proptest::prelude::*;
 use std::time::Duration;
--- a/crates/egretstage_group/tests/lockstep/world.rs
+++ b/crates/egretstage_group/tests/lockstep/world.rs
@@ -1,9 +1,13 @@
 //! Members, engines, links and the log of one group in virtual time.
 
-use crate::engine::{Barrier, Discipline, Engine, Ran};
 use crate::faults::Fault;
 use egretstage_group::prelude::*;
 use egretstage_runtime::Reducer;
+use egretstage_standins::rank_engine::{
+    Barrier, Discipline, RanStep, RankEngine, RankEngineOptions,
+};
+use egretstage_standins::rank_group::check_steps;
+use egretstage_wire::EngineBoot;
 use egretstage_wire::{Incarnation, InstanceId, RankIndex};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -58,11 +62,11 @@
     pub(crate) events: BTreeMap<(Instant, u64), Event>,
     pub(crate) nodes: Vec<Node>,
     /// All engines ever started; a rank's present one is in `engine_of`.
-    pub(crate) engines: Vec<Engine>,
+    pub(crate) engines: Vec<RankEngine>,
     pub(crate) engine_frozen: Vec<Instant>,
     pub(crate) engine_of: Vec<usize>,
     pub(crate) barrier: Barrier,
-    pub(crate) ran: Vec<Ran>,
+    pub(crate) ran: Vec<RanStep>,
     pub(crate) links: HashMap<PeerLink, (usize, usize)>,
     pub(crate) next_link: u64,
     pub(crate) log: Vec<ClaimRecord>,
@@ -149,20 +153,11 @@
 
     /// Checks what must always hold.
     pub(crate) fn check(&self) -> Result<(), String> {
-        let mut first: HashMap<u64, Ran> = HashMap::new();
-        let mut ranks = std::collections::HashSet::new();
-        for ran in &self.ran {
-            let other = first.entry(ran.step.0).or_insert(*ran);
-            if other.map != ran.map || other.generation != ran.generation {
-                return Err(format!("{other:?} and {ran:?}"));
-            }
-            if !ranks.insert((ran.step.0, ran.rank)) {
-                return Err(format!("twice: {ran:?}"));
-            }
-        }
+        check_steps(&self.ran)?;
         for engine in &self.engines {
-            if !engine.orders.is_sorted() {
-                return Err(format!("orders {:?}", engine.orders));
+            let fences = engine.order_fences();
+            if !fences.is_sorted() {
+                return Err(format!("orders {fences:?}"));
             }
         }
         Ok(())
@@ -183,7 +178,13 @@
 
     pub(crate) fn start_engine(&mut self, rank: usize, ranks: usize) {
         self.boots += 1;
-        let engine = Engine::new(rank, ranks, self.boots, self.discipline, self.checks_fences);
+        let options = RankEngineOptions {
+            rank: index(rank),
+            ranks: index(ranks),
+            discipline: self.discipline,
+            checks_fences: self.checks_fences,
+        };
+        let engine = RankEngine::new(options, EngineBoot(self.boots));
         self.engine_of[rank] = self.engines.len();
         self.engines.push(engine);
         self.engine_frozen.push(self.now);
@@ -208,6 +209,7 @@
                 horizon_steps: 25,
                 heartbeat: Duration::from_millis(200),
             },
+            loads: vec!["draft-1".into()],
         };
         let source =
             || Box::new(PeriodicMaps::new(Duration::from_millis(700))) as Box<dyn MapSource>;
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -231,6 +231,31 @@
     pub upstream: SocketAddr,
 }
 
+/// A companion's rank in a model group.
+#[derive(Clone, Copy, Debug)]
+pub struct RankPlacement {
+    /// The rank.
+    pub index: u16,
+    /// Number of ranks in the group.
+    pub ranks: u16,
+    /// Address that admits one sender to the engine.
+    pub sender_lock: SocketAddr,
+    /// Address at which the other companions reach this one.
+    pub advertise: SocketAddr,
+}
+
+impl RankPlacement {
+    fn settings(&self, group: &str) -> String {
+        format!(
+            "[rank]\ngroup = \"{group}\"\nindex = {}\nranks = {}\nsender_lock = \"{}\"\n\
+             advertise = \"{}\"\nstep_ms = 20\ngrant_horizon_ms = 500\nheartbeat_ms = 100\n\
+             suspect_after_ms = 1500\nclaim_stagger_ms = 300\nmap_interval_ms = 200\n\
+             loads = [\"draft-1\"]\n",
+            self.index, self.ranks, self.sender_lock, self.advertise
+        )
+    }
+}
+
 /// The platform's stand-ins and a folder for settings and logs.
 #[derive(Debug)]
 pub struct Fleet {
@@ -381,6 +406,17 @@
         program
     }
 
+    /// Starts the companion of a rank at an address without listing it.
+    #[must_use]
+    pub fn rank_companion(
+        &self,
+        place: &Placement<'_>,
+        address: SocketAddr,
+        rank: &RankPlacement,
+    ) -> Program {
+        self.launch_companion(place, address, &rank.settings(place.service))
+    }
+
     fn launch_companion(&self, place: &Placement<'_>, address: SocketAddr, more: &str) -> Program {
         let admin = free_address();
         let settings = format!(
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each stand-in is a small HTTP server that keeps its state in memory and
 //! records what it really did, so that a test can compare that record with
-//! what callers were told. No product crate depends on this one.
+//! what callers were told. Product crates use this one in tests alone.
 
 pub mod append_log;
 pub mod balance_run;
@@ -14,6 +14,8 @@
 pub mod instance_list;
 pub mod plain_service;
 pub mod queueing;
+pub mod rank_engine;
+pub mod rank_group;
 pub mod scenario;
 pub mod server;
 pub mod stream_load;
@@ -25,9 +27,12 @@
     pub use crate::caller::{Ask, Told, chat_messages};
     pub use crate::engine::{EngineOptions, EngineStandIn};
     pub use crate::fault_proxy::{FaultProxy, LinkFaults};
-    pub use crate::fleet::{Fleet, Placement, Program, Programs, free_address, wait_for};
+    pub use crate::fleet::{
+        Fleet, Placement, Program, Programs, RankPlacement, free_address, wait_for,
+    };
     pub use crate::instance_list::InstanceListStandIn;
     pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
+    pub use crate::rank_group::{RankGroupOptions, RankGroupStandIn};
     pub use crate::server::{Reply, StandInHandler, serve};
     pub use crate::stream_load::{Burst, StreamTimes, send_burst};
     pub use crate::weight_store::{WeightStoreOptions, WeightStoreStandIn};
--- /dev/null
+++ b/tests/invariants/one_expert_map_per_step.rs
@@ -0,0 +1,175 @@
+//! In every step, all ranks of a group use one and the same expert map.
+
+use crate::rank_fleet::{RANKS, RankFleet};
+use egretstage_standins::append_log::AppendLogFaults;
+use egretstage_standins::prelude::*;
+use egretstage_standins::rank_group::check_steps;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::panic::{AssertUnwindSafe, catch_unwind, resume_unwind};
+use std::time::Duration;
+
+/// Schedules that run without a seed of choice.
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+/// Names the seeds to run instead, separated by commas.
+const SEED_VARIABLE: &str = "EGRET_SEEDS";
+
+/// Faults in one schedule.
+const FAULTS: usize = 5;
+
+/// Time for which a process is frozen: past the suspicion of the decider.
+const FREEZE: Duration = Duration::from_millis(2_500);
+
+/// Steps and a switch that a healed group has to run.
+const STEPS_AFTER_FAULTS: usize = 40;
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    KillDecider,
+    KillRank,
+    FreezeDecider,
+    FreezeRank,
+    ReplaceRank,
+    DelayLinks,
+    CutLinks,
+    SilentLinks,
+    LogDown,
+    KillDeciderWithAnswersLost,
+    EngineAnswersLost,
+}
+
+const ALL_FAULTS: [Fault; 11] = [
+    Fault::KillDecider,
+    Fault::KillRank,
+    Fault::FreezeDecider,
+    Fault::FreezeRank,
+    Fault::ReplaceRank,
+    Fault::DelayLinks,
+    Fault::CutLinks,
+    Fault::SilentLinks,
+    Fault::LogDown,
+    Fault::KillDeciderWithAnswersLost,
+    Fault::EngineAnswersLost,
+];
+
+fn seeds() -> Vec<u64> {
+    let Ok(text) = std::env::var(SEED_VARIABLE) else {
+        return SEEDS.to_vec();
+    };
+    let seeds = text.split(',').map(|seed| seed.trim().parse());
+    seeds.collect::<Result<_, _>>().expect("numbers")
+}
+
+#[test]
+fn through_schedules_of_faults() {
+    std::thread::scope(|scope| {
+        for seed in seeds() {
+            scope.spawn(move || with_seed(seed, run_schedule));
+        }
+    });
+}
+
+/// Prints how to repeat a seed that fails.
+fn with_seed(seed: u64, run: fn(u64)) {
+    if let Err(cause) = catch_unwind(AssertUnwindSafe(|| run(seed))) {
+        eprintln!(
+            "repeat with {SEED_VARIABLE}={seed} cargo test --locked --test invariants \
+             one_expert_map_per_step"
+        );
+        resume_unwind(cause);
+    }
+}
+
+fn run_schedule(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut group = RankFleet::start(seed, seed.is_multiple_of(2));
+    let mut faults = Vec::new();
+    for _ in 0..FAULTS {
+        let fault = *ALL_FAULTS.choose(&mut rng).expect("some faults");
+        faults.push(fault);
+        inject(&mut group, fault, &mut rng);
+        std::thread::sleep(Duration::from_millis(rng.random_range(50..900)));
+    }
+    heal(&group);
+    group.await_steps(STEPS_AFTER_FAULTS);
+    group.await_switch();
+    let ran = group.engines.ran();
+    check_steps(&ran).unwrap_or_else(|e| panic!("seed {seed}, {faults:?}: {e}"));
+    let orders = group.check_orders();
+    orders.unwrap_or_else(|e| panic!("seed {seed}, {faults:?}: {e}"));
+    println!(
+        "seed {seed}: {faults:?}: {} steps, {} maps",
+        group.engines.steps(),
+        group.maps()
+    );
+}
+
+fn inject(group: &mut RankFleet, fault: Fault, rng: &mut ChaCha8Rng) {
+    let rank = rng.random_range(0..usize::from(RANKS));
+    let decider = group.decider().unwrap_or(rank);
+    match fault {
+        Fault::KillDecider => group.restart(decider),
+        Fault::KillRank => group.restart(rank),
+        Fault::FreezeDecider => freeze(&group.ranks[decider].companion),
+        Fault::FreezeRank => freeze(&group.ranks[rank].companion),
+        Fault::ReplaceRank => replace(group, 1 + rank % (usize::from(RANKS) - 1)),
+        Fault::DelayLinks => group.ranks.iter().for_each(|instance| {
+            instance.links.set(LinkFaults {
+                delay: Duration::from_millis(rng.random_range(10..80)),
+                jitter: Duration::from_millis(200),
+                ..LinkFaults::default()
+            });
+        }),
+        Fault::CutLinks => group.ranks[decider].links.cut(),
+        Fault::SilentLinks => {
+            let links = &group.ranks[decider].links;
+            links.set(LinkFaults {
+                silent: true,
+                ..LinkFaults::default()
+            });
+            std::thread::sleep(FREEZE);
+            links.heal();
+        }
+        Fault::LogDown => group.fleet.log.set_faults(AppendLogFaults {
+            down: true,
+            ..AppendLogFaults::default()
+        }),
+        Fault::KillDeciderWithAnswersLost => {
+            group.fleet.log.set_faults(AppendLogFaults {
+                lose_append_answers: true,
+                ..AppendLogFaults::default()
+            });
+            group.restart(decider);
+        }
+        Fault::EngineAnswersLost => group.ranks[rank].engine.set(LinkFaults {
+            lose_answers: true,
+            ..LinkFaults::default()
+        }),
+    }
+}
+
+fn freeze(companion: &Program) {
+    companion.freeze();
+    std::thread::sleep(FREEZE);
+    companion.thaw();
+}
+
+/// Replaces a rank whose old instance wakes once the new one is in place.
+fn replace(group: &mut RankFleet, rank: usize) {
+    heal(group);
+    group.replace(rank);
+    group.await_steps(1);
+    if let Some(old) = group.replaced.last() {
+        old.companion.thaw();
+    }
+}
+
+fn heal(group: &RankFleet) {
+    group.fleet.log.set_faults(AppendLogFaults::default());
+    for instance in &group.ranks {
+        instance.links.heal();
+        instance.engine.heal();
+    }
+}
