Keep a group stepping while its decider is replaced

Cause: a new decider asked each rank to leave its generation as soon as that rank attached. The first to attach, its own, stopped the group, and the others still had to notice, read the log and dial: 2.08 s of stall after a kill -9, though all ranks held grants for seconds ahead.

Change: a decider asks nobody to leave before all ranks have attached; as a step needs all ranks, asking earlier gains nothing. A rank that reaches another incarnation than the holder's, or loses the holder's link, reads the claims at once. A rank whose engine has not answered for 2 s detaches, so that a replacement can take its place. Ranks attach again after half of the suspicion time instead of 1 s, the default heartbeat, at which each heartbeat caused an attach. Ranks that hear their decider read the claims each 5 min instead of 30 s.

A model fault found on the way: it delivered frames of links that had ended, which the link crate rules out; a seat then stayed with a dead link.

The schedules are now the same in each run (fixed seed of proptest); PROPTEST_RNG_SEED and PROPTEST_CASES choose others.

--- a/crates/egretstage_group/src/decider.rs
+++ b/crates/egretstage_group/src/decider.rs
@@ -29,7 +29,7 @@
 /// How far a generation is.
 #[derive(Debug)]
 enum Phase {
-    /// Not all ranks have joined.
+    /// Not all ranks have taken their places and joined.
     Joining,
     /// All ranks have joined; not all hold the first map.
     Staging { from: Step },
@@ -159,6 +159,7 @@
     ) -> bool {
         match frame {
             GroupFrame::Attach { rank, state } => self.attach(peer, rank, &state, out),
+            GroupFrame::Detach { rank } => self.detach(peer, rank),
             GroupFrame::Joined {
                 generation,
                 state,
@@ -195,13 +196,31 @@
         }
         seat.peer = Some(peer);
         let continues = seat.is_boot(state.boot) && state.generation == Some(self.generation);
-        if !continues && (seat.joined.is_some() || !matches!(self.phase, Phase::Joining)) {
+        let joining = matches!(self.phase, Phase::Joining);
+        if !continues && (seat.joined.is_some() || !joining) {
             self.form(FormReason::RankReplaced, out);
+        } else if joining && self.all_attached() {
+            self.resend(out);
         } else {
             self.resend_to(usize::from(rank.0), out);
         }
     }
 
+    fn detach(&mut self, peer: Peer, rank: RankIndex) {
+        let seat = self.seats.get_mut(usize::from(rank.0));
+        if let Some(seat) = seat.filter(|seat| seat.peer == Some(peer)) {
+            seat.peer = None;
+        }
+    }
+
+    /// Tells whether all ranks have taken their places.
+    ///
+    /// Until then no rank is asked to leave the generation that it is in, so
+    /// that the group runs on with what an earlier decider granted.
+    fn all_attached(&self) -> bool {
+        self.seats.iter().all(|seat| seat.peer.is_some())
+    }
+
     fn joined(
         &mut self,
         peer: Peer,
--- a/crates/egretstage_group/src/decider/dispatch.rs
+++ b/crates/egretstage_group/src/decider/dispatch.rs
@@ -22,7 +22,7 @@
         let generation = self.generation;
         let lacks = |map: &&VersionedMap| !seat.held.contains(&map.version);
         match &self.phase {
-            Phase::Joining if seat.joined.is_none() => {
+            Phase::Joining if seat.joined.is_none() && self.all_attached() => {
                 let have = self.active.as_ref().map(|map| map.version);
                 out.push(Output::ToRank(peer, GroupFrame::Join { generation, have }));
             }
--- a/crates/egretstage_group/src/gate.rs
+++ b/crates/egretstage_group/src/gate.rs
@@ -15,8 +15,8 @@
 /// Pause before a call without an answer is repeated.
 const CALL_RETRY: Duration = Duration::from_millis(100);
 
-/// Silence of the decider after which the rank attaches again.
-const ATTACH_RETRY: Duration = Duration::from_secs(1);
+/// Silence of the engine after which another may take the rank's place.
+const ENGINE_LOST: Duration = Duration::from_secs(2);
 
 /// Maps that a gate remembers, so that it can take over as decider.
 const REMEMBERED_MAPS: usize = 2;
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub struct RankGate {
     rank: RankIndex,
+    /// Silence of the decider after which the rank attaches again.
+    attach_after: Duration,
     promised: Option<Generation>,
     ordered: Fence,
     state: Option<RankState>,
@@ -41,14 +43,20 @@
     queue: VecDeque<Queued>,
     in_flight: Option<Queued>,
     retry_at: Option<Instant>,
+    /// When the engine's present silence began.
+    silent_since: Option<Instant>,
+    detached: bool,
 }
 
 impl RankGate {
     /// Starts the gate of a rank, before its engine has been asked anything.
+    ///
+    /// The rank attaches again after that much silence of the decider.
     #[must_use]
-    pub fn new(rank: RankIndex) -> Self {
+    pub fn new(rank: RankIndex, attach_after: Duration) -> Self {
         Self {
             rank,
+            attach_after,
             promised: None,
             ordered: Fence::default(),
             state: None,
@@ -58,6 +66,8 @@
             queue: VecDeque::new(),
             in_flight: None,
             retry_at: None,
+            silent_since: None,
+            detached: false,
         }
     }
 
@@ -200,14 +210,28 @@
             return;
         };
         if let Ok(reply) = result {
+            self.silent_since = None;
             self.answered(done, reply, out);
+            if std::mem::take(&mut self.detached) {
+                self.attach(out);
+            }
         } else {
             self.retry_at = Some(now + CALL_RETRY);
             self.queue.push_front(done);
+            self.detach_if_lost(now, out);
         }
         self.pump(now, out);
     }
 
+    fn detach_if_lost(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let since = *self.silent_since.get_or_insert(now);
+        if let Some(peer) = self.decider.filter(|_| now - since >= ENGINE_LOST) {
+            self.detached = true;
+            let rank = self.rank;
+            out.push(Output::ToDecider(peer, GroupFrame::Detach { rank }));
+        }
+    }
+
     fn answered(&mut self, done: Queued, reply: EngineReply, out: &mut Vec<Output>) {
         let state = reply.state;
         let before = self.state.replace(state.clone());
@@ -290,6 +314,6 @@
     fn attach_at(&self) -> Option<Instant> {
         self.decider
             .and(self.heard)
-            .map(|heard| heard + ATTACH_RETRY)
+            .map(|heard| heard + self.attach_after)
     }
 }
--- a/crates/egretstage_group/src/member.rs
+++ b/crates/egretstage_group/src/member.rs
@@ -19,7 +19,7 @@
 const DIAL_RETRY: Duration = Duration::from_millis(200);
 
 /// Time between two reads of the claims while the holder is heard.
-const CALM_READ: Duration = Duration::from_secs(30);
+const CALM_READ: Duration = Duration::from_mins(5);
 
 /// Time between two reads of the claims by the holder.
 const HOLDER_READ: Duration = Duration::from_secs(2);
@@ -91,7 +91,7 @@
             settings.incarnation,
         );
         Self {
-            gate: RankGate::new(settings.rank),
+            gate: RankGate::new(settings.rank, settings.claims.suspect_after / 2),
             settings,
             make_source,
             claims: Claims::default(),
@@ -220,12 +220,14 @@
             self.gate.set_decider(now, peer, &mut self.out);
         } else {
             fx.push(MemberEffect::Close(link));
+            self.read_at = now;
         }
     }
 
     fn link_down(&mut self, now: Instant, link: PeerLink) {
         if self.holder_link == Some(link) {
             self.holder_link = None;
+            self.read_at = now;
             self.gate.set_decider(now, None, &mut self.out);
         }
         if let Some(decider) = &mut self.decider {
@@ -328,6 +330,7 @@
         | GroupFrame::Heartbeat
         | GroupFrame::Order(_) => true,
         GroupFrame::Attach { .. }
+        | GroupFrame::Detach { .. }
         | GroupFrame::Joined { .. }
         | GroupFrame::Staged { .. }
         | GroupFrame::Progress { .. }
--- a/crates/egretstage_group/tests/lockstep/links.rs
+++ b/crates/egretstage_group/tests/lockstep/links.rs
@@ -2,12 +2,23 @@
 
 use crate::world::{Event, FASTEST, FIRST_PORT, LINK_SILENCE, World};
 use egretstage_group::prelude::*;
-use egretstage_wire::{GroupFrame, Incarnation};
+use egretstage_wire::{Frame, GroupFrame, Incarnation, encode};
 use std::net::SocketAddr;
 
 impl World {
     pub(crate) fn send(&mut self, n: usize, link: PeerLink, frame: &GroupFrame) -> bool {
         let kind: &'static str = frame.into();
+        if self.nodes[n]
+            .member
+            .as_ref()
+            .is_some_and(|m| m.decider().is_some())
+        {
+            let encoded = encode(&Frame::Group(Box::new(frame.clone())));
+            self.sent.decider_bytes += encoded.expect("a small frame").len();
+            self.sent.decider_frames += 1;
+        } else {
+            self.sent.rank_frames += 1;
+        }
         if let Some((a, b)) = self.links.get(&link).copied() {
             let to = if a == n { b } else { a };
             let life = self.nodes[to].life;
--- a/crates/egretstage_group/tests/lockstep/main.rs
+++ b/crates/egretstage_group/tests/lockstep/main.rs
@@ -1,6 +1,7 @@
 //! All ranks of a group use one map in every step, whatever fails: thousands
 //! of seeded schedules of faults in virtual time.
 
+mod costs;
 mod faults;
 mod links;
 mod world;
@@ -8,6 +9,7 @@
 use egretstage_standins::rank_engine::Discipline;
 use faults::Fault;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::Duration;
 use world::{Network, World};
 
@@ -20,7 +22,7 @@
 /// Time in which a group without faults has to step on and switch.
 const CALM_TIME: Duration = Duration::from_secs(4);
 
-/// Fewest steps in [`CALM_TIME`]; a step takes two ticks of its engine.
+/// Fewest steps in [`CALM_TIME`].
 const FEWEST_STEPS: u64 = 60;
 
 fn fault() -> impl Strategy<Value = Fault> {
@@ -58,8 +60,21 @@
     prop::collection::vec((0..most, fault()), 0..12)
 }
 
+/// Runs the same schedules each time, unless `PROPTEST_RNG_SEED` and
+/// `PROPTEST_CASES` ask for others.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::default();
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = 1_000;
+    }
+    config
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     #[test]
     fn engines_that_check_fences_run_one_map_in_every_step(
--- a/crates/egretstage_group/tests/lockstep/world.rs
+++ b/crates/egretstage_group/tests/lockstep/world.rs
@@ -55,8 +55,49 @@
     u16::try_from(n).expect("few ranks")
 }
 
+/// Limits of the members.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limits {
+    pub(crate) claims: ClaimLimits,
+    pub(crate) horizon_steps: u64,
+    pub(crate) heartbeat: Duration,
+    pub(crate) map_interval: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            claims: ClaimLimits {
+                suspect_after: Duration::from_secs(1),
+                stagger: Duration::from_millis(200),
+                renew_after: Duration::from_secs(3),
+            },
+            horizon_steps: 25,
+            heartbeat: Duration::from_millis(200),
+            map_interval: Duration::from_millis(700),
+        }
+    }
+}
+
+/// What the members have sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Sent {
+    /// Frames of the decider.
+    pub(crate) decider_frames: usize,
+    /// Their encoded bytes.
+    pub(crate) decider_bytes: usize,
+    /// Frames of all ranks.
+    pub(crate) rank_frames: usize,
+    /// Appended claims.
+    pub(crate) appends: usize,
+    /// Reads of the log.
+    pub(crate) reads: usize,
+}
+
 pub(crate) struct World {
     pub(crate) ranks: usize,
+    pub(crate) limits: Limits,
+    pub(crate) sent: Sent,
     pub(crate) now: Instant,
     pub(crate) sequence: u64,
     pub(crate) events: BTreeMap<(Instant, u64), Event>,
@@ -82,9 +123,21 @@
 
 impl World {
     pub(crate) fn new(ranks: usize, network: Network, seed: u64, kind: (Discipline, bool)) -> Self {
+        Self::with_limits(ranks, network, seed, kind, Limits::default())
+    }
+
+    pub(crate) fn with_limits(
+        ranks: usize,
+        network: Network,
+        seed: u64,
+        kind: (Discipline, bool),
+        limits: Limits,
+    ) -> Self {
         let now = Instant::now();
         let mut world = Self {
             ranks,
+            limits,
+            sent: Sent::default(),
             now,
             sequence: 0,
             events: BTreeMap::new(),
@@ -199,20 +252,16 @@
             incarnation: Incarnation(n as u64 * 1_000 + life),
             address: SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + index(n))),
             rank: RankIndex(index(n)),
-            claims: ClaimLimits {
-                suspect_after: Duration::from_secs(1),
-                stagger: Duration::from_millis(200),
-                renew_after: Duration::from_secs(3),
-            },
+            claims: self.limits.claims,
             decider: DeciderLimits {
                 ranks: index(self.ranks),
-                horizon_steps: 25,
-                heartbeat: Duration::from_millis(200),
+                horizon_steps: self.limits.horizon_steps,
+                heartbeat: self.limits.heartbeat,
             },
             loads: vec!["draft-1".into()],
         };
-        let source =
-            || Box::new(PeriodicMaps::new(Duration::from_millis(700))) as Box<dyn MapSource>;
+        let interval = self.limits.map_interval;
+        let source = move || Box::new(PeriodicMaps::new(interval)) as Box<dyn MapSource>;
         self.nodes[n].member = Some(GroupMember::new(self.now, settings, Box::new(source)));
         self.at(Duration::ZERO, Event::Wake(n, life));
     }
@@ -224,6 +273,8 @@
             Event::Member(n, life, event) if self.is_frozen(n) => {
                 self.defer(n, Event::Member(n, life, event));
             }
+            Event::Member(_, _, MemberEvent::Frame { link, .. })
+                if !self.links.contains_key(&link) => {}
             Event::Member(n, life, event) => self.step(n, life, Some(event)),
             Event::EngineTick(e) => {
                 if self.engine_frozen[e] <= self.now {
@@ -296,8 +347,12 @@
             MemberEffect::Send { link, frame } => return self.send(n, link, &frame),
             MemberEffect::Close(link) => self.end_link(link),
             MemberEffect::Dial(address) => self.dial(n, life, address),
-            MemberEffect::Read(from) => self.read(n, life, from),
+            MemberEffect::Read(from) => {
+                self.sent.reads += 1;
+                self.read(n, life, from);
+            }
             MemberEffect::Append(record) => {
+                self.sent.appends += 1;
                 if !self.log_down && !self.chance(self.network.loss) {
                     self.log.push(record);
                 }
--- a/crates/egretstage_wire/src/group.rs
+++ b/crates/egretstage_wire/src/group.rs
@@ -130,6 +130,11 @@
         /// What its engine reports.
         state: RankState,
     },
+    /// Rank to decider: the engine no longer answers; another may take the place.
+    Detach {
+        /// The rank.
+        rank: RankIndex,
+    },
     /// Decider to rank: leave earlier generations and join this one.
     Join {
         /// The generation.
