Give the engine's stand-in a prefix cache with late, gappy events

Cause: the stand-in prefilled every prompt whole, so a preference for cached prefixes could not show in a process test.

The change: a least-recently-used cache of limited size; only what it doesn't hold is prefilled; GET /cache-events/N answers with the changes after a number, late and with gaps.

--- a/crates/egretstage_routing/src/cache_index.rs
+++ b/crates/egretstage_routing/src/cache_index.rs
@@ -50,6 +50,12 @@
         self.last_use.is_empty()
     }
 
+    /// Tells whether a block is remembered.
+    #[must_use]
+    pub fn contains(&self, block: BlockHash) -> bool {
+        self.last_use.contains_key(&block)
+    }
+
     /// Notes that the upstream has used or stored a prompt's blocks.
     pub fn used(&mut self, prompt: &PrefixFingerprint) {
         // The last block is the first to go, so that a prefix stays whole.
--- a/crates/egretstage_standins/src/engine.rs
+++ b/crates/egretstage_standins/src/engine.rs
@@ -1,11 +1,14 @@
 //! The stand-in for a model engine.
 //!
 //! It batches continuously, streams tokens at a fixed interval, queues by
-//! priority when its slots are full, and drops a stream whose client hangs up.
+//! priority when its slots are full, prefills the part of a prompt that its
+//! prefix cache doesn't hold, and drops a stream whose client hangs up.
 //! The tokens depend on the prompt alone, so a test can tell whether an answer
 //! is whole and belongs to its request.
 
+use crate::engine_cache::{PrefixCache, PrefixCacheOptions};
 use crate::server::{Call, Reply, StandInHandler, serve};
+use egretstage_routing::PrefixFingerprint;
 use hyper::body::Bytes;
 use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
@@ -34,6 +37,8 @@
     pub prefill_tokens_per_second: u32,
     /// Age of the figures that `GET /load` answers with.
     pub load_lag: Duration,
+    /// The prefix cache.
+    pub cache: PrefixCacheOptions,
 }
 
 impl Default for EngineOptions {
@@ -43,6 +48,7 @@
             token_interval: Duration::from_millis(35),
             prefill_tokens_per_second: 20_000,
             load_lag: Duration::from_millis(200),
+            cache: PrefixCacheOptions::default(),
         }
     }
 }
@@ -92,6 +98,7 @@
 pub struct EngineStandIn {
     options: EngineOptions,
     state: Arc<Mutex<State>>,
+    cache: Mutex<PrefixCache>,
 }
 
 /// A place among the running streams, given back when dropped.
@@ -110,7 +117,7 @@
     }
 }
 
-fn lock(state: &Mutex<State>) -> std::sync::MutexGuard<'_, State> {
+fn lock<T>(state: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -127,6 +134,7 @@
         let engine = Arc::new(Self {
             options,
             state: Arc::default(),
+            cache: Mutex::new(PrefixCache::new(options.cache)),
         });
         let address = serve(address, Arc::clone(&engine))?;
         Ok((engine, address))
@@ -172,7 +180,7 @@
         let priority = call.header("egret-priority").and_then(|p| p.parse().ok());
         let slot = self.slot(priority.unwrap_or(0)).await;
         let prompt = chat.messages.to_string();
-        let prefill_tokens = f64::from(u32::try_from(prompt.len() / 4).unwrap_or(u32::MAX));
+        let prefill_tokens = f64::from(self.uncached_tokens(&chat.messages));
         let rate = f64::from(self.options.prefill_tokens_per_second);
         tokio::time::sleep(Duration::from_secs_f64(prefill_tokens / rate)).await;
         let (tx, mut rx) = channel(STREAM_BUFFER);
@@ -194,6 +202,22 @@
         whole_answer(&chat.model, &text)
     }
 
+    /// Stores a prompt in the prefix cache and returns the tokens to prefill.
+    fn uncached_tokens(&self, messages: &serde_json::Value) -> u32 {
+        let parts = messages.as_array().into_iter().flatten();
+        let prompt: String = parts.map(ToString::to_string).collect();
+        let tokens = u32::try_from(prompt.len() / 4).unwrap_or(u32::MAX);
+        let fingerprint = PrefixFingerprint::of_text(prompt.as_bytes());
+        let held = lock(&self.cache).prefill(Instant::now(), &fingerprint);
+        tokens.saturating_sub(held)
+    }
+
+    /// Answers with the cache's events after the number that ends the path.
+    fn cache_events(&self, path: &str) -> Reply {
+        let after = path.rsplit('/').next().and_then(|after| after.parse().ok());
+        Reply::ok(&lock(&self.cache).events(Instant::now(), after.unwrap_or(0)))
+    }
+
     fn load(&self) -> EngineLoad {
         let mut state = lock(&self.state);
         let now = Instant::now();
@@ -299,6 +323,7 @@
             ("POST", "/v1/chat/completions") => self.chat(&call).await,
             ("GET", "/load") => Reply::ok(&self.load()),
             ("GET", "/ran") => Reply::ok(&self.ran()),
+            ("GET", path) if path.starts_with("/cache-events/") => self.cache_events(path),
             _ => Reply::error(404, "no such path"),
         }
     }
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod balance_run;
 pub mod caller;
 pub mod engine;
+pub mod engine_cache;
 pub mod expert_demand;
 pub mod fault_proxy;
 pub mod fleet;
--- /dev/null
+++ b/crates/egretstage_standins/tests/engine_cache.rs
@@ -0,0 +1,36 @@
+//! The prefix cache of the engine's stand-in.
+
+use egretstage_routing::PrefixFingerprint;
+use egretstage_standins::engine_cache::{CacheChange, CacheEvent, PrefixCache, PrefixCacheOptions};
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_cache_is_bounded_and_its_events_are_late_with_gaps() {
+    let start = Instant::now();
+    let mut cache = PrefixCache::new(PrefixCacheOptions {
+        blocks: 4,
+        event_lag: Duration::from_secs(1),
+        lose_every: 3,
+    });
+    let first = PrefixFingerprint::of_blocks(&[1, 2, 3]);
+    assert_eq!(cache.prefill(start, &first), 0);
+    assert_eq!(cache.prefill(start, &first), 192);
+    assert_eq!(
+        cache.prefill(start, &PrefixFingerprint::of_blocks(&[7, 8])),
+        0
+    );
+    assert_eq!(
+        cache.prefill(start, &first),
+        128,
+        "the last block had to go"
+    );
+
+    assert!(cache.events(start, 0).is_empty());
+    let events = cache.events(start + Duration::from_secs(1), 0);
+    let numbers: Vec<_> = events.iter().map(|event| event.sequence).collect();
+    assert!(numbers.iter().all(|number| number % 3 != 0), "{numbers:?}");
+    let evicted = |event: &&CacheEvent| event.change == CacheChange::Evicted;
+    assert!(events.iter().filter(evicted).count() > 0);
+    let after = cache.events(start + Duration::from_secs(1), numbers[1]);
+    assert_eq!(after, events[2..]);
+}
