Give an upstream without measured figures the pace of its peers

Cause: a process test of the decision line failed on a fault: an upstream that had run nothing yet was predicted to answer in 0 us, so a fresh one, in another zone and without the cached prefix, was taken over one that held it. All entries would run after a fresh upstream at once.

Ruled out: a report that got lost; the line shows it, with all paces 0.

The change: paces that aren't known are the mean of those of the other candidates.

--- a/crates/egretstage_entry/src/routing.rs
+++ b/crates/egretstage_entry/src/routing.rs
@@ -8,7 +8,7 @@
 use egretstage_config::Configuration;
 use egretstage_routing::{
     Candidate, Choice, Demand, OutlierDetector, OutputEstimate, Prediction, PrefixFingerprint,
-    RetryBudget, RoutingPolicy,
+    RetryBudget, RoutingPolicy, fill_unknown,
 };
 use egretstage_wire::{DEFAULT_WEIGHT_MILLI, OrganisationName, ServiceName, ZoneName};
 use smallvec::SmallVec;
@@ -155,7 +155,7 @@
         runners: &Runners,
     ) -> Candidates {
         let return_time = self.limits.ejection.return_time;
-        let (keys, figures) = runners
+        let (keys, mut figures): (Vec<_>, Vec<_>) = runners
             .iter()
             .filter(|(_, r)| r.service == call.service && r.open_link().is_some())
             .filter(|(_, r)| rule.allows(r))
@@ -169,6 +169,7 @@
                 (key, figures)
             })
             .unzip();
+        fill_unknown(&mut figures);
         Candidates { keys, figures }
     }
 
--- a/crates/egretstage_routing/src/lib.rs
+++ b/crates/egretstage_routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod fingerprint;
 mod health;
 mod meter;
+mod peers;
 mod policy;
 mod predicted;
 mod prediction;
@@ -34,6 +35,7 @@
 };
 pub use health::{CallResult, Health};
 pub use meter::UpstreamMeter;
+pub use peers::fill_unknown;
 pub use policy::RoutingPolicy;
 pub use predicted::{PredictedFirstToken, PredictionLimits};
 pub use prediction::Prediction;
--- a/crates/egretstage_standins/src/queueing/entry.rs
+++ b/crates/egretstage_standins/src/queueing/entry.rs
@@ -5,7 +5,7 @@
 use egretstage_routing::{
     CallResult, Candidate, Choice, Demand, LeastLoaded, OutlierDetector, OutputEstimate,
     PowerOfTwo, PredictedFirstToken, PredictionLimits, RandomChoice, RetryBudget, RoundRobin,
-    RoutingPolicy, SentWork, UpstreamTracker,
+    RoutingPolicy, SentWork, UpstreamTracker, fill_unknown,
 };
 use egretstage_wire::OrganisationName;
 use std::time::Instant;
@@ -89,7 +89,8 @@
                 self.output.likely_most(req.max_tokens)
             },
         };
-        let (runners, candidates) = self.candidates(now, req);
+        let (runners, mut candidates) = self.candidates(now, req);
+        fill_unknown(&mut candidates);
         match self.policy.choose(&demand, &candidates) {
             Choice::Send { index, .. } => {
                 let runner = runners[index];
