Prove at most once and 'not run' with real processes under faults

Cause: the owners of keys were proved in virtual time only.

The change: two modules of the invariant tests. At most once: owners and entries killed, paused, cut off, silent, delayed, upstreams that lose their answers after the effect, the log down, the same key at two entries at once, an entry dead before its answer, an owner that joins, leaves as planned, dies until its embargo ends. Not run: bookings without keys and look-ups close to their deadline under the same faults, a look-up sent again that finds no other upstream, a companion that wakes after the deadline.

--- a/tests/invariants/main.rs
+++ b/tests/invariants/main.rs
@@ -3,7 +3,10 @@
 //! One module for each point; each compares what the stand-ins really ran
 //! with what callers were told.
 
+mod at_most_once;
+mod desk;
 mod leaving_upstream_gets_no_new_work;
 mod planned_stop_cuts_off_no_request;
+mod refused_as_not_run_never_ran;
 mod seeds;
 mod whole_answer_to_own_caller;
