--- /dev/null
+++ b/crates/egretstage_companion/examples/key_memory.rs
@@ -0,0 +1,176 @@
+//! Measures the memory of remembered keys: `cargo run --release -p
+//! egretstage_companion --example key_memory`.
+
+use compact_str::format_compact;
+use egretstage_companion::prelude::*;
+use egretstage_link::LinkKey;
+use egretstage_once::{OnceLimits, OwnersAction, OwnersRecord};
+use egretstage_platform::{LogPage, LogRecord};
+use egretstage_runtime::Reducer;
+use egretstage_wire::prelude::*;
+use egretstage_wire::{CallKind, CallWork, PROTOCOL_VERSION};
+use std::time::{Duration, Instant};
+
+/// Keys that are remembered.
+const KEYS: usize = 50_000;
+
+/// Sizes of the answers that are held, in bytes.
+const ANSWER_BYTES: [usize; 3] = [0, 200, 2_000];
+
+const LINK: LinkKey = LinkKey(1);
+
+fn main() {
+    let mut companions = Vec::with_capacity(ANSWER_BYTES.len());
+    for bytes in ANSWER_BYTES {
+        let mut companion = Companion::start();
+        let before = resident_bytes();
+        for number in 0..KEYS {
+            companion.book(number, bytes);
+        }
+        companion.forget_readers();
+        let grown = resident_bytes().saturating_sub(before);
+        println!(
+            "{KEYS} keys, answers of {bytes} bytes: {} bytes a key",
+            grown / KEYS
+        );
+        companions.push(companion);
+    }
+}
+
+/// A companion that owns all keys of its service.
+struct Companion {
+    reducer: CompanionReducer,
+    now: Instant,
+    effects: Vec<CompanionEffect>,
+}
+
+impl Companion {
+    fn start() -> Self {
+        let now = Instant::now();
+        let member = Member {
+            instance: InstanceId::try_from("ledger-1").expect("a name"),
+            incarnation: Incarnation(1),
+        };
+        let options = KeyOptions {
+            service: service(),
+            member: member.clone(),
+            limits: OnceLimits {
+                lease: Duration::from_hours(1),
+                ..OnceLimits::default()
+            },
+            max_answer_bytes: 64 * 1024,
+            max_held_bytes: 1024 * 1024 * 1024,
+        };
+        let reducer = CompanionReducer::new(now, CompanionLimits { slots: 64 }).with_keys(options);
+        let mut companion = Self {
+            reducer,
+            now,
+            effects: Vec::new(),
+        };
+        companion.open(member);
+        companion
+    }
+
+    fn open(&mut self, member: Member) {
+        let hello = Box::new(Hello {
+            version: PROTOCOL_VERSION,
+            role: Role::Entry,
+            instance: InstanceId::try_from("entry-1").expect("a name"),
+            incarnation: Incarnation(2),
+            zone: ZoneName::try_from("west").expect("a name"),
+            service: None,
+        });
+        self.event(CompanionEvent::LinkUp { link: LINK, hello });
+        let record = OwnersRecord {
+            id: "join".into(),
+            member,
+            base: Epoch(0),
+            settled: Epoch(0),
+            action: OwnersAction::Join,
+        };
+        let page = Box::new(LogPage {
+            first: 1,
+            next: 2,
+            records: vec![LogRecord {
+                offset: 1,
+                id: "join".into(),
+                data: serde_json::to_value(record).expect("plain data"),
+            }],
+        });
+        let asked = self.now;
+        self.event(CompanionEvent::OwnersRead { asked, page });
+    }
+
+    fn event(&mut self, event: CompanionEvent) {
+        self.effects.clear();
+        self.reducer.reduce(self.now, event, &mut self.effects);
+    }
+
+    /// Runs one booking to its end.
+    fn book(&mut self, number: usize, answer_bytes: usize) {
+        let frame = Frame::Start(Box::new(start(number)));
+        self.event(CompanionEvent::Frame { link: LINK, frame });
+        let started = self.effects.iter().find_map(|effect| match effect {
+            CompanionEffect::StartUpstream { run, .. } => Some(*run),
+            _ => None,
+        });
+        let run = started.expect("the booking starts");
+        let content_type = Some("application/json".into());
+        self.event(CompanionEvent::UpstreamHead {
+            run,
+            status: 200,
+            content_type,
+        });
+        let bytes = vec![b'x'; answer_bytes];
+        self.event(CompanionEvent::UpstreamBytes { run, bytes });
+        self.event(CompanionEvent::UpstreamEnded { run });
+    }
+
+    /// Lets the time pass for which ended streams are held.
+    fn forget_readers(&mut self) {
+        self.now += Duration::from_secs(10);
+        self.effects.clear();
+        self.reducer.wake(self.now, &mut self.effects);
+        self.effects = Vec::new();
+    }
+}
+
+fn service() -> ServiceName {
+    ServiceName::try_from("ledger").expect("a name")
+}
+
+fn start(number: usize) -> CallStart {
+    CallStart {
+        stream: StreamId {
+            entry: Incarnation(2),
+            sequence: number as u64,
+        },
+        request: RequestId::try_from(format!("{number:032x}").as_str()).expect("a name"),
+        organisation: OrganisationName::try_from("river-guides").expect("a name"),
+        service: service(),
+        kind: CallKind::Plain,
+        key: Some(format_compact!("7c9e6679-7425-40de-944b-{number:012}")),
+        repeatable: false,
+        claim: Some(KeyClaim {
+            epoch: Epoch(1),
+            run_without_log: false,
+            recall: false,
+        }),
+        budget_ms: 30_000,
+        sent_ms: 0,
+        priority: 0,
+        work: CallWork::default(),
+        method: "POST".into(),
+        path: "/deposits".into(),
+        content_type: Some("application/json".into()),
+        credit: 64,
+        body: vec![b'{'; 300],
+    }
+}
+
+/// Returns the resident memory of this process.
+fn resident_bytes() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").expect("Linux");
+    let pages = statm.split_whitespace().nth(1).and_then(|n| n.parse().ok());
+    pages.unwrap_or(0_usize) * 4096
+}
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -249,7 +249,7 @@
             window_ms: 600_000,
             longest_budget_ms: default_max_budget_ms(),
             lease_ms: 3_000,
-            max_keys: 200_000,
+            max_keys: 50_000,
             max_answer_bytes: 64 * 1024,
             max_held_bytes: 64 * 1024 * 1024,
             refresh_interval_ms: 600_000,
--- a/crates/egretstage_once/src/limits.rs
+++ b/crates/egretstage_once/src/limits.rs
@@ -24,7 +24,7 @@
             window: Duration::from_mins(10),
             longest_budget: Duration::from_mins(2),
             lease: Duration::from_secs(3),
-            max_keys: 200_000,
+            max_keys: 50_000,
             refresh_interval: Duration::from_mins(10),
         }
     }
--- a/tests/invariants/at_most_once.rs
+++ b/tests/invariants/at_most_once.rs
@@ -8,6 +8,8 @@
 use egretstage_standins::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -158,6 +160,26 @@
     desk.check(&[("b-18".to_owned(), told)]);
 }
 
+#[test]
+fn when_the_caller_hangs_up() {
+    let desk = Desk::start(2, LONG_WINDOW, Duration::from_millis(700));
+    let entries = desk.addresses();
+    let mut tcp = TcpStream::connect(entries[0]).expect("a connection");
+    let body = "{\"duct\":\"b-21\"}";
+    let request = format!(
+        "POST /services/booking/bookings HTTP/1.1\r\nhost: entry\r\n\
+         authorization: Bearer desk-token\r\nidempotency-key: b-21\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    tcp.write_all(request.as_bytes()).expect("a request");
+    wait_for("the run", || (desk.runs_of("b-21") == 1).then_some(()));
+    drop(tcp);
+    let told = book("b-21").send(entries[1]);
+    assert!(told.is_completed(), "{told:?}");
+    desk.check(&[("b-21".to_owned(), told)]);
+}
+
 #[test]
 fn when_an_owner_joins() {
     let mut desk = Desk::start(1, LONG_WINDOW, WORK);
