Tell the source of maps what the ranks use

Cause: the planner of expert maps goes on only when all ranks use the map that it offered, and after a takeover it has to start from the map that the group runs with. The decider told it neither.

Change: a MapSource hears the map with which a generation starts, and that all ranks use the map that it returned last; it isn't asked again before. The forming of generations moves into a module of its own.

--- a/crates/egretstage_group/src/decider.rs
+++ b/crates/egretstage_group/src/decider.rs
@@ -6,12 +6,13 @@
 //! ranks have left the earlier generations.
 
 mod dispatch;
+mod formation;
 
 use crate::seat::Seat;
 use crate::{FormReason, GroupLine, MapSource, Output, Peer, PeerLink, Schedule};
 use egretstage_wire::{
-    EngineOrder, Fence, Generation, GroupFrame, MapVersion, OrderAction, RankIndex, RankState,
-    Step, VersionedMap,
+    EngineOrder, Fence, Generation, GroupFrame, MapVersion, OrderAction, RankIndex, Step,
+    VersionedMap,
 };
 use std::time::{Duration, Instant};
 
@@ -49,6 +50,8 @@
     active: Option<VersionedMap>,
     /// Map on its way to all ranks.
     next: Option<VersionedMap>,
+    /// Whether the source waits to hear that its last map is in use.
+    switching: bool,
     maps: u32,
     orders: u32,
     entered: Step,
@@ -86,6 +89,7 @@
             phase: Phase::Joining,
             active,
             next: None,
+            switching: false,
             maps: 0,
             orders: 0,
             entered: Step::default(),
@@ -130,16 +134,6 @@
         }
     }
 
-    /// Starts a generation: no step is granted until all ranks have joined.
-    fn form(&mut self, reason: FormReason, out: &mut Vec<Output>) {
-        self.generation.number += 1;
-        self.phase = Phase::Joining;
-        self.seats.iter_mut().for_each(Seat::reset);
-        let generation = self.generation;
-        out.push(Output::Line(GroupLine::Form { generation, reason }));
-        self.resend(out);
-    }
-
     /// Handles the end of a link.
     pub fn link_down(&mut self, link: PeerLink) {
         for seat in &mut self.seats {
@@ -184,83 +178,6 @@
         true
     }
 
-    fn attach(&mut self, peer: Peer, rank: RankIndex, state: &RankState, out: &mut Vec<Output>) {
-        let Some(seat) = self.seats.get_mut(usize::from(rank.0)) else {
-            return;
-        };
-        let other_peer = seat.peer.is_some_and(|holder| holder != peer);
-        if other_peer && seat.joined.is_some() && !seat.is_boot(state.boot) {
-            out.push(Output::Line(GroupLine::RankOccupied { rank }));
-            out.push(Output::ToRank(peer, GroupFrame::Heartbeat));
-            return;
-        }
-        seat.peer = Some(peer);
-        let continues = seat.is_boot(state.boot) && state.generation == Some(self.generation);
-        let joining = matches!(self.phase, Phase::Joining);
-        if !continues && (seat.joined.is_some() || !joining) {
-            self.form(FormReason::RankReplaced, out);
-        } else if joining && self.all_attached() {
-            self.resend(out);
-        } else {
-            self.resend_to(usize::from(rank.0), out);
-        }
-    }
-
-    fn detach(&mut self, peer: Peer, rank: RankIndex) {
-        let seat = self.seats.get_mut(usize::from(rank.0));
-        if let Some(seat) = seat.filter(|seat| seat.peer == Some(peer)) {
-            seat.peer = None;
-        }
-    }
-
-    /// Tells whether all ranks have taken their places.
-    ///
-    /// Until then no rank is asked to leave the generation that it is in, so
-    /// that the group runs on with what an earlier decider granted.
-    fn all_attached(&self) -> bool {
-        self.seats.iter().all(|seat| seat.peer.is_some())
-    }
-
-    fn joined(
-        &mut self,
-        peer: Peer,
-        state: RankState,
-        map: Option<VersionedMap>,
-        out: &mut Vec<Output>,
-    ) {
-        if !matches!(self.phase, Phase::Joining) {
-            return;
-        }
-        let Some(seat) = self.seats.iter_mut().find(|seat| seat.peer == Some(peer)) else {
-            return;
-        };
-        self.entered = self.entered.max(state.entered);
-        if let Some(map) = map
-            && self
-                .active
-                .as_ref()
-                .is_none_or(|active| active.version < map.version)
-        {
-            self.active = Some(map);
-        }
-        seat.join(state);
-        if self.seats.iter().all(|seat| seat.joined.is_some()) {
-            self.choose_map(out);
-        }
-    }
-
-    /// Chooses the map that the generation starts with.
-    fn choose_map(&mut self, out: &mut Vec<Output>) {
-        if self.active.is_none() {
-            let bytes = self.source.initial();
-            self.active = Some(self.version(bytes));
-        }
-        let from = Step(self.entered.0 + 1);
-        self.phase = Phase::Staging { from };
-        self.resend(out);
-        self.run_if_staged(out);
-    }
-
     fn version(&mut self, bytes: Vec<u8>) -> VersionedMap {
         self.maps += 1;
         let version = MapVersion {
@@ -285,26 +202,6 @@
         self.seats.iter().all(|seat| seat.held.contains(&version))
     }
 
-    /// Grants the first steps of a generation once all ranks hold the map.
-    fn run_if_staged(&mut self, out: &mut Vec<Output>) {
-        let (Phase::Staging { from }, Some(active)) = (&self.phase, &self.active) else {
-            return;
-        };
-        let (from, map) = (*from, active.version);
-        if !self.all_hold(map) {
-            return;
-        }
-        let generation = self.generation;
-        let schedule = Schedule::new(generation, map, from, self.limits.horizon_steps);
-        self.phase = Phase::Running(schedule);
-        out.push(Output::Line(GroupLine::Run {
-            generation,
-            from,
-            map,
-        }));
-        self.resend(out);
-    }
-
     /// Decides a switch once all ranks hold the next map.
     fn switch_if_staged(&mut self, now: Instant, out: &mut Vec<Output>) {
         let Some(version) = self.next.as_ref().map(|map| map.version) else {
@@ -319,6 +216,7 @@
         }
         let from = schedule.switch(version, self.limits.horizon_steps);
         self.active = self.next.take();
+        self.switching = true;
         self.tick_at = now + self.limits.heartbeat;
         out.push(Output::Line(GroupLine::Switch { map: version, from }));
         self.resend(out);
@@ -352,22 +250,32 @@
         self.tick_at = now + self.limits.heartbeat;
         if let Phase::Running(schedule) = &mut self.phase {
             schedule.extend(self.entered, self.limits.horizon_steps);
-            if self.next.is_none()
-                && let Some(bytes) = self.source.poll(now)
-            {
-                let map = self.version(bytes);
-                let (bytes, version) = (map.bytes.len(), map.version);
-                out.push(Output::Line(GroupLine::Stage {
-                    map: version,
-                    bytes,
-                }));
-                self.next = Some(map);
+            if schedule.switch_is_past() {
+                self.plan(now, out);
             }
         }
         self.resend(out);
         self.switch_if_staged(now, out);
     }
 
+    /// Tells the source what is in use and asks it for a better map.
+    fn plan(&mut self, now: Instant, out: &mut Vec<Output>) {
+        if std::mem::take(&mut self.switching) {
+            self.source.in_use(now);
+        }
+        if self.next.is_none()
+            && let Some(bytes) = self.source.poll(now)
+        {
+            let map = self.version(bytes);
+            let (bytes, version) = (map.bytes.len(), map.version);
+            out.push(Output::Line(GroupLine::Stage {
+                map: version,
+                bytes,
+            }));
+            self.next = Some(map);
+        }
+    }
+
     /// Returns the next instant at which [`wake`](Self::wake) has work.
     #[must_use]
     pub fn next_wake(&self) -> Instant {
--- a/crates/egretstage_group/src/map_source.rs
+++ b/crates/egretstage_group/src/map_source.rs
@@ -7,8 +7,16 @@
     /// Returns the map of a group that has never had one.
     fn initial(&mut self) -> Vec<u8>;
 
+    /// Takes note of the map with which the ranks start a generation.
+    fn resumed(&mut self, _map: &[u8]) {}
+
     /// Returns a better map once there is one.
+    ///
+    /// It isn't asked again before all ranks use the map that it returned.
     fn poll(&mut self, now: Instant) -> Option<Vec<u8>>;
+
+    /// Takes note that all ranks use the map that was returned last.
+    fn in_use(&mut self, _now: Instant) {}
 }
 
 /// Brings in a new map at a fixed interval.
--- a/crates/egretstage_group/tests/lockstep/costs.rs
+++ b/crates/egretstage_group/tests/lockstep/costs.rs
@@ -2,7 +2,8 @@
 //! virtual times, which are the same in each run.
 
 use crate::faults::Fault;
-use crate::world::{Limits, Network, STEP, World};
+use crate::limits::Limits;
+use crate::world::{Network, STEP, World};
 use egretstage_group::ClaimLimits;
 use egretstage_standins::rank_engine::Discipline;
 use std::time::Duration;
--- a/crates/egretstage_group/tests/lockstep/main.rs
+++ b/crates/egretstage_group/tests/lockstep/main.rs
@@ -3,6 +3,7 @@
 
 mod costs;
 mod faults;
+mod limits;
 mod links;
 mod world;
 
--- a/crates/egretstage_group/tests/lockstep/world.rs
+++ b/crates/egretstage_group/tests/lockstep/world.rs
@@ -1,6 +1,7 @@
 //! Members, engines, links and the log of one group in virtual time.
 
 use crate::faults::Fault;
+use crate::limits::{Limits, Sent};
 use egretstage_group::prelude::*;
 use egretstage_runtime::Reducer;
 use egretstage_standins::rank_engine::{
@@ -55,45 +56,6 @@
     u16::try_from(n).expect("few ranks")
 }
 
-/// Limits of the members.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Limits {
-    pub(crate) claims: ClaimLimits,
-    pub(crate) horizon_steps: u64,
-    pub(crate) heartbeat: Duration,
-    pub(crate) map_interval: Duration,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        Self {
-            claims: ClaimLimits {
-                suspect_after: Duration::from_secs(1),
-                stagger: Duration::from_millis(200),
-                renew_after: Duration::from_secs(3),
-            },
-            horizon_steps: 25,
-            heartbeat: Duration::from_millis(200),
-            map_interval: Duration::from_millis(700),
-        }
-    }
-}
-
-/// What the members have sent.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Sent {
-    /// Frames of the decider.
-    pub(crate) decider_frames: usize,
-    /// Their encoded bytes.
-    pub(crate) decider_bytes: usize,
-    /// Frames of all ranks.
-    pub(crate) rank_frames: usize,
-    /// Appended claims.
-    pub(crate) appends: usize,
-    /// Reads of the log.
-    pub(crate) reads: usize,
-}
-
 pub(crate) struct World {
     pub(crate) ranks: usize,
     pub(crate) limits: Limits,
