Link to the owner of a key also outside an entry's subset

Cause: since an entry keeps links to a subset of the companions, the owner of a key of a service with more than 32 companions could be one that it never dials: every call with such a key was refused as not run. The same held for an answer whose companion left the subset or the list while its link was cut.

The change: an owner that is asked for, and a companion whose link took answers along, is dialled although it isn't selected or listed, and its link is kept for a minute after the last call, or for the time of a resume.

Seen first: the new test found no dial, then no start frame, because only a selected companion counted as reachable.

--- a/crates/egretstage_entry/src/keyed.rs
+++ b/crates/egretstage_entry/src/keyed.rs
@@ -15,6 +15,9 @@
 /// Longest search for the owner of a key.
 const OWNER_SEARCH_LIMIT: Duration = Duration::from_secs(2);
 
+/// How long a link to an owner is kept after the last call for it.
+const OWNER_LINK_IDLE: Duration = Duration::from_mins(1);
+
 /// Pause between two looks for the owner of a key.
 const OWNER_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -32,19 +35,32 @@
 
     /// Sends a call to the owner of its key, or waits for one.
     pub(crate) fn route_keyed(&mut self, now: Instant, key: CallKey, fx: &mut Vec<EntryEffect>) {
+        self.keep_owner_link(now, key);
         match self.owner_of(key) {
             Some((runner, claim)) => self.send_keyed(now, key, runner, claim, fx),
             None => self.await_owner(now, key, NotRunReason::NoUpstream, fx),
         }
     }
 
+    /// Keeps a link to the owner of a call's key, which may be outside the
+    /// entry's subset of companions.
+    fn keep_owner_link(&mut self, now: Instant, key: CallKey) {
+        let owner = self.calls.get(key).and_then(|call| {
+            let owners = self.owners.get(&call.service)?;
+            Some(owners.owner(call.digest?)?.instance.clone())
+        });
+        if let Some(instance) = owner {
+            self.runners.want(&instance, now + OWNER_LINK_IDLE);
+        }
+    }
+
     /// Returns the companion that owns a call's key and can be reached.
     fn owner_of(&self, key: CallKey) -> Option<(RunnerKey, KeyClaim)> {
         let call = self.calls.get(key)?;
         let owners = self.owners.get(&call.service)?;
         let owner = owners.owner(call.digest?)?;
         let (runner_key, runner) = self.runners.of_instance(&owner.instance)?;
-        let reachable = runner.open_link().is_some();
+        let reachable = runner.any_link().is_some() && !runner.leaving;
         let service = self.configuration.as_deref()?.service(&call.service);
         let claim = KeyClaim {
             epoch: owners.epoch(),
--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -644,7 +644,7 @@
                 self.runners.update(now, listed);
                 fx.extend(
                     self.runners
-                        .surplus_links()
+                        .surplus_links(now)
                         .into_iter()
                         .map(EntryEffect::Close),
                 );
--- a/crates/egretstage_entry/src/resume.rs
+++ b/crates/egretstage_entry/src/resume.rs
@@ -2,16 +2,12 @@
 
 use crate::calls::Wait;
 use crate::reducer::{EntryReducer, INITIAL_CREDIT};
-use crate::runners::RunnerKey;
+use crate::runners::{RESUME_TIMEOUT, RunnerKey};
 use crate::{CallKey, EntryEffect};
 use egretstage_link::LinkKey;
 use egretstage_routing::CallResult;
 use egretstage_wire::{Frame, UnknownReason};
-use std::time::{Duration, Instant};
-
-/// Longest wait for a lost link to come back; below the time for which a
-/// companion holds the answer.
-const RESUME_TIMEOUT: Duration = Duration::from_secs(4);
+use std::time::Instant;
 
 impl EntryReducer {
     pub(crate) fn link_down(&mut self, now: Instant, link: LinkKey, fx: &mut Vec<EntryEffect>) {
--- a/crates/egretstage_entry/src/runners.rs
+++ b/crates/egretstage_entry/src/runners.rs
@@ -10,6 +10,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// Longest wait for a lost link to come back; below the time for which a
+/// companion holds the answer.
+pub(crate) const RESUME_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Wait before a lost companion is dialled again.
 pub(crate) const REDIAL_DELAY: Duration = Duration::from_millis(250);
 
@@ -43,6 +47,8 @@
     pub(crate) leaving: bool,
     /// Whether the runner is in the entry's subset.
     pub(crate) selected: bool,
+    /// Until when a link is kept although the companion isn't selected.
+    pub(crate) wanted_until: Option<Instant>,
     pub(crate) tracker: UpstreamTracker,
 }
 
@@ -55,6 +61,11 @@
         }
     }
 
+    /// Tells whether the entry keeps a link to the companion.
+    fn is_kept(&self, now: Instant) -> bool {
+        (self.listed && self.selected) || self.wanted_until.is_some_and(|until| now < until)
+    }
+
     /// Returns the link, whether or not new work may be sent on it.
     pub(crate) fn any_link(&self) -> Option<LinkKey> {
         match self.link {
@@ -135,10 +146,19 @@
         self.drop_unlisted();
     }
 
+    /// Keeps a link to a companion until an instant, also outside the subset:
+    /// it owns keys that callers ask for.
+    pub(crate) fn want(&mut self, instance: &InstanceId, until: Instant) {
+        let key = self.by_instance.get(instance).copied();
+        if let Some(runner) = key.and_then(|key| self.arena.get_mut(key)) {
+            runner.wanted_until = Some(until);
+        }
+    }
+
     /// Returns the idle links to runners outside the entry's subset.
-    pub(crate) fn surplus_links(&self) -> Vec<LinkKey> {
+    pub(crate) fn surplus_links(&self, now: Instant) -> Vec<LinkKey> {
         let idle =
-            |r: &&Runner| r.listed && !r.leaving && !r.selected && r.tracker.in_flight() == 0;
+            |r: &&Runner| r.listed && !r.leaving && !r.is_kept(now) && r.tracker.in_flight() == 0;
         let link = |r: &Runner| match r.link {
             LinkState::Up(link) => Some(link),
             _ => None,
@@ -166,16 +186,18 @@
             listed: true,
             leaving,
             selected: false,
+            wanted_until: None,
             tracker: UpstreamTracker::default(),
         });
         self.by_instance.insert(instance, key);
     }
 
-    /// Forgets companions that are neither listed nor linked.
+    /// Forgets companions that are neither listed, linked nor wanted.
     fn drop_unlisted(&mut self) {
         let by_instance = &mut self.by_instance;
         self.arena.retain(|_, runner| {
-            let keep = runner.listed || !matches!(runner.link, LinkState::Down(_));
+            let linked = !matches!(runner.link, LinkState::Down(_));
+            let keep = runner.listed || linked || runner.wanted_until.is_some();
             if !keep {
                 by_instance.remove(&runner.instance);
             }
@@ -210,11 +232,11 @@
             return;
         };
         if let Some(runner) = self.arena.get_mut(key) {
-            let delay = if awaited {
-                Duration::ZERO
-            } else {
-                REDIAL_DELAY
-            };
+            let mut delay = REDIAL_DELAY;
+            if awaited {
+                delay = Duration::ZERO;
+                runner.wanted_until = runner.wanted_until.max(Some(now + RESUME_TIMEOUT));
+            }
             runner.link = LinkState::Down(now + delay);
         }
         self.drop_unlisted();
@@ -233,9 +255,11 @@
 
     /// Takes the companions that are due to be dialled.
     pub(crate) fn take_dials(&mut self, now: Instant) -> Vec<(InstanceId, SocketAddr)> {
-        let due = |r: &&mut Runner| {
-            matches!(r.link, LinkState::Down(at) if at <= now) && r.listed && r.selected
-        };
+        for runner in self.arena.values_mut() {
+            runner.wanted_until = runner.wanted_until.filter(|until| now < *until);
+        }
+        let due =
+            |r: &&mut Runner| matches!(r.link, LinkState::Down(at) if at <= now) && r.is_kept(now);
         self.arena
             .values_mut()
             .filter(due)
@@ -250,7 +274,7 @@
     pub(crate) fn next_dial(&self) -> Option<Instant> {
         self.arena
             .values()
-            .filter(|r| r.listed && r.selected)
+            .filter(|r| (r.listed && r.selected) || r.wanted_until.is_some())
             .filter_map(|r| match r.link {
                 LinkState::Down(at) => Some(at),
                 _ => None,
