Start a lost configuration from nothing; fix the property tests' seeds

Cause: when records have expired and every checkpoint with them (all entries down for longer than the retention), no node could become ready again and egretctl refused to publish. The property tests drew a new seed each run.

Ruled out: nodes that take an empty state by themselves, as a node can't tell a lost configuration from a log that it reads too late.

The seeds are fixed; EGRET_PROPTEST_SEED names another.

--- a/crates/egretstage_config/tests/fold.rs
+++ b/crates/egretstage_config/tests/fold.rs
@@ -4,6 +4,7 @@
 use egretstage_config::{ChunkJoiner, Merge, SEEN_OFFSETS, read_body};
 use egretstage_wire::{ChangeId, KindName, ObjectName, OrganisationName, ServiceName};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use serde_json::json;
 use std::collections::HashMap;
 
@@ -129,8 +130,20 @@
     read_body(&unknown, body)
 }
 
+/// Returns the configuration of a property test: the seed is fixed, so that
+/// every run gives the same verdict; `EGRET_PROPTEST_SEED` names another.
+fn cases(cases: u32) -> ProptestConfig {
+    let seed = std::env::var("EGRET_PROPTEST_SEED").ok();
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed.and_then(|text| text.parse().ok()).unwrap_or(1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(CASES))]
+    #![proptest_config(cases(CASES))]
 
     #[test]
     fn a_checkpoint_and_the_tail_equal_the_whole(
--- a/crates/egretstage_control/src/args.rs
+++ b/crates/egretstage_control/src/args.rs
@@ -21,6 +21,8 @@
   egretctl history [KIND [NAME]]         shows the records that the log holds
   egretctl diff FILE                     compares a file with what is in force
   egretctl upgrade [--dry-run]           rewrites records to the newest schema
+  egretctl reset --yes                   starts from nothing on a log that has
+                                         dropped records and has no checkpoint
   egretctl status                        shows instances, runners and offsets
   egretctl explain ORGANISATION SERVICE  shows which rule and runners apply
 
@@ -44,8 +46,8 @@
   6  status: a node does not answer, lags, or can't read all objects";
 
 /// The names of the commands.
-const COMMANDS: [&str; 8] = [
-    "check", "apply", "get", "history", "diff", "upgrade", "status", "explain",
+const COMMANDS: [&str; 9] = [
+    "check", "apply", "get", "history", "diff", "upgrade", "reset", "status", "explain",
 ];
 
 /// What the operator asks for.
@@ -70,6 +72,8 @@
         /// Whether the records are only shown.
         dry_run: bool,
     },
+    /// Starts from nothing on a log that has lost the configuration.
+    Reset,
     /// Shows instances, runners and offsets.
     Status,
     /// Shows which rule and runners a request would meet.
@@ -151,7 +155,11 @@
     let Some(name) = name else {
         return Err(UsageError::new(&"no command given"));
     };
+    let confirmed = args.contains("--yes");
     match name.as_str() {
+        "reset" if confirmed => return Ok(Command::Reset),
+        "reset" => return Err(UsageError::new(&"reset needs --yes")),
+        _ if confirmed => return Err(UsageError::new(&"--yes is only for reset")),
         "upgrade" => return Ok(Command::Upgrade { dry_run }),
         _ if dry_run => return Err(UsageError::new(&"--dry-run is only for upgrade")),
         _ => {}
--- a/crates/egretstage_control/src/lib.rs
+++ b/crates/egretstage_control/src/lib.rs
@@ -10,6 +10,7 @@
 mod nodes;
 mod objects;
 mod records;
+mod reset;
 mod settings;
 mod table;
 
@@ -20,6 +21,7 @@
 pub use nodes::{ListedNode, NodeReport, SystemStatus};
 pub use objects::{Difference, Selection, diff, get, history, upgrades};
 pub use records::{InvalidFile, Problem, RecordFile, parse_records, read_records};
+pub use reset::{ResetError, reset};
 pub use settings::{Places, SETTINGS_VARIABLE};
 
 use egretstage_platform::{AppendLog, HttpAppendLog};
@@ -107,6 +109,7 @@
         Command::History(selection) => tool.history(&selection)?,
         Command::Diff(file) => tool.diff(&file)?,
         Command::Upgrade { dry_run } => return tool.upgrade(dry_run),
+        Command::Reset => tool.reset()?,
         Command::Status => return tool.status(),
         Command::Explain(organisation, service) => tool.explain(organisation, service)?,
     }
@@ -197,6 +200,16 @@
         self.publish_all(&mut view, records)
     }
 
+    fn reset(&self) -> miette::Result<()> {
+        let log = self.log()?;
+        let through = reset(&log).into_diagnostic()?;
+        println!(
+            "the configuration starts from nothing after offset {}",
+            through.0
+        );
+        Ok(())
+    }
+
     fn status(&self) -> miette::Result<Exit> {
         let system = self.system()?;
         self.print(&system, nodes::print_system);
--- /dev/null
+++ b/crates/egretstage_control/src/reset.rs
@@ -0,0 +1,51 @@
+//! Starts from nothing on a log that has lost the configuration.
+
+use egretstage_config::{CONFIGURATION_STREAM, Offset, StateDelta};
+use egretstage_platform::{AppendLog, PlatformError};
+use egretstage_relay::{Published, newest_checkpoint, publish};
+use egretstage_wire::StateDigest;
+use std::time::Duration;
+
+/// Interval for which the empty checkpoint counts as recent.
+const INTERVAL: Duration = Duration::from_hours(1);
+
+/// Why the configuration isn't started from nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum ResetError {
+    /// The log can't be used.
+    #[error(transparent)]
+    Log(#[from] PlatformError),
+    /// The log holds the whole configuration.
+    #[error("the log holds the whole configuration; nothing was changed")]
+    NotLost,
+    /// Another process writes a checkpoint.
+    #[error("a checkpoint is being written; nothing was changed")]
+    Claimed,
+}
+
+/// Writes an empty checkpoint in place of the records that have expired.
+///
+/// Nodes that still hold the lost configuration keep it and write a
+/// checkpoint of their own; so this is for a system in which no node is ready.
+///
+/// # Errors
+///
+/// Returns an error when the log holds all records or a checkpoint.
+pub fn reset(log: &dyn AppendLog) -> Result<Offset, ResetError> {
+    let end = log.read(CONFIGURATION_STREAM, u64::MAX, Duration::ZERO)?;
+    if end.first <= 1 || newest_checkpoint(log)?.is_some() {
+        return Err(ResetError::NotLost);
+    }
+    let through = Offset(end.first - 1);
+    let empty = StateDelta {
+        since: Offset(0),
+        through,
+        digest: StateDigest::default(),
+        objects: Vec::new(),
+        seen: Vec::new(),
+    };
+    match publish(log, &empty.into_chunks(), INTERVAL)? {
+        Published::Written(_) => Ok(through),
+        Published::Found(_) | Published::Claimed => Err(ResetError::Claimed),
+    }
+}
