Keep expert groups evenly loaded in the running companion

Cause: planner, executor and group protocol were proved apart; the companion that decides still brought in maps by a timer.

Change: [rank.balance] has the deciding companion read the load of each expert from its engine, plan with the group's preset, copy weights through the store and offer each map to the decider; a new decider starts from the map that the ranks run with. Without the section the first map is kept.

Ruled out: planning inside the group's loop (a plan of 128 ranks takes up to 28 ms, a grant must not wait for it).

Proof: tests/expert_balance.rs, four real companions: the worst layer's skew falls below 1.1, the demand turns while the decider is killed, and falls below 1.1 again; weights were copied; every step ran one map on all ranks. Seen to fail first: with the commit not told to the planner no even map comes within 30 s.

Left: the preset is a process setting, the same at all ranks by the operator's care; it belongs into the group's configuration record.

--- a/crates/egretstage_companion/src/group.rs
+++ b/crates/egretstage_companion/src/group.rs
@@ -3,10 +3,12 @@
 //! A [`GroupMember`] runs on a thread of its own beside the companion's
 //! reducer; the two share no state.
 
+mod balanced_maps;
 mod claims_log;
 mod engine_client;
 mod sender_lock;
 
+use balanced_maps::BalancedMaps;
 use claims_log::ClaimsLog;
 use egretstage_config::RankSettings;
 use egretstage_config::settings::CompanionSettings;
@@ -56,9 +58,12 @@
             io: io.clone(),
         };
         let member = member_settings(settings, rank, &identity.hello);
-        let map_interval = rank.map_interval;
+        let maps = MapSettings {
+            rank: rank.clone(),
+            engine: settings.upstream.address,
+        };
         let spawned = EventLoop::spawn("group", rx, move || {
-            let make_source = Box::new(move || map_source(map_interval));
+            let make_source = Box::new(move || maps.source());
             let member = GroupMember::new(Instant::now(), member, make_source);
             (member, Box::new(move |effect| sink.carry_out(effect)))
         });
@@ -111,10 +116,19 @@
     }
 }
 
-fn map_source(interval: Option<std::time::Duration>) -> Box<dyn MapSource> {
-    match interval {
-        Some(interval) => Box::new(PeriodicMaps::new(interval)),
-        None => Box::new(FixedMap),
+/// What a source of maps is made from.
+struct MapSettings {
+    rank: RankSettings,
+    engine: SocketAddr,
+}
+
+impl MapSettings {
+    fn source(&self) -> Box<dyn MapSource> {
+        match (&self.rank.balance, self.rank.map_interval) {
+            (Some(balance), _) => Box::new(BalancedMaps::new(&self.rank, balance, self.engine)),
+            (None, Some(interval)) => Box::new(PeriodicMaps::new(interval)),
+            (None, None) => Box::new(FixedMap),
+        }
     }
 }
 
--- a/crates/egretstage_config/src/lib.rs
+++ b/crates/egretstage_config/src/lib.rs
@@ -7,6 +7,7 @@
 //! log as a checkpoint. Process settings are TOML files, checked by
 //! [`settings`].
 
+mod balance_settings;
 mod body;
 mod chunks;
 mod configuration;
@@ -18,6 +19,7 @@
 pub mod settings;
 pub mod suggest;
 
+pub use balance_settings::{BalancePreset, BalanceSettings, InvalidBalanceSettings};
 pub use body::{
     ModelGroupBody, OrganisationBody, PlacementRuleBody, RecordBody, RepeatableRule, ServiceBody,
     token_digest,
--- a/crates/egretstage_config/src/rank_settings.rs
+++ b/crates/egretstage_config/src/rank_settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a companion beside one rank of a model group.
 
+use crate::balance_settings::BalanceSettings;
 use compact_str::CompactString;
 use egretstage_wire::{RankIndex, ServiceName};
 use serde::Deserialize;
@@ -27,6 +28,14 @@
     /// A grant would end before the next one.
     #[error("grant_horizon_ms must be at least twice heartbeat_ms, and step_ms above 0")]
     Horizon,
+    /// The ranks have no room for all experts.
+    #[error("slots_per_rank must give {ranks} ranks room for {experts} experts")]
+    Slots {
+        /// Number of ranks.
+        ranks: u16,
+        /// Experts of a layer.
+        experts: u16,
+    },
 }
 
 /// Settings of a companion beside one rank, as written.
@@ -51,6 +60,7 @@
     #[serde(default = "default_claim_renewal_ms")]
     claim_renewal_ms: u64,
     map_interval_ms: Option<u64>,
+    balance: Option<BalanceSettings>,
     #[serde(default)]
     loads: Vec<CompactString>,
 }
@@ -108,6 +118,8 @@
     /// Time between two maps brought in by the periodic source; none keeps
     /// the first map.
     pub map_interval: Option<Duration>,
+    /// How the experts are kept evenly loaded; none keeps the first map.
+    pub balance: Option<BalanceSettings>,
     /// Models, adapters or versions that a new decider orders all engines to
     /// load.
     pub loads: Vec<CompactString>,
@@ -127,6 +139,12 @@
         if raw.step_ms == 0 || raw.grant_horizon_ms < 2 * raw.heartbeat_ms.max(raw.step_ms) {
             return Err(InvalidRankSettings::Horizon);
         }
+        if let Some(balance) = &raw.balance {
+            let experts = balance.experts;
+            if u32::from(ranks) * u32::from(balance.slots_per_rank) < u32::from(experts) {
+                return Err(InvalidRankSettings::Slots { ranks, experts });
+            }
+        }
         Ok(Self {
             group: raw.group,
             index: RankIndex(index),
@@ -138,6 +156,7 @@
             suspect_after: Duration::from_millis(raw.suspect_after_ms),
             claim_stagger: Duration::from_millis(raw.claim_stagger_ms),
             claim_renewal: Duration::from_millis(raw.claim_renewal_ms),
+            balance: raw.balance,
             map_interval: raw.map_interval_ms.map(Duration::from_millis),
             loads: raw.loads,
         })
--- a/crates/egretstage_platform/src/weight_store.rs
+++ b/crates/egretstage_platform/src/weight_store.rs
@@ -13,6 +13,8 @@
 pub struct WeightTransfer {
     /// The model group.
     pub group: CompactString,
+    /// Position of the layer.
+    pub layer: u16,
     /// The rank that receives the weights.
     pub rank: u16,
     /// The expert.
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -426,6 +426,22 @@
         self.launch_companion(place, address, &rank.settings(place.service))
     }
 
+    /// Starts the companion of a rank whose group is kept evenly loaded, with
+    /// more settings of the balance.
+    #[must_use]
+    pub fn balanced_rank_companion(
+        &self,
+        place: &Placement<'_>,
+        address: SocketAddr,
+        rank: &RankPlacement,
+        balance: &str,
+    ) -> Program {
+        let settings = rank.settings(place.service);
+        let store_url = &self.store_url;
+        let more = format!("{settings}[rank.balance]\nstore_url = \"{store_url}\"\n{balance}");
+        self.launch_companion(place, address, &more)
+    }
+
     fn launch_companion(&self, place: &Placement<'_>, address: SocketAddr, more: &str) -> Program {
         let admin = free_address();
         let settings = format!(
--- a/crates/egretstage_standins/src/rank_engine.rs
+++ b/crates/egretstage_standins/src/rank_engine.rs
@@ -239,7 +239,9 @@
         self.held.iter().any(|held| held.version == map)
     }
 
-    fn active_map(&self) -> Option<VersionedMap> {
+    /// Returns the map of the last step that the engine has begun.
+    #[must_use]
+    pub fn active_map(&self) -> Option<VersionedMap> {
         let active = self.active?;
         self.held.iter().find(|map| map.version == active).cloned()
     }
--- a/crates/egretstage_standins/src/rank_group.rs
+++ b/crates/egretstage_standins/src/rank_group.rs
@@ -5,7 +5,7 @@
 
 use crate::rank_engine::{Barrier, Discipline, RanStep, RankEngine, RankEngineOptions};
 use crate::server::{Call, Reply, StandInHandler, serve};
-use egretstage_wire::{EngineBoot, EngineOrder, Generation};
+use egretstage_wire::{EngineBoot, EngineOrder, Generation, VersionedMap};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -29,6 +29,7 @@
     engines: Vec<RankEngine>,
     barrier: Barrier,
     ran: Vec<RanStep>,
+    expert_loads: Vec<Vec<f64>>,
 }
 
 /// The engines of one model group.
@@ -94,6 +95,20 @@
         self.lock().ran.clone()
     }
 
+    /// Sets the load of each expert of each layer that the engines report.
+    pub fn set_expert_loads(&self, layers: Vec<Vec<f64>>) {
+        self.lock().expert_loads = layers;
+    }
+
+    /// Returns the map of the last step that the latest engine of a rank has
+    /// begun.
+    #[must_use]
+    pub fn active_map(&self, rank: u16) -> Option<VersionedMap> {
+        let state = self.lock();
+        let mut engines = state.engines.iter().rev();
+        engines.find(|engine| engine.rank() == rank)?.active_map()
+    }
+
     /// Returns how many steps have run on all ranks.
     #[must_use]
     pub fn steps(&self) -> usize {
@@ -122,6 +137,7 @@
             engines,
             barrier,
             ran,
+            ..
         } = &mut *state;
         for engine in engines {
             engine.tick(barrier, ran);
@@ -135,6 +151,10 @@
 
 impl StandInHandler for EngineHandler {
     async fn answer(&self, call: Call) -> Reply {
+        if call.path == "/expert-loads" {
+            let layers = &self.group.lock().expert_loads;
+            return Reply::ok(&serde_json::json!({ "layers": layers }));
+        }
         let engine_call = match serde_json::from_slice(&call.body) {
             Ok(engine_call) if call.path == "/rank" => engine_call,
             Ok(_) => return Reply::error(404, "no such path"),
@@ -145,6 +165,7 @@
             engines,
             barrier,
             ran,
+            ..
         } = &mut *state;
         Reply::ok(&engines[self.engine].call(engine_call, barrier, ran))
     }
--- a/crates/egretstage_standins/src/weight_store.rs
+++ b/crates/egretstage_standins/src/weight_store.rs
@@ -29,6 +29,8 @@
 pub struct Transfer {
     /// The model group.
     pub group: String,
+    /// Position of the layer.
+    pub layer: u16,
     /// The rank that received the weights.
     pub rank: u16,
     /// The expert.
