--- a/tests/policy_bounds.rs
+++ b/tests/policy_bounds.rs
@@ -15,6 +15,9 @@
 /// Share of requests that must meet a target.
 const MOST: f64 = 0.95;
 
+/// Share of the former answers in a second that counts as back.
+const MOST_ANSWERS: f64 = 0.8;
+
 /// Seeds of the runs.
 const SEEDS: [u64; 2] = [1, 2];
 
@@ -121,7 +124,11 @@
         };
         let figures = simulate(&scenario, Mechanisms::own());
         let back = figures.recovery(end, MOST);
-        let limit = Duration::from_mins(1);
+        let limit = Duration::from_secs(30);
         assert!(back.is_some_and(|back| back <= limit), "{seed}: {back:?}");
+        let before = figures.answers_between(Duration::from_secs(10), FAULT_AT);
+        let answers = figures.throughput_back(end, MOST_ANSWERS * before);
+        let limit = Duration::from_secs(10);
+        assert!(answers.is_some_and(|a| a <= limit), "{seed}: {answers:?}");
     }
 }
