Let an event cost the same however many runners are listed

Change: the entry keeps the keys of the runners in its subset or with a link, and the next instant at which one is dialled; events look at these alone.

--- a/crates/egretstage_entry/src/reducer.rs
+++ b/crates/egretstage_entry/src/reducer.rs
@@ -642,12 +642,8 @@
             EntryEvent::Listed(listed) => {
                 self.listed = true;
                 self.runners.update(now, listed);
-                fx.extend(
-                    self.runners
-                        .surplus_links(now)
-                        .into_iter()
-                        .map(EntryEffect::Close),
-                );
+                let surplus = self.runners.surplus_links(now);
+                fx.extend(surplus.into_iter().map(EntryEffect::Close));
                 self.check_owners(now, fx);
             }
             EntryEvent::Configured { configuration, .. } => {
--- a/crates/egretstage_entry/src/runners.rs
+++ b/crates/egretstage_entry/src/runners.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Tells whether the companion is dialled while it has no link.
+    fn is_dialled(&self) -> bool {
+        (self.listed && self.selected) || self.wanted_until.is_some()
+    }
+
     /// Tells whether the entry keeps a link to the companion.
     fn is_kept(&self, now: Instant) -> bool {
         (self.listed && self.selected) || self.wanted_until.is_some_and(|until| now < until)
@@ -87,6 +92,10 @@
     arena: SlotMap<RunnerKey, Runner>,
     by_instance: HashMap<InstanceId, RunnerKey>,
     by_link: HashMap<LinkKey, RunnerKey>,
+    /// Runners in the subset, wanted or with a link, so that an event costs
+    /// the same however many are listed.
+    active: Vec<RunnerKey>,
+    next_dial: Option<Instant>,
 }
 
 impl Runners {
@@ -97,6 +106,8 @@
             arena: SlotMap::default(),
             by_instance: HashMap::new(),
             by_link: HashMap::new(),
+            active: Vec::new(),
+            next_dial: None,
         }
     }
 
@@ -121,8 +132,10 @@
         Some((key, self.arena.get(key)?))
     }
 
+    /// Returns the runners in the subset, wanted or with a link.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (RunnerKey, &Runner)> {
-        self.arena.iter()
+        let runner = |key: &RunnerKey| Some((*key, self.arena.get(*key)?));
+        self.active.iter().filter_map(runner)
     }
 
     /// Takes over the instance list: adds, updates and removes companions.
@@ -144,26 +157,44 @@
             runner.selected = selected.contains(&runner.instance);
         }
         self.drop_unlisted();
+        let active = |r: &Runner| r.is_dialled() || !matches!(r.link, LinkState::Down(_));
+        let active = self.arena.iter().filter(|(_, r)| active(r));
+        self.active = active.map(|(key, _)| key).collect();
+        self.plan_dial();
+    }
+
+    /// Notes when the next companion is due to be dialled.
+    fn plan_dial(&mut self) {
+        let due = self.iter().filter_map(|(_, r)| match r.link {
+            LinkState::Down(at) if r.is_dialled() => Some(at),
+            _ => None,
+        });
+        self.next_dial = due.min();
     }
 
     /// Keeps a link to a companion until an instant, also outside the subset:
     /// it owns keys that callers ask for.
     pub(crate) fn want(&mut self, instance: &InstanceId, until: Instant) {
-        let key = self.by_instance.get(instance).copied();
-        if let Some(runner) = key.and_then(|key| self.arena.get_mut(key)) {
-            runner.wanted_until = Some(until);
+        let Some(key) = self.by_instance.get(instance).copied() else {
+            return;
+        };
+        let Some(runner) = self.arena.get_mut(key) else {
+            return;
+        };
+        let active = runner.is_dialled() || !matches!(runner.link, LinkState::Down(_));
+        runner.wanted_until = Some(until);
+        if !active && !self.active.contains(&key) {
+            self.active.push(key);
         }
+        self.plan_dial();
     }
 
     /// Returns the idle links to runners outside the entry's subset.
     pub(crate) fn surplus_links(&self, now: Instant) -> Vec<LinkKey> {
         let idle =
             |r: &&Runner| r.listed && !r.leaving && !r.is_kept(now) && r.tracker.in_flight() == 0;
-        let link = |r: &Runner| match r.link {
-            LinkState::Up(link) => Some(link),
-            _ => None,
-        };
-        self.arena.values().filter(idle).filter_map(link).collect()
+        let runners = self.iter().map(|(_, r)| r);
+        runners.filter(idle).filter_map(Runner::any_link).collect()
     }
 
     fn upsert(&mut self, now: Instant, item: ListedInstance, service: ServiceName) {
@@ -240,6 +271,7 @@
             runner.link = LinkState::Down(now + delay);
         }
         self.drop_unlisted();
+        self.plan_dial();
     }
 
     /// Notes a failed attempt to open a link.
@@ -251,34 +283,32 @@
             runner.link = LinkState::Down(now + REDIAL_DELAY);
         }
         self.drop_unlisted();
+        self.plan_dial();
     }
 
     /// Takes the companions that are due to be dialled.
     pub(crate) fn take_dials(&mut self, now: Instant) -> Vec<(InstanceId, SocketAddr)> {
-        for runner in self.arena.values_mut() {
-            runner.wanted_until = runner.wanted_until.filter(|until| now < *until);
+        if self.next_dial.is_none_or(|at| at > now) {
+            return Vec::new();
         }
-        let due =
-            |r: &&mut Runner| matches!(r.link, LinkState::Down(at) if at <= now) && r.is_kept(now);
-        self.arena
-            .values_mut()
-            .filter(due)
-            .map(|runner| {
+        let mut dials = Vec::new();
+        for key in &self.active {
+            let Some(runner) = self.arena.get_mut(*key) else {
+                continue;
+            };
+            runner.wanted_until = runner.wanted_until.filter(|until| now < *until);
+            let due = matches!(runner.link, LinkState::Down(at) if at <= now);
+            if due && runner.is_dialled() {
                 runner.link = LinkState::Dialing;
-                (runner.instance.clone(), runner.address)
-            })
-            .collect()
+                dials.push((runner.instance.clone(), runner.address));
+            }
+        }
+        self.plan_dial();
+        dials
     }
 
     /// Returns when the next companion is due to be dialled.
     pub(crate) fn next_dial(&self) -> Option<Instant> {
-        self.arena
-            .values()
-            .filter(|r| (r.listed && r.selected) || r.wanted_until.is_some())
-            .filter_map(|r| match r.link {
-                LinkState::Down(at) => Some(at),
-                _ => None,
-            })
-            .min()
+        self.next_dial
     }
 }
