Measure what one more of each thing costs

Cause: docs/CAPACITY.md must rest on measured slopes.

Memory is counted by stats_alloc as the global allocator of the bench.

--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -1,6 +1,32 @@
-//! What one more of each thing costs, in bytes and time.
+//! What one more of each thing costs, in bytes, memory and time.
+//!
+//! `docs/CAPACITY.md` works out from these slopes what each role needs at the
+//! target's size. Sizes repeat exactly; times are of one thread on the
+//! machine at hand.
+
+mod slopes {
+    pub(super) mod configuration;
+    pub(super) mod entry;
+    pub(super) mod fleet;
+    pub(super) mod frames;
+    pub(super) mod idle_link;
+    pub(super) mod measure;
+    pub(super) mod planner;
+}
+
+use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
+use std::alloc::System;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 fn main() {
-    planner::print();
+    println!("| slope | value | unit |");
+    println!("|---|---|---|");
+    slopes::frames::print();
+    slopes::configuration::print();
+    slopes::entry::print();
+    slopes::idle_link::print();
+    slopes::fleet::print();
+    slopes::planner::print();
 }
-#[path = "slopes/planner.rs"]
-mod planner;
--- a/benches/slopes/planner.rs
+++ b/benches/slopes/planner.rs
@@ -1,5 +1,6 @@
 //! Time to plan one layer.
 
+use super::measure::row;
 use egretstage_balance::{
     BalanceTrade, IncrementalPlanner, LayerShape, PlanContext, Planner, Sharing, level_shares,
     replicate_and_pack,
@@ -8,10 +9,10 @@
 use egretstage_standins::expert_demand::{DemandKind, ExpertDemand};
 use std::time::{Duration, Instant};
 
-/// Minutes of drift over which plans are timed.
+/// Minutes of demand over which plans are timed.
 const MINUTES: usize = 360;
 
-pub(super) fn print() {
+pub(crate) fn print() {
     for (ranks, experts, slots_per_rank) in [(8, 64, 10), (128, 128, 2), (128, 128, 3)] {
         let shape = LayerShape {
             ranks,
@@ -20,13 +21,13 @@
         };
         let mut times = times(shape);
         times.sort();
-        let at = |share: usize| times[(times.len() - 1) * share / 100].as_secs_f64() * 1e3;
-        println!(
-            "plan of one layer, {ranks} x {experts}, {slots_per_rank} slots: p50 {:.2} ms, p99 {:.2} ms, largest {:.2} ms",
-            at(50),
-            at(99),
-            at(100)
-        );
+        for (name, part) in [("p50", 50), ("p99", 99), ("largest", 100)] {
+            let time = times[(times.len() - 1) * part / 100];
+            let slope = format!(
+                "plan of one layer, {ranks} ranks x {experts} experts, {slots_per_rank} slots, {name}"
+            );
+            row(&slope, time.as_secs_f64() * 1e6, "µs");
+        }
     }
 }
 
