--- a/crates/egretstage_balance/tests/executor.rs
+++ b/crates/egretstage_balance/tests/executor.rs
@@ -7,6 +7,7 @@
 };
 use egretstage_runtime::VirtualLoop;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use smallvec::{SmallVec, smallvec};
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
@@ -224,7 +225,18 @@
     prop::collection::vec(step, 1..60)
 }
 
+/// Repeats the same cases; `PROPTEST_RNG_SEED` gives others.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::default();
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     /// Each committed replica was there before or its transfer was done, and
     /// no replica of a committed map is overwritten.
     #[test]
--- a/crates/egretstage_balance/tests/plans.rs
+++ b/crates/egretstage_balance/tests/plans.rs
@@ -6,6 +6,7 @@
     Sharing, level_shares, replicate_and_pack, skew, with_moves, without_victims,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use smallvec::smallvec;
 
 const EXPERT_BYTES: u64 = 1 << 20;
@@ -65,7 +66,18 @@
     }
 }
 
+/// Repeats the same cases; `PROPTEST_RNG_SEED` gives others.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::default();
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     #[test]
     fn packing_keeps_the_rules((shape, loads, _) in cases()) {
         assert_valid(&replicate_and_pack(shape, &loads));
