--- a/benches/slopes.rs
+++ b/benches/slopes.rs
@@ -10,6 +10,7 @@
     pub(super) mod fleet;
     pub(super) mod frames;
     pub(super) mod idle_link;
+    pub(super) mod keys;
     pub(super) mod measure;
     pub(super) mod planner;
 }
@@ -26,6 +27,7 @@
     slopes::frames::print();
     slopes::configuration::print();
     slopes::entry::print();
+    slopes::keys::print();
     slopes::idle_link::print();
     slopes::fleet::print();
     slopes::planner::print();
--- a/benches/slopes/entry.rs
+++ b/benches/slopes/entry.rs
@@ -7,7 +7,7 @@
     CallKey, CallRequest, EntryEffect, EntryEvent, EntryLimits, EntryReducer, Target,
 };
 use egretstage_link::LinkKey;
-use egretstage_routing::{PredictedFirstToken, PredictionLimits, PrefixFingerprint};
+use egretstage_routing::{CacheIndex, PredictedFirstToken, PredictionLimits, PrefixFingerprint};
 use egretstage_runtime::Reducer;
 use egretstage_wire::{
     AnswerHead, Chunk, Frame, Hello, Incarnation, InstanceId, ModelName, Outcome, PROTOCOL_VERSION,
@@ -24,6 +24,9 @@
 /// Bytes of a request's body.
 const BODY_BYTES: usize = 2_048;
 
+/// Prompt blocks, more than an index of one runner's prefixes remembers.
+const PREFIX_BLOCKS: u64 = 10_000;
+
 /// Chunks that are timed.
 const CHUNKS: usize = 20_000;
 
@@ -140,6 +143,13 @@
         bytes,
         "B",
     );
+    let mut cache = CacheIndex::default();
+    let bytes = bytes_each(1, || {
+        for block in 0..PREFIX_BLOCKS {
+            cache.touch(block);
+        }
+    });
+    row("prefixes of a linked runner, all remembered", bytes, "B");
     let links = entry.links.clone();
     let time = micros(links.len() * 20, |index| {
         entry.report(links[index % links.len()]);
