Don't spin while an owner drains whose leave isn't on the log

Cause: two seconds after a planned stop the wait for the leave was over, but the reducer still asked to be woken at that past instant, so a companion with calls still running used a whole core until the last one ended.

The change: the wait is noted as over and its timer is gone.

Seen first: the new test found a wake in the past.

--- a/crates/egretstage_companion/src/keyed.rs
+++ b/crates/egretstage_companion/src/keyed.rs
@@ -42,6 +42,7 @@
     held_bytes: usize,
     published: Epoch,
     leave_by: Option<Instant>,
+    leave_timed_out: bool,
 }
 
 impl Keyed {
@@ -53,6 +54,7 @@
             held_bytes: 0,
             published: Epoch(0),
             leave_by: None,
+            leave_timed_out: false,
         }
     }
 
@@ -127,6 +129,10 @@
 
     /// Forgets what is older than the window and returns the forgotten runs.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<RunKey> {
+        if self.leave_by.is_some_and(|by| by <= now) {
+            self.leave_by = None;
+            self.leave_timed_out = true;
+        }
         let forgotten = self.owner.expire(now);
         for run in &forgotten {
             if let Some(index) = self.held.iter().position(|(held, _)| held == run) {
@@ -179,8 +185,8 @@
     }
 
     /// Tells whether the leave stands on the log or has taken too long.
-    pub(crate) fn may_exit(&self, now: Instant) -> bool {
-        self.owner.has_left() || self.leave_by.is_some_and(|by| by <= now)
+    pub(crate) fn may_exit(&self) -> bool {
+        self.owner.has_left() || self.leave_timed_out
     }
 
     pub(crate) fn next_wake(&self) -> Option<Instant> {
--- a/crates/egretstage_companion/src/reducer.rs
+++ b/crates/egretstage_companion/src/reducer.rs
@@ -220,7 +220,7 @@
     /// Ends a planned stop once nothing runs and no entry will send any more.
     fn settle(&mut self, now: Instant, fx: &mut Vec<CompanionEffect>) {
         self.keep_ownership(now, fx);
-        let gave_up_keys = self.keyed.as_ref().is_none_or(|keyed| keyed.may_exit(now));
+        let gave_up_keys = self.keyed.as_ref().is_none_or(Keyed::may_exit);
         let left = self.leaving && self.links.all_noted_leaving() && gave_up_keys;
         if left && self.runs.is_empty() && !std::mem::replace(&mut self.exited, true) {
             fx.push(CompanionEffect::Exit);
