Show who holds a group's fence in /status and egretctl status

Cause: egretctl status had a column for fences that no node filled.

Ruled out: a part of the companion's work status, as the group's member runs in a loop of its own and shares no state with the calls' reducer.

Change: the member's sink notes each new holder on the status board; a node shows group, fencing number and holder.

--- a/crates/egretstage_companion/src/daemon.rs
+++ b/crates/egretstage_companion/src/daemon.rs
@@ -57,15 +57,16 @@
         settings.process.link_key.expose(),
     );
     let identity = Arc::new(identity.into_diagnostic()?);
+    let board = StatusBoard::new(first_status(settings, incarnation));
+    let io = runtime.handle();
     let group = rank
-        .map(|rank| GroupLinks::start(settings, rank, &identity, &table, runtime.handle()))
+        .map(|rank| GroupLinks::start(settings, rank, &identity, &table, &board, io))
         .transpose()?;
     let client = UpstreamClient::new(
         settings.upstream.address,
         runtime.handle().clone(),
         events.clone(),
     );
-    let board = StatusBoard::new(first_status(settings, incarnation));
     let relay = start_relay(&events, &table, &board)?;
     let keys = key_options(settings, incarnation);
     let owners = keys.as_ref().map(|keys| {
--- a/crates/egretstage_companion/src/group.rs
+++ b/crates/egretstage_companion/src/group.rs
@@ -17,9 +17,9 @@
     MemberEvent, MemberSettings, PeerLink, PeriodicMaps,
 };
 use egretstage_link::{LinkIdentity, LinkKey, LinkObserver, LinkTable, dial};
-use egretstage_observe::DECISION_TARGET;
+use egretstage_observe::{DECISION_TARGET, FenceStatus, StatusBoard};
 use egretstage_runtime::{EventLoop, EventSender};
-use egretstage_wire::{Frame, GroupFrame, Hello};
+use egretstage_wire::{Frame, GroupFrame, Hello, ServiceName};
 use engine_client::EngineClient;
 use miette::IntoDiagnostic;
 use std::net::SocketAddr;
@@ -44,6 +44,7 @@
         rank: &RankSettings,
         identity: &Arc<LinkIdentity>,
         table: &LinkTable,
+        board: &StatusBoard,
         io: &Handle,
     ) -> miette::Result<Self> {
         let (events, rx) = EventLoop::channel();
@@ -53,6 +54,8 @@
             engine: EngineClient::start(settings.upstream.address, events.clone())?,
             claims: ClaimsLog::start(log_url, &rank.group, incarnation, &events)?,
             table: table.clone(),
+            board: board.clone(),
+            group: rank.group.clone(),
             identity: Arc::clone(identity),
             events: events.clone(),
             io: io.clone(),
@@ -161,6 +164,8 @@
     engine: EngineClient,
     claims: ClaimsLog,
     table: LinkTable,
+    board: StatusBoard,
+    group: ServiceName,
     identity: Arc<LinkIdentity>,
     events: EventSender<MemberEvent>,
     io: Handle,
@@ -178,7 +183,21 @@
             MemberEffect::Read(from) => self.claims.read(from),
             MemberEffect::Append(record) => self.claims.append(record),
             MemberEffect::Engine(call) => self.engine.call(call),
-            MemberEffect::Log(line) => log_decision(&line),
+            MemberEffect::Log(line) => {
+                self.show_holder(&line);
+                log_decision(&line);
+            }
+        }
+    }
+
+    /// Shows operators who decides for the group.
+    fn show_holder(&self, line: &GroupLine) {
+        if let GroupLine::Holder { fence, instance } = line {
+            self.board.set_fence(FenceStatus {
+                group: self.group.clone(),
+                fence: fence.0,
+                holder: instance.clone(),
+            });
         }
     }
 
--- a/crates/egretstage_control/src/nodes.rs
+++ b/crates/egretstage_control/src/nodes.rs
@@ -227,15 +227,16 @@
 
 fn print_fences(nodes: &[NodeReport]) {
     let statuses = nodes.iter().filter_map(|node| node.status.as_ref());
-    let mut table = Table::new(&["NODE", "GROUP", "FENCE"]);
+    let mut table = Table::new(&["NODE", "GROUP", "FENCE", "HOLDER"]);
     let mut any = false;
     for status in statuses {
-        for fence in &status.work.fences {
+        for fence in &status.fences {
             any = true;
             table.row(vec![
                 status.instance.to_compact_string(),
                 fence.group.to_compact_string(),
                 fence.fence.to_compact_string(),
+                fence.holder.to_compact_string(),
             ]);
         }
     }
--- a/crates/egretstage_observe/src/status.rs
+++ b/crates/egretstage_observe/src/status.rs
@@ -27,6 +27,9 @@
     pub work: WorkStatus,
     /// The configuration that it holds.
     pub configuration: ConfigurationStatus,
+    /// Who decides for the groups that it takes part in.
+    #[serde(default)]
+    pub fences: Vec<FenceStatus>,
 }
 
 /// Whether a node takes work, and where it can send it.
@@ -43,9 +46,6 @@
     /// Upstreams that an entry knows.
     #[serde(default)]
     pub runners: Vec<RunnerStatus>,
-    /// Fencing numbers of the groups that the node takes part in.
-    #[serde(default)]
-    pub fences: Vec<FenceStatus>,
 }
 
 /// An upstream as an entry sees it.
@@ -67,13 +67,15 @@
     pub load: LoadReport,
 }
 
-/// The fencing number of a group.
+/// Who decides for a group, as a node last heard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FenceStatus {
     /// The group.
     pub group: ServiceName,
     /// The fencing number.
     pub fence: u64,
+    /// The companion that holds it.
+    pub holder: InstanceId,
 }
 
 /// The configuration that a node holds.
@@ -128,6 +130,7 @@
                 ..WorkStatus::default()
             },
             configuration: ConfigurationStatus::default(),
+            fences: Vec::new(),
         }
     }
 }
@@ -189,6 +192,13 @@
         self.lock().work = work;
     }
 
+    /// Replaces what is known of one group's fence.
+    pub fn set_fence(&self, fence: FenceStatus) {
+        let mut status = self.lock();
+        status.fences.retain(|known| known.group != fence.group);
+        status.fences.push(fence);
+    }
+
     /// Returns the page that the admin endpoint serves.
     ///
     /// # Panics
--- a/tests/egretctl.rs
+++ b/tests/egretctl.rs
@@ -186,3 +186,26 @@
         (unreadable["name"] == "booking").then_some(())
     });
 }
+
+#[test]
+fn status_shows_who_holds_the_fence_of_a_group() {
+    let fleet = scenario::start(programs!());
+    let (_engine, upstream) = fleet.engine(EngineOptions::default());
+    let address = free_address();
+    let rank = RankPlacement {
+        index: 0,
+        ranks: 1,
+        sender_lock: free_address(),
+        advertise: address,
+    };
+    let place = scenario::drafting("draft-1", "west", upstream);
+    let companion = fleet.rank_companion(&place, address, &rank);
+    let admin = companion.admin.to_string();
+    let fences = wait_for("the holder of the fence", || {
+        let output = fleet.control(&["status", "--node", &admin, "--json"]);
+        let fences = json_of(&output)["nodes"][0]["status"]["fences"].clone();
+        (!fences.as_array()?.is_empty()).then_some(fences)
+    });
+    let expected = json!([{"group": "drafting", "fence": 1, "holder": "draft-1"}]);
+    assert_eq!(fences, expected);
+}
