Let an idle upstream return to its peers' pace

Cause: an upstream that had a slow start was never tried again. In one of about eight parallel runs of leaving_upstream_gets_no_new_work an upstream got 7 calls against 683 of its peer: its first four calls had measured 118 ms against 6 ms, so nothing was sent there, nothing was measured, and the entry decided by a report that was 8.5 s old and growing.

Ruled out: forgetting the measurement after a time (all entries would run after the upstream at once); fading by the report's age alone (with reports 5 s late the paces of busy upstreams would be lost as well).

Change: what sets an idle upstream's pace apart from the mean of its peers is halved each second; one that holds calls is taken at its word.

Proof: an_upstream_that_was_slow_once_is_tried_again, in virtual time; without the fade it stays at 118 ms.

--- a/crates/egretstage_entry/src/routing.rs
+++ b/crates/egretstage_entry/src/routing.rs
@@ -8,7 +8,7 @@
 use egretstage_config::Configuration;
 use egretstage_routing::{
     Candidate, Choice, Demand, OutlierDetector, OutputEstimate, Prediction, PrefixFingerprint,
-    RetryBudget, RoutingPolicy, fill_unknown,
+    RetryBudget, RoutingPolicy, settle_paces,
 };
 use egretstage_wire::{DEFAULT_WEIGHT_MILLI, OrganisationName, ServiceName, ZoneName};
 use smallvec::SmallVec;
@@ -169,7 +169,7 @@
                 (key, figures)
             })
             .unzip();
-        fill_unknown(&mut figures);
+        settle_paces(&mut figures);
         Candidates { keys, figures }
     }
 
--- a/crates/egretstage_routing/src/candidate.rs
+++ b/crates/egretstage_routing/src/candidate.rs
@@ -15,6 +15,8 @@
     /// Least age of that report, in milliseconds: since it arrived, or since
     /// the oldest call that it doesn't count.
     pub report_age_ms: u32,
+    /// Time for which it has probably been without calls, in milliseconds.
+    pub idle_ms: u32,
     /// Mean of the other entries' calls in its reports.
     pub others_mean: f32,
     /// Calls sent to it that the report doesn't count.
--- a/crates/egretstage_routing/src/lib.rs
+++ b/crates/egretstage_routing/src/lib.rs
@@ -35,7 +35,7 @@
 };
 pub use health::{CallResult, Health};
 pub use meter::UpstreamMeter;
-pub use peers::fill_unknown;
+pub use peers::settle_paces;
 pub use policy::RoutingPolicy;
 pub use predicted::{PredictedFirstToken, PredictionLimits};
 pub use prediction::Prediction;
--- a/crates/egretstage_routing/src/peers.rs
+++ b/crates/egretstage_routing/src/peers.rs
@@ -1,17 +1,25 @@
-//! Figures of an upstream that isn't measured yet.
+//! What an upstream's peers tell of its pace.
 
 use crate::Candidate;
 use egretstage_wire::LoadReport;
 
-/// Gives candidates whose pace isn't known the mean pace of those where it is,
-/// so that a fresh upstream looks like its peers and not infinitely fast.
-pub fn fill_unknown(candidates: &mut [Candidate]) {
-    fill(candidates, |load| &mut load.prefill_tokens_per_s);
-    fill(candidates, |load| &mut load.token_interval_ms);
-    fill(candidates, |load| &mut load.service_ms);
+/// Idle time in which half of what sets an upstream apart from its peers is
+/// forgotten, in milliseconds.
+const IDLE_HALF_LIFE_MS: f32 = 1_000.0;
+
+/// Settles the paces of candidates by those of their peers.
+///
+/// One whose pace isn't known gets the mean, so that a fresh upstream looks
+/// like its peers and not infinitely fast. One that is idle returns to the
+/// mean of the others: its pace is measured by its calls alone, so a bad
+/// measurement would keep calls away and never be corrected.
+pub fn settle_paces(candidates: &mut [Candidate]) {
+    settle(candidates, |load| &mut load.prefill_tokens_per_s);
+    settle(candidates, |load| &mut load.token_interval_ms);
+    settle(candidates, |load| &mut load.service_ms);
 }
 
-fn fill(candidates: &mut [Candidate], figure: impl Fn(&mut LoadReport) -> &mut f32) {
+fn settle(candidates: &mut [Candidate], figure: impl Fn(&mut LoadReport) -> &mut f32) {
     let (mut sum, mut known) = (0.0, 0.0);
     for candidate in &mut *candidates {
         let value = *figure(&mut candidate.load);
@@ -24,9 +32,14 @@
         return;
     }
     for candidate in candidates {
+        let idle_ms = candidate.idle_ms;
         let value = figure(&mut candidate.load);
         if *value <= 0.0 {
             *value = sum / known;
+        } else if idle_ms > 0 && known > 1.0 {
+            let others = (sum - *value) / (known - 1.0);
+            let kept = (-crate::estimate::to_f32(idle_ms) / IDLE_HALF_LIFE_MS).exp2();
+            *value = others + (*value - others) * kept;
         }
     }
 }
--- a/crates/egretstage_routing/src/tracker.rs
+++ b/crates/egretstage_routing/src/tracker.rs
@@ -183,10 +183,13 @@
             .blocked
             .get(organisation)
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
+        let report_age_ms = as_millis(self.report_age(now));
+        let idle = self.in_flight == 0 && self.report.running == 0 && self.report.waiting == 0;
         Candidate {
             same_zone,
             load: self.report,
-            report_age_ms: as_millis(self.report_age(now)),
+            report_age_ms,
+            idle_ms: if idle { report_age_ms } else { 0 },
             others_mean: self.others.get().unwrap_or(0.0),
             sent_since_report: u32::try_from(self.unreported()).unwrap_or(u32::MAX),
             own_in_flight: self.in_flight,
--- a/crates/egretstage_routing/tests/limits.rs
+++ b/crates/egretstage_routing/tests/limits.rs
@@ -3,7 +3,7 @@
 use egretstage_routing::{
     CallResult, Candidate, Choice, Demand, EjectionLimits, FairQueue, Flow, OutlierDetector,
     PredictedFirstToken, PredictionLimits, PrefixFingerprint, RetryBudget, RetryLimits,
-    RoutingPolicy, UpstreamTracker, admit, max_ejected,
+    RoutingPolicy, UpstreamTracker, admit, max_ejected, settle_paces,
 };
 use egretstage_wire::{LoadReport, NotRunReason, OrganisationName};
 use proptest::prelude::*;
@@ -178,3 +178,41 @@
     trackers[0].reported(now, busy);
     assert_eq!(choose(&trackers), 1);
 }
+
+/// Time after which an idle upstream must look like its peers again, for its
+/// share of the work to be back within seconds.
+const IDLE_RECOVERY: Duration = Duration::from_secs(10);
+
+/// How far an idle upstream's pace may then be from its peers'.
+const RECOVERED_PACE: f32 = 1.01;
+
+#[test]
+fn an_upstream_that_was_slow_once_is_tried_again() {
+    let now = Instant::now();
+    let service = |service_ms| LoadReport {
+        service_ms,
+        ..report(0.0)
+    };
+    let mut slow_once = UpstreamTracker::default();
+    slow_once.reported(now, service(118.0));
+    let mut peer = UpstreamTracker::default();
+    let pace = |at: Instant, slow_once: &UpstreamTracker, peer: &UpstreamTracker| {
+        let mut figures = [candidate(slow_once, at), candidate(peer, at)];
+        settle_paces(&mut figures);
+        figures.map(|figure| figure.load.service_ms)
+    };
+    peer.reported(now, service(6.0));
+    let [at_first, _] = pace(now, &slow_once, &peer);
+    assert!(at_first > 100.0, "a fresh measurement counts: {at_first}");
+    let later = now + IDLE_RECOVERY;
+    peer.reported(later, service(6.0));
+    let [recovered, normal] = pace(later, &slow_once, &peer);
+    assert!(recovered <= normal * RECOVERED_PACE + 1.0, "{recovered} ms");
+    let work = slow_once.sent(later, &DEMAND, &PrefixFingerprint::default());
+    let [busy, _] = pace(later, &slow_once, &peer);
+    assert!(
+        busy > 100.0,
+        "one that holds calls is taken at its word: {busy}"
+    );
+    slow_once.ended(work, CallResult::Neutral);
+}
--- a/crates/egretstage_standins/src/queueing/entry.rs
+++ b/crates/egretstage_standins/src/queueing/entry.rs
@@ -5,7 +5,7 @@
 use egretstage_routing::{
     CallResult, Candidate, Choice, Demand, LeastLoaded, OutlierDetector, OutputEstimate,
     PowerOfTwo, PredictedFirstToken, PredictionLimits, RandomChoice, RetryBudget, RoundRobin,
-    RoutingPolicy, SentWork, UpstreamTracker, fill_unknown,
+    RoutingPolicy, SentWork, UpstreamTracker, settle_paces,
 };
 use egretstage_wire::OrganisationName;
 use std::time::Instant;
@@ -90,7 +90,7 @@
             },
         };
         let (runners, mut candidates) = self.candidates(now, req);
-        fill_unknown(&mut candidates);
+        settle_paces(&mut candidates);
         match self.policy.choose(&demand, &candidates) {
             Choice::Send { index, .. } => {
                 let runner = runners[index];
