--- a/crates/egretstage_standins/src/queueing.rs
+++ b/crates/egretstage_standins/src/queueing.rs
@@ -6,6 +6,7 @@
 //! interval that grows with the load. A seed repeats a run exactly.
 
 mod agenda;
+mod at_runner;
 mod call;
 mod ending;
 mod entry;
--- a/crates/egretstage_standins/src/queueing/world.rs
+++ b/crates/egretstage_standins/src/queueing/world.rs
@@ -2,14 +2,14 @@
 
 use super::agenda::{Agenda, Attempt, Event};
 use super::call::{CallId, SentTo, SimCall};
-use super::ending::{Ending, IMPATIENT_WAIT};
+use super::ending::Ending;
 use super::entry::SimEntry;
 use super::figures::Figures;
 use super::options::{Mechanisms, Scenario};
-use super::runner::{Held, SimRunner, tokens_made, zone_of};
+use super::runner::{SimRunner, zone_of};
 use super::workload::Workload;
-use egretstage_routing::{CallResult, Choice, Flow};
-use egretstage_wire::{CallWork, DEFAULT_WEIGHT_MILLI, NotRunReason};
+use egretstage_routing::{CallResult, Choice};
+use egretstage_wire::NotRunReason;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::{Duration, Instant};
@@ -197,7 +197,7 @@
             .add(now + delay, Event::Delivered { attempt, runner });
     }
 
-    fn delay(&self, entry: usize, runner: usize) -> Duration {
+    pub(super) fn delay(&self, entry: usize, runner: usize) -> Duration {
         if self.entries[entry].zone == self.runners[runner].zone {
             self.scenario.site.near_delay
         } else {
@@ -206,134 +206,12 @@
     }
 
     /// Returns where a call is, if the attempt is its latest and it is open.
-    fn open(&self, attempt: Attempt) -> Option<SentTo> {
+    pub(super) fn open(&self, attempt: Attempt) -> Option<SentTo> {
         let call = &self.calls[attempt.call];
         let current = call.attempts == attempt.number && !call.closed;
         call.sent.filter(|_| current)
     }
 
-    fn delivered(&mut self, now: Instant, attempt: Attempt, runner: usize) {
-        if !self.runners[runner].alive {
-            return;
-        }
-        let call = &self.calls[attempt.call];
-        let (entry, deadline) = (call.entry, call.deadline);
-        self.runners[runner].receive(entry);
-        let Some(sent) = self.open(attempt) else {
-            return;
-        };
-        let work = CallWork {
-            prefill_tokens: sent.work.prefill_tokens(),
-            output_tokens: sent.output_tokens,
-            weight_milli: DEFAULT_WEIGHT_MILLI,
-        };
-        let limits = self.mechanisms.limits;
-        let flow = Flow {
-            id: if limits {
-                self.calls[attempt.call].req.organisation
-            } else {
-                0
-            },
-            weight_milli: work.weight_milli,
-        };
-        let budget = deadline.saturating_duration_since(now);
-        if limits && let Err(refused) = self.runners[runner].admits(&flow, &work, budget) {
-            self.tell_refused(now, attempt, runner, refused.reason, refused.retry_after);
-            return;
-        }
-        let cost = self.runners[runner].cost(&work);
-        let held = Held {
-            attempt,
-            entry,
-            work,
-            cost,
-            run: None,
-        };
-        self.runners[runner].enqueue(flow, held);
-        if limits {
-            let latest = deadline.checked_sub(cost).unwrap_or(now).max(now);
-            self.agenda.add(latest, Event::GivenUp { attempt, runner });
-        }
-        self.fill(now, runner);
-    }
-
-    fn tell_refused(
-        &mut self,
-        now: Instant,
-        attempt: Attempt,
-        runner: usize,
-        reason: NotRunReason,
-        retry_after: Duration,
-    ) {
-        let delay = self.delay(self.calls[attempt.call].entry, runner);
-        let event = Event::Refused {
-            attempt,
-            reason,
-            retry_after,
-        };
-        self.agenda.add(now + delay, event);
-    }
-
-    /// Starts waiting calls in the free slots.
-    fn fill(&mut self, now: Instant, runner: usize) {
-        while let Some(held) = self.runners[runner].next() {
-            let attempt = held.attempt;
-            let call = &mut self.calls[attempt.call];
-            call.ran = true;
-            let (req, state) = (&call.req, &mut self.runners[runner]);
-            let run = state.start(
-                now,
-                attempt.call,
-                &req.prompt,
-                req.prompt_tokens,
-                req.tokens,
-            );
-            self.figures.prompt_tokens += u64::from(req.prompt_tokens);
-            self.figures.cached_tokens += u64::from(run.cached_tokens);
-            self.agenda
-                .add(run.first_token, Event::FirstToken { attempt, runner });
-            self.agenda
-                .add(run.finish, Event::Finished { attempt, runner });
-        }
-    }
-
-    fn given_up(&mut self, now: Instant, attempt: Attempt, runner: usize) {
-        if !self.runners[runner].is_waiting(attempt) {
-            return;
-        }
-        self.runners[runner].remove(now, attempt);
-        let reason = NotRunReason::DeadlineTooClose;
-        self.tell_refused(now, attempt, runner, reason, IMPATIENT_WAIT);
-    }
-
-    fn first_token(&mut self, now: Instant, attempt: Attempt, runner: usize) {
-        if self.runners[runner].first_token(now, attempt) {
-            let delay = self.delay(self.calls[attempt.call].entry, runner);
-            self.agenda.add(now + delay, Event::FirstHeard(attempt));
-        }
-    }
-
-    fn finished(&mut self, now: Instant, attempt: Attempt, runner: usize) {
-        if self.runners[runner].remove(now, attempt).is_some() {
-            let delay = self.delay(self.calls[attempt.call].entry, runner);
-            self.agenda.add(now + delay, Event::FinishHeard(attempt));
-            self.fill(now, runner);
-        }
-    }
-
-    fn cancelled(&mut self, now: Instant, attempt: Attempt, runner: usize) {
-        if let Some(held) = self.runners[runner].remove(now, attempt) {
-            self.waste(now, &held);
-            self.fill(now, runner);
-        }
-    }
-
-    pub(super) fn waste(&mut self, now: Instant, held: &Held) {
-        if let Some(run) = &held.run {
-            self.figures.wasted_tokens += tokens_made(run, now);
-        }
-    }
-
     fn refused(
         &mut self,
         now: Instant,
