Spread the test ports of neighbouring processes

Cause: two test processes with neighbouring ids handed out overlapping ports once one of them had used 64; with three test runs side by side a group of ranks sometimes never stepped (with_instances_replaced, 3 of 10 runs of all invariant tests). Five runs with nothing beside them were green before the change, 22.7 to 23.4 s each; the cause is inferred from that.

Change: the first port is the process id times a large odd number.

--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -191,8 +191,8 @@
 /// How many ports are handed out before they are used again.
 const PORT_COUNT: u32 = 12_000;
 
-/// Ports between the first ones of two test processes.
-const PORTS_PER_PROCESS: u32 = 64;
+/// Spreads the first ports of processes with neighbouring ids far apart.
+const PORT_SPREAD: u32 = 0x9e37_79b1;
 
 /// Returns a loopback address that nothing listens on.
 ///
@@ -205,7 +205,7 @@
 #[must_use]
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let offset = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
+    let offset = std::process::id().wrapping_mul(PORT_SPREAD);
     let mut candidates = (0..PORT_COUNT).map(|_| {
         let count = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + offset.wrapping_add(count) % PORT_COUNT;
