Space load reports by the number of links

Cause: at the target an entry takes in 720 reports a second over 180 links; with them its control payload is 42.6 KB/s, 1.7 times the limit.

Ruled out: one a second everywhere (with three entries and 12 runners a fresher report costs nothing).

Change: a companion with up to 6 links reports at most each 250 ms, one with 24 or more at most each second.

--- a/crates/egretstage_companion/src/load.rs
+++ b/crates/egretstage_companion/src/load.rs
@@ -7,9 +7,25 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// Shortest time between two load reports on a link.
+/// Shortest time between two load reports on a link, with few links.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Links up to which reports are sent at their shortest interval.
+const LINKS_AT_SHORTEST_INTERVAL: usize = 6;
+
+/// How many times longer the interval grows with the links, at most.
+const MAX_INTERVAL_FACTOR: f64 = 4.0;
+
+/// Returns the time between two load reports on a link.
+///
+/// A companion with many links stands in a large fleet, where an entry has
+/// many links too: what an entry takes in stays within its bounds.
+#[expect(clippy::cast_precision_loss, reason = "a companion has few links")]
+fn report_interval(links: usize) -> Duration {
+    let factor = links as f64 / LINKS_AT_SHORTEST_INTERVAL as f64;
+    REPORT_INTERVAL.mul_f64(factor.clamp(1.0, MAX_INTERVAL_FACTOR))
+}
+
 /// What a companion has seen of a link.
 #[derive(Clone, Copy, Debug, Default)]
 struct LinkLoad {
@@ -135,7 +151,7 @@
                 reports.push((key, report));
             }
         }
-        self.next_report = (!reports.is_empty()).then(|| now + REPORT_INTERVAL);
+        self.next_report = (!reports.is_empty()).then(|| now + report_interval(self.links.len()));
         reports
     }
 
