Split the entry's reducer, its HTTP server and the test fleet by job

Change: sending.rs (from arrival to a companion), outcomes.rs (answer, end or another attempt), responses.rs (refusals and errors), program.rs, ports.rs and placement.rs. No behaviour changes.

--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -1,20 +1,19 @@
 //! The callers' HTTP server.
 
 use crate::answer::{AnswerBody, CallerGuard};
+use crate::responses::{ResponseBody, invalid, refused, tag};
 use crate::{
     AnswerPart, CallKey, CallRequest, EntryEvent, InvalidRequest, RawRequest, Refusal, RefusalKind,
     RequestLimits,
 };
 use egretstage_runtime::EventSender;
-use egretstage_wire::{Incarnation, NotRunReason, RequestId};
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use egretstage_wire::{Incarnation, RequestId};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use serde_json::json;
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -54,7 +53,6 @@
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 type AnswerSenders = Arc<Mutex<HashMap<CallKey, UnboundedSender<AnswerPart>>>>;
-type ResponseBody = UnsyncBoxBody<Bytes, crate::answer::AnswerCut>;
 
 /// Passes parts of answers to the callers' connections.
 #[derive(Clone, Debug, Default)]
@@ -353,75 +351,6 @@
     Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
 }
 
-fn invalid(status: u16, code: &str, message: &str, request: &RequestId) -> Response<ResponseBody> {
-    error(status, code, message, request, "not-run")
-}
-
-fn refused(refusal: &Refusal, request: &RequestId) -> Response<ResponseBody> {
-    let mut resp = match refusal.kind {
-        RefusalKind::UnknownToken => {
-            invalid(401, "unknown_token", "the token belongs to nobody", request)
-        }
-        RefusalKind::UnknownService => {
-            invalid(404, "unknown_service", "no such service or model", request)
-        }
-        RefusalKind::NotRun(reason) => {
-            let text = format!("the request was not run: {reason}");
-            let status = if reason == NotRunReason::KeyReused {
-                422
-            } else {
-                503
-            };
-            error(status, <&str>::from(reason), &text, request, "not-run")
-        }
-        RefusalKind::Unknown(reason) => {
-            let advice = if refusal.retry_after.is_some() {
-                "ask again with the same Idempotency-Key"
-            } else {
-                "it had no Idempotency-Key: look whether it ran before asking again"
-            };
-            let text = format!("the request may or may not have run ({reason}); {advice}");
-            error(504, <&str>::from(reason), &text, request, "unknown")
-        }
-    };
-    if let Some(retry_after) = refusal.retry_after {
-        let seconds = retry_after.as_millis().div_ceil(1000);
-        if let Ok(value) = HeaderValue::try_from(seconds.to_string()) {
-            resp.headers_mut().insert(RETRY_AFTER, value);
-        }
-    }
-    resp
-}
-
-fn error(
-    status: u16,
-    code: &str,
-    message: &str,
-    request: &RequestId,
-    outcome: &'static str,
-) -> Response<ResponseBody> {
-    let body = json!({"error": {
-        "code": code, "message": message, "request_id": request.as_str(), "outcome": outcome,
-    }});
-    let body = Full::new(Bytes::from(body.to_string()))
-        .map_err(|never| match never {})
-        .boxed_unsync();
-    let mut resp = Response::new(body);
-    *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let json = HeaderValue::from_static("application/json");
-    resp.headers_mut().insert(CONTENT_TYPE, json);
-    tag(&mut resp, request, outcome);
-    resp
-}
-
-fn tag(resp: &mut Response<ResponseBody>, request: &RequestId, outcome: &'static str) {
-    let headers = resp.headers_mut();
-    if let Ok(value) = HeaderValue::try_from(request.as_str()) {
-        headers.insert("egret-request-id", value);
-    }
-    headers.insert("egret-outcome", HeaderValue::from_static(outcome));
-}
-
 /// Runs a closure at the end of the scope, also when a future is dropped.
 struct ScopeEnd<F: FnMut()>(Option<F>);
 
--- a/crates/egretstage_entry/src/keyed.rs
+++ b/crates/egretstage_entry/src/keyed.rs
@@ -2,9 +2,10 @@
 //! owner, and may go there again.
 
 use crate::calls::Wait;
-use crate::reducer::{Chosen, EntryReducer};
+use crate::reducer::EntryReducer;
 use crate::routing::{AppliedRule, Candidates};
 use crate::runners::RunnerKey;
+use crate::sending::Chosen;
 use crate::{AnswerPart, CallKey, EntryEffect, Refusal, RefusalKind};
 use egretstage_link::LinkKey;
 use egretstage_once::OwnerSet;
--- a/crates/egretstage_entry/src/lib.rs
+++ b/crates/egretstage_entry/src/lib.rs
@@ -11,19 +11,23 @@
 mod http;
 mod keyed;
 mod meters;
+mod outcomes;
 mod owners_append;
 mod reducer;
 mod request;
+mod responses;
 mod resume;
 mod routing;
 mod runners;
 mod selection;
+mod sending;
 mod status;
 mod suspects;
 
 pub use event::{AnswerPart, CallKey, DecisionLine, EntryEffect, EntryEvent, Refusal, RefusalKind};
-pub use reducer::{EntryLimits, EntryReducer, INITIAL_CREDIT};
+pub use reducer::{EntryLimits, EntryReducer};
 pub use request::{CallRequest, InvalidRequest, RawRequest, RequestLimits, Target};
+pub use sending::INITIAL_CREDIT;
 
 /// The items that most users of this crate need.
 pub mod prelude {
--- a/crates/egretstage_entry/src/resume.rs
+++ b/crates/egretstage_entry/src/resume.rs
@@ -1,8 +1,9 @@
 //! Calls whose link is lost, and answers that go on over a new link.
 
 use crate::calls::Wait;
-use crate::reducer::{EntryReducer, INITIAL_CREDIT};
+use crate::reducer::EntryReducer;
 use crate::runners::{RESUME_TIMEOUT, RunnerKey};
+use crate::sending::INITIAL_CREDIT;
 use crate::{CallKey, EntryEffect};
 use egretstage_link::LinkKey;
 use egretstage_routing::CallResult;
--- a/crates/egretstage_standins/src/fleet.rs
+++ b/crates/egretstage_standins/src/fleet.rs
@@ -8,24 +8,20 @@
 use crate::engine::{EngineOptions, EngineStandIn};
 use crate::fault_proxy::FaultProxy;
 use crate::instance_list::InstanceListStandIn;
+use crate::placement::{EntryOptions, Placement, RankPlacement};
 use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
+use crate::ports::free_address;
+use crate::program::Program;
 use crate::weight_store::{WeightStoreOptions, WeightStoreStandIn};
-use rustix::process::{Pid, Signal, kill_process};
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::runtime::{Handle, Runtime};
 
-/// Longest wait for a program to become ready or to end.
-const PATIENCE: Duration = Duration::from_secs(30);
-
-/// Pause between two looks at a condition.
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Where the product's programs are.
 #[derive(Clone, Copy, Debug)]
 pub struct Programs {
@@ -49,222 +45,6 @@
     };
 }
 
-/// A program of the product as a process; killed when dropped.
-#[derive(Debug)]
-pub struct Program {
-    name: String,
-    child: Child,
-    /// Address of `/livez`, `/readyz`, `/metrics` and `/status`.
-    pub admin: SocketAddr,
-    /// Address of callers or links.
-    pub address: SocketAddr,
-    log: PathBuf,
-}
-
-impl Program {
-    fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        if let Some(pid) = pid {
-            let _ = kill_process(pid, signal);
-        }
-    }
-
-    /// Returns the process's id.
-    #[must_use]
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Returns the memory that the process holds, in KiB; 0 when it has ended.
-    #[must_use]
-    pub fn resident_kib(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = std::fs::read_to_string(path).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-        let value = line.and_then(|line| line.split_whitespace().nth(1));
-        value.and_then(|kib| kib.parse().ok()).unwrap_or(0)
-    }
-
-    /// Kills the process at once and waits for its end.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Freezes the process.
-    pub fn freeze(&self) {
-        self.signal(Signal::STOP);
-    }
-
-    /// Lets a frozen process run on.
-    pub fn thaw(&self) {
-        self.signal(Signal::CONT);
-    }
-
-    /// Asks the process to stop as planned.
-    pub fn terminate(&self) {
-        self.signal(Signal::TERM);
-    }
-
-    /// Waits for the end of the process.
-    ///
-    /// # Panics
-    ///
-    /// Panics when the process doesn't end in time.
-    pub fn wait(&mut self) -> ExitStatus {
-        let name = self.name.clone();
-        wait_for(&format!("the end of {name}"), || {
-            self.child.try_wait().ok().flatten()
-        })
-    }
-
-    /// Returns the process's log lines.
-    #[must_use]
-    pub fn log_lines(&self) -> Vec<serde_json::Value> {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
-        text.lines()
-            .filter_map(|line| serde_json::from_str(line).ok())
-            .collect()
-    }
-
-    /// Waits until `/readyz` answers with the status.
-    ///
-    /// # Panics
-    ///
-    /// Panics when that takes too long.
-    pub fn await_ready(&self, ready: bool) {
-        let url = format!("http://{}/readyz", self.admin);
-        let agent = agent();
-        let want = if ready { 200 } else { 503 };
-        wait_for(&format!("{} ready: {ready}", self.name), || {
-            let resp = agent.get(&url).call().ok()?;
-            (resp.status().as_u16() == want).then_some(())
-        });
-    }
-
-    /// Returns `/status`.
-    #[must_use]
-    pub fn status(&self) -> serde_json::Value {
-        let url = format!("http://{}/status", self.admin);
-        let resp = agent().get(&url).call().ok();
-        let text = resp.and_then(|mut r| r.body_mut().read_to_string().ok());
-        text.and_then(|text| serde_json::from_str(&text).ok())
-            .unwrap_or_default()
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        self.thaw();
-        self.kill();
-    }
-}
-
-fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
-        .timeout_global(Some(Duration::from_secs(1)))
-        .http_status_as_error(false)
-        .build()
-        .into()
-}
-
-/// Waits until a condition holds and returns its value.
-///
-/// # Panics
-///
-/// Panics when that takes longer than half a minute.
-pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
-    let start = Instant::now();
-    loop {
-        if let Some(value) = condition() {
-            return value;
-        }
-        assert!(start.elapsed() < PATIENCE, "waited too long for {what}");
-        std::thread::sleep(POLL_INTERVAL);
-    }
-}
-
-/// First port handed out; all are below the range that the kernel gives to
-/// outgoing connections.
-const FIRST_PORT: u32 = 20_000;
-
-/// How many ports are handed out before they are used again.
-const PORT_COUNT: u32 = 12_000;
-
-/// Spreads the first ports of processes with neighbouring ids far apart.
-const PORT_SPREAD: u32 = 0x9e37_79b1;
-
-/// Returns a loopback address that nothing listens on.
-///
-/// No address is returned twice in a row of [`PORT_COUNT`], so that a program
-/// that is slow to bind finds its address free.
-///
-/// # Panics
-///
-/// Panics when the machine has no free port.
-#[must_use]
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let offset = std::process::id().wrapping_mul(PORT_SPREAD);
-    let mut candidates = (0..PORT_COUNT).map(|_| {
-        let count = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + offset.wrapping_add(count) % PORT_COUNT;
-        SocketAddr::from((Ipv4Addr::LOCALHOST, u16::try_from(port).unwrap_or(0)))
-    });
-    candidates
-        .find(|address| TcpListener::bind(address).is_ok())
-        .expect("a free port")
-}
-
-/// An upstream's place in the fleet.
-#[derive(Clone, Copy, Debug)]
-pub struct Placement<'a> {
-    /// Instance name of the companion.
-    pub instance: &'a str,
-    /// Availability zone.
-    pub zone: &'a str,
-    /// The service or model group.
-    pub service: &'a str,
-    /// `engine` or `plain`.
-    pub kind: &'a str,
-    /// Address of the upstream.
-    pub upstream: SocketAddr,
-}
-
-/// A companion's rank in a model group.
-#[derive(Clone, Copy, Debug)]
-pub struct RankPlacement {
-    /// The rank.
-    pub index: u16,
-    /// Number of ranks in the group.
-    pub ranks: u16,
-    /// Address that admits one sender to the engine.
-    pub sender_lock: SocketAddr,
-    /// Address at which the other companions reach this one.
-    pub advertise: SocketAddr,
-}
-
-impl RankPlacement {
-    fn settings(&self, group: &str) -> String {
-        format!(
-            "[rank]\ngroup = \"{group}\"\nindex = {}\nranks = {}\nsender_lock = \"{}\"\n\
-             advertise = \"{}\"\nstep_ms = 20\ngrant_horizon_ms = 500\nheartbeat_ms = 100\n\
-             suspect_after_ms = 1500\nclaim_stagger_ms = 300\nmap_interval_ms = 200\n\
-             loads = [\"draft-1\"]\n",
-            self.index, self.ranks, self.sender_lock, self.advertise
-        )
-    }
-}
-
-/// Settings of an entry that a test chooses.
-#[derive(Clone, Debug, Default)]
-pub struct EntryOptions {
-    /// Base URL of the log service, if it isn't the fleet's.
-    pub log_url: Option<String>,
-    /// More settings of the callers' side, and more tables.
-    pub settings: String,
-}
-
 /// The platform's stand-ins and a folder for settings and logs.
 #[derive(Debug)]
 pub struct Fleet {
--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -13,7 +13,10 @@
 pub mod fault_proxy;
 pub mod fleet;
 pub mod instance_list;
+pub mod placement;
 pub mod plain_service;
+pub mod ports;
+pub mod program;
 pub mod queueing;
 pub mod rank_engine;
 pub mod rank_group;
@@ -28,11 +31,12 @@
     pub use crate::caller::{Ask, Told, chat_messages};
     pub use crate::engine::{EngineOptions, EngineStandIn};
     pub use crate::fault_proxy::{FaultProxy, LinkFaults};
-    pub use crate::fleet::{
-        EntryOptions, Fleet, Placement, Program, Programs, RankPlacement, free_address, wait_for,
-    };
+    pub use crate::fleet::{Fleet, Programs};
     pub use crate::instance_list::InstanceListStandIn;
+    pub use crate::placement::{EntryOptions, Placement, RankPlacement};
     pub use crate::plain_service::{PlainServiceOptions, PlainServiceStandIn};
+    pub use crate::ports::free_address;
+    pub use crate::program::{Program, wait_for};
     pub use crate::rank_group::{RankGroupOptions, RankGroupStandIn};
     pub use crate::server::{Reply, StandInHandler, serve};
     pub use crate::stream_load::{Burst, StreamTimes, send_burst};
--- /dev/null
+++ b/crates/egretstage_standins/src/program.rs
@@ -0,0 +1,148 @@
+//! A program of the product as a process.
+
+use rustix::process::{Pid, Signal, kill_process};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ExitStatus};
+use std::time::{Duration, Instant};
+
+/// Longest wait for a program to become ready or to end.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A program of the product as a process; killed when dropped.
+#[derive(Debug)]
+pub struct Program {
+    pub(crate) name: String,
+    pub(crate) child: Child,
+    /// Address of `/livez`, `/readyz`, `/metrics` and `/status`.
+    pub admin: SocketAddr,
+    /// Address of callers or links.
+    pub address: SocketAddr,
+    pub(crate) log: PathBuf,
+}
+
+impl Program {
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Returns the process's id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the memory that the process holds, in KiB; 0 when it has ended.
+    #[must_use]
+    pub fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.and_then(|kib| kib.parse().ok()).unwrap_or(0)
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process run on.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to stop as planned.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process doesn't end in time.
+    pub fn wait(&mut self) -> ExitStatus {
+        let name = self.name.clone();
+        wait_for(&format!("the end of {name}"), || {
+            self.child.try_wait().ok().flatten()
+        })
+    }
+
+    /// Returns the process's log lines.
+    #[must_use]
+    pub fn log_lines(&self) -> Vec<serde_json::Value> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        text.lines()
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    /// Waits until `/readyz` answers with the status.
+    ///
+    /// # Panics
+    ///
+    /// Panics when that takes too long.
+    pub fn await_ready(&self, ready: bool) {
+        let url = format!("http://{}/readyz", self.admin);
+        let agent = agent();
+        let want = if ready { 200 } else { 503 };
+        wait_for(&format!("{} ready: {ready}", self.name), || {
+            let resp = agent.get(&url).call().ok()?;
+            (resp.status().as_u16() == want).then_some(())
+        });
+    }
+
+    /// Returns `/status`.
+    #[must_use]
+    pub fn status(&self) -> serde_json::Value {
+        let url = format!("http://{}/status", self.admin);
+        let resp = agent().get(&url).call().ok();
+        let text = resp.and_then(|mut r| r.body_mut().read_to_string().ok());
+        text.and_then(|text| serde_json::from_str(&text).ok())
+            .unwrap_or_default()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
+
+fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .timeout_global(Some(Duration::from_secs(1)))
+        .http_status_as_error(false)
+        .build()
+        .into()
+}
+
+/// Waits until a condition holds and returns its value.
+///
+/// # Panics
+///
+/// Panics when that takes longer than half a minute.
+pub fn wait_for<T>(what: &str, mut condition: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = condition() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "waited too long for {what}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
--- a/crates/egretstage_standins/src/scenario.rs
+++ b/crates/egretstage_standins/src/scenario.rs
@@ -1,7 +1,9 @@
 //! A small fleet like those of the brief, for tests and benchmarks.
 
 use crate::caller::Ask;
-use crate::fleet::{Fleet, Placement, Program, Programs, wait_for};
+use crate::fleet::{Fleet, Programs};
+use crate::placement::Placement;
+use crate::program::{Program, wait_for};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use std::fmt::Write;
