--- a/crates/egretstage_group/tests/claims_fold.rs
+++ b/crates/egretstage_group/tests/claims_fold.rs
@@ -3,6 +3,7 @@
 use egretstage_group::{ClaimRecord, ClaimVerdict, Claims};
 use egretstage_wire::{Fence, Incarnation, InstanceId};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::net::SocketAddr;
 
 fn record(writer: u64, base: u64, renews: Option<Fence>) -> ClaimRecord {
@@ -55,8 +56,23 @@
     records
 }
 
+/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
+fn repeatable(cases: u32) -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = cases;
+    }
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 5_000, ..ProptestConfig::default() })]
+    #![proptest_config(repeatable(5_000))]
 
     #[test]
     fn a_reader_that_comes_after_records_expired_agrees(
--- a/crates/egretstage_once/tests/virtual_time.rs
+++ b/crates/egretstage_once/tests/virtual_time.rs
@@ -7,12 +7,28 @@
 mod world;
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use world::{Mechanisms, World};
 
 const STEPS: usize = 400;
 
+/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
+fn repeatable(cases: u32) -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = cases;
+    }
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(2_000) })]
+    #![proptest_config(repeatable(2_000))]
 
     #[test]
     fn a_key_runs_at_most_once_within_its_window(seed: u64) {
--- a/crates/egretstage_routing/tests/fair_queue.rs
+++ b/crates/egretstage_routing/tests/fair_queue.rs
@@ -2,6 +2,7 @@
 
 use egretstage_routing::{FairQueue, Flow};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::collections::HashMap;
 
 fn flow(id: u8, weight_milli: u32) -> Flow<u8> {
@@ -13,7 +14,24 @@
     (100..10_000_u32, prop::collection::vec(1..5_000_u64, 20..60))
 }
 
+/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
+fn repeatable(cases: u32) -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = cases;
+    }
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
 proptest! {
+    #![proptest_config(repeatable(256))]
+
     /// While two flows wait, their service by weight differs by at most one
     /// call of each.
     #[test]
--- a/crates/egretstage_routing/tests/limits.rs
+++ b/crates/egretstage_routing/tests/limits.rs
@@ -7,6 +7,7 @@
 };
 use egretstage_wire::{LoadReport, NotRunReason, OrganisationName};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::{Duration, Instant};
 
 const DEMAND: Demand = Demand {
@@ -36,7 +37,24 @@
     tracker.ended(work, CallResult::Failed);
 }
 
+/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
+fn repeatable(cases: u32) -> ProptestConfig {
+    let mut config = ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    };
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = cases;
+    }
+    if config.rng_seed == RngSeed::Random {
+        config.rng_seed = RngSeed::Fixed(1);
+    }
+    config
+}
+
 proptest! {
+    #![proptest_config(repeatable(256))]
+
     /// Retries never exceed the burst and the share of the requests so far.
     #[test]
     fn retries_stay_within_their_share(
