--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -230,13 +230,13 @@
 #[serde(deny_unknown_fields, default)]
 pub struct KeySettings {
     /// How long a key is remembered after its run has ended, in milliseconds.
-    #[serde(deserialize_with = "bounded::<_, _, 1_000, 86_400_000>")]
+    #[serde(deserialize_with = "bounded::<_, _, 1, 86_400_000>")]
     pub window_ms: u64,
     /// Longest budget that an entry admits, in milliseconds.
     #[serde(deserialize_with = "bounded::<_, _, 1, 3_600_000>")]
     pub longest_budget_ms: u64,
     /// How long a read of the log allows new runs, in milliseconds.
-    #[serde(deserialize_with = "bounded::<_, _, 100, 60_000>")]
+    #[serde(deserialize_with = "bounded::<_, _, 1, 60_000>")]
     pub lease_ms: u64,
     /// Most keys that are remembered at once.
     #[serde(deserialize_with = "bounded::<_, _, 1, 10_000_000>")]
@@ -249,7 +249,7 @@
     pub max_held_bytes: usize,
     /// Age of the last change of the owners after which it is put on the log
     /// again, in milliseconds; well below the log's retention.
-    #[serde(deserialize_with = "bounded::<_, _, 1_000, 86_400_000>")]
+    #[serde(deserialize_with = "bounded::<_, _, 1, 86_400_000>")]
     pub refresh_interval_ms: u64,
 }
 
