Share the settings of the property tests

Ruled out: a module of the stand-ins, which would make crates that the stand-ins use depend on them in their tests.

Change: egretstage_test_cases::repeatable; no number of cases, seed or check changes.

--- a/crates/egretstage_entry/tests/whole_answers.rs
+++ b/crates/egretstage_entry/tests/whole_answers.rs
@@ -12,9 +12,9 @@
 use egretstage_entry::prelude::*;
 use egretstage_link::LinkKey;
 use egretstage_runtime::Reducer;
+use egretstage_test_cases::repeatable;
 use egretstage_wire::prelude::*;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, HashMap};
@@ -319,21 +319,6 @@
     format!("{prompt}-{number};")
 }
 
-/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
-fn repeatable(cases: u32) -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = cases;
-    }
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
     #![proptest_config(repeatable(300))]
 
--- a/crates/egretstage_group/tests/claims_fold.rs
+++ b/crates/egretstage_group/tests/claims_fold.rs
@@ -1,9 +1,9 @@
 //! All readers of a claims stream accept the same claims.
 
 use egretstage_group::{ClaimRecord, ClaimVerdict, Claims};
+use egretstage_test_cases::repeatable;
 use egretstage_wire::{Fence, Incarnation, InstanceId};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use std::net::SocketAddr;
 
 fn record(writer: u64, base: u64, renews: Option<Fence>) -> ClaimRecord {
@@ -56,21 +56,6 @@
     records
 }
 
-/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
-fn repeatable(cases: u32) -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = cases;
-    }
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
     #![proptest_config(repeatable(5_000))]
 
--- a/crates/egretstage_once/tests/virtual_time.rs
+++ b/crates/egretstage_once/tests/virtual_time.rs
@@ -6,27 +6,12 @@
 
 mod world;
 
+use egretstage_test_cases::repeatable;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use world::{Mechanisms, World};
 
 const STEPS: usize = 400;
 
-/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
-fn repeatable(cases: u32) -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = cases;
-    }
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
     #![proptest_config(repeatable(2_000))]
 
--- a/crates/egretstage_routing/tests/fair_queue.rs
+++ b/crates/egretstage_routing/tests/fair_queue.rs
@@ -1,8 +1,8 @@
 //! The error bound of the fair queue.
 
 use egretstage_routing::{FairQueue, Flow};
+use egretstage_test_cases::repeatable;
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use std::collections::HashMap;
 
 fn flow(id: u8, weight_milli: u32) -> Flow<u8> {
@@ -14,21 +14,6 @@
     (100..10_000_u32, prop::collection::vec(1..5_000_u64, 20..60))
 }
 
-/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
-fn repeatable(cases: u32) -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = cases;
-    }
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
     #![proptest_config(repeatable(256))]
 
--- a/crates/egretstage_routing/tests/limits.rs
+++ b/crates/egretstage_routing/tests/limits.rs
@@ -5,9 +5,9 @@
     PredictedFirstToken, PredictionLimits, PrefixFingerprint, RetryBudget, RetryLimits,
     RoutingPolicy, UpstreamTracker, admit, max_ejected, settle_paces,
 };
+use egretstage_test_cases::repeatable;
 use egretstage_wire::{LoadReport, NotRunReason, OrganisationName};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use std::time::{Duration, Instant};
 
 const DEMAND: Demand = Demand {
@@ -37,21 +37,6 @@
     tracker.ended(work, CallResult::Failed);
 }
 
-/// Draws the same cases on every run, unless `PROPTEST_RNG_SEED` says otherwise.
-fn repeatable(cases: u32) -> ProptestConfig {
-    let mut config = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        config.cases = cases;
-    }
-    if config.rng_seed == RngSeed::Random {
-        config.rng_seed = RngSeed::Fixed(1);
-    }
-    config
-}
-
 proptest! {
     #![proptest_config(repeatable(256))]
 
