Report steps from one rank over links too

Cause: only the engine beside the decider reported how far the group is. Ruled out: answers of the engine that are lost (the proxies were healed), a grant that doesn't take effect (the engine holds both maps). Change: rank 0 reports over its link too; one frame more a heartbeat.

--- a/crates/egretstage_group/src/gate.rs
+++ b/crates/egretstage_group/src/gate.rs
@@ -18,6 +18,10 @@
 /// Silence of the engine after which another may take the rank's place.
 const ENGINE_LOST: Duration = Duration::from_secs(2);
 
+/// Rank that reports its steps over a link too: one is enough, since all ranks
+/// step together, and this one exists in every group.
+const REPORTING_RANK: RankIndex = RankIndex(0);
+
 /// Maps that a gate remembers, so that it can take over as decider.
 const REMEMBERED_MAPS: usize = 2;
 
@@ -259,7 +263,7 @@
                 out.push(Output::ToDecider(peer, staged));
             }
             EngineCall::Grant(grant) if reply.effective => {
-                if peer == Peer::Local {
+                if peer == Peer::Local || self.rank == REPORTING_RANK {
                     let progress = GroupFrame::Progress {
                         generation: grant.generation,
                         entered: state.entered,
