--- /dev/null
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -0,0 +1,53 @@
+//! Admission, waiting, placement and retries of calls sent straight to upstreams.
+//!
+//! An entry that calls its upstreams over HTTP itself, without a companion in
+//! between, runs one [`Dispatcher`]: a reducer over all that happens to calls,
+//! upstreams, the routing table and the other entries. It does no I/O and
+//! reads no clock; `egretstage_gateway` carries out its effects.
+//!
+//! Each decision stands in a module of its own, with the load pattern that it
+//! answers:
+//!
+//! | decision | module |
+//! |---|---|
+//! | how many streams a model group runs at once | [`admission`] |
+//! | in which order calls wait, and when waiting is hopeless | [`waiting`] |
+//! | which upstream runs a call | [`placement`] |
+//! | when a refused caller returns | [`returns`] |
+//! | whether a failed call is sent again | [`attempts`] |
+
+pub mod admission;
+pub mod attempts;
+mod call;
+mod event;
+mod line;
+mod peers;
+pub mod placement;
+mod reducer;
+pub mod returns;
+mod routes;
+mod upstream;
+pub mod waiting;
+
+pub use call::{CallHead, CallKey, Prompt};
+pub use event::{
+    Attempt, AttemptEnd, DispatchEffect, DispatchEvent, NotRunCause, Refusal, RefusalKind,
+    UnknownCause,
+};
+pub use line::DecisionLine;
+pub use peers::{LoadReport, PeerLoads, UpstreamLoad};
+pub use reducer::{DispatchLimits, Dispatcher};
+pub use routes::{
+    CallerLimits, EngineProfile, Organisation, Route, RouteKind, RoutingTable, RoutingTableError,
+    ServiceProfile, WeightedService,
+};
+pub use upstream::{ListedUpstream, UpstreamKey, UpstreamState, Upstreams};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        Attempt, AttemptEnd, CallHead, CallKey, DecisionLine, DispatchEffect, DispatchEvent,
+        DispatchLimits, Dispatcher, ListedUpstream, LoadReport, Refusal, RefusalKind, Route,
+        RouteKind, RoutingTable, UpstreamState,
+    };
+}
--- /dev/null
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -0,0 +1,567 @@
+//! What happens to calls.
+
+use super::Dispatcher;
+use crate::attempts::{NextStep, next_step};
+use crate::placement;
+use crate::waiting::Freshness;
+use crate::{
+    Attempt, AttemptEnd, CallHead, CallKey, DecisionLine, DispatchEffect, Refusal, RefusalKind,
+    Route, UpstreamKey,
+};
+use egretstage_wire::{OrganisationName, ServiceName};
+use smallvec::SmallVec;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Share of a route's longest budget below which a caller has asked before.
+const RETURNED_BUDGET_SHARE: f32 = 0.97;
+
+/// Delay for callers of an entry that knows no configuration yet, and for
+/// those of a service without any upstream.
+const UNREADY_DELAY: Duration = Duration::from_millis(700);
+
+/// Delay for callers of an entry that stops: another one takes them at once.
+const STOPPING_DELAY: Duration = Duration::from_millis(20);
+
+/// Share of the remaining budget that callers accept as a delay.
+const MAX_DELAY_SHARE: f32 = 0.32;
+
+/// How far a call is.
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    Waiting,
+    Running {
+        upstream: UpstreamKey,
+        since: Instant,
+    },
+}
+
+/// A call that has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    head: CallHead,
+    route: Arc<Route>,
+    service: ServiceName,
+    organisation: Option<OrganisationName>,
+    priority: u8,
+    freshness: Freshness,
+    arrived: Instant,
+    expires: Instant,
+    in_time_until: Instant,
+    phase: Phase,
+    attempts: u32,
+    unsent: u32,
+    tried: SmallVec<[UpstreamKey; 2]>,
+    maybe_ran: bool,
+}
+
+/// Who calls, as far as the configuration tells.
+struct Admitted {
+    route: Arc<Route>,
+    organisation: Option<OrganisationName>,
+    priority: u8,
+}
+
+impl Dispatcher {
+    pub(super) fn arrived(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        head: CallHead,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        let admitted = match self.admit(&head) {
+            Ok(admitted) => admitted,
+            Err(kind) => {
+                let retry_after = (kind.status() == 503).then_some(UNREADY_DELAY);
+                let line = self.refusal_line(&head, kind, retry_after);
+                fx.push(DispatchEffect::Log(Box::new(line)));
+                let refusal = Refusal { kind, retry_after };
+                fx.push(DispatchEffect::Refuse { call: key, refusal });
+                return;
+            }
+        };
+        let call = self.new_call(now, key, head, admitted);
+        let service = call.service.clone();
+        let refused = self.hopeless(now, &call);
+        self.expiries.insert((call.expires, key));
+        self.calls.insert(key, call);
+        if let Some(kind) = refused {
+            self.refuse(now, key, kind, fx);
+            return;
+        }
+        self.enqueue(key);
+        self.pump(now, &service, fx);
+    }
+
+    fn admit(&self, head: &CallHead) -> Result<Admitted, RefusalKind> {
+        let table = self.table.as_ref().ok_or(RefusalKind::Unready)?;
+        let route = table.route(&head.host, &head.path);
+        let route = route.ok_or(RefusalKind::NoRoute)?;
+        let organisation = head.api_key.as_deref().and_then(|k| table.organisation(k));
+        if organisation.is_none() && table.needs_api_keys() && !route.public {
+            return Err(RefusalKind::UnknownKey);
+        }
+        let priority = organisation.and_then(|org| org.priority);
+        Ok(Admitted {
+            route: Arc::clone(route),
+            organisation: organisation.map(|org| org.name.clone()),
+            priority: priority.unwrap_or(route.priority),
+        })
+    }
+
+    fn new_call(&mut self, now: Instant, key: CallKey, head: CallHead, by: Admitted) -> Call {
+        let route = by.route;
+        let longest = self.longest_budgets.entry(route.name.clone()).or_default();
+        *longest = (*longest).max(head.budget);
+        let returned = head.budget < longest.mul_f32(RETURNED_BUDGET_SHARE);
+        let wait = route.objective.mul_f32(self.limits.in_time_wait_share);
+        Call {
+            service: self.choose_service(&route, key),
+            organisation: by.organisation,
+            priority: by.priority,
+            freshness: if returned {
+                Freshness::Returned
+            } else {
+                Freshness::InTime
+            },
+            arrived: now,
+            expires: now + head.budget.min(route.timeout),
+            in_time_until: now + wait,
+            phase: Phase::Waiting,
+            attempts: 0,
+            unsent: 0,
+            tried: SmallVec::new(),
+            maybe_ran: false,
+            head,
+            route,
+        }
+    }
+
+    /// Chooses a service of a route by the operator's weights.
+    fn choose_service(&self, route: &Route, key: CallKey) -> ServiceName {
+        let total: u64 = route.services.iter().map(|s| u64::from(s.weight)).sum();
+        let seed = (self.incarnation ^ key.0).to_le_bytes();
+        let mut drawn = rapidhash::v3::rapidhash_v3(&seed) % total.max(1);
+        for choice in &route.services {
+            let weight = u64::from(choice.weight);
+            if drawn < weight {
+                return choice.service.clone();
+            }
+            drawn -= weight;
+        }
+        route.services[0].service.clone()
+    }
+
+    /// Tells why a new call can't be served, if that is known already.
+    fn hopeless(&mut self, now: Instant, call: &Call) -> Option<RefusalKind> {
+        if call.route.kind.is_stream() && self.is_too_late_for_streams(now) {
+            return Some(RefusalKind::Stopping);
+        }
+        if self.upstreams.ready(&call.service).next().is_none() {
+            return Some(RefusalKind::NoUpstream);
+        }
+        let longest = self.max_wait(call);
+        let (priority, freshness) = (call.priority, call.freshness);
+        let service = self.service(&call.service);
+        let ahead = service.waiting.ahead_of(priority, freshness);
+        let wait = service.starts.time_for(now, ahead);
+        (ahead > 0 && wait.is_some_and(|wait| wait > longest)).then_some(RefusalKind::NoRoom)
+    }
+
+    /// Returns how long a call may wait in all.
+    fn max_wait(&self, call: &Call) -> Duration {
+        let budget = call.expires.saturating_duration_since(call.arrived);
+        if call.route.kind.is_stream() {
+            self.limits.max_stream_wait.min(budget)
+        } else {
+            budget.mul_f32(0.6)
+        }
+    }
+
+    fn enqueue(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        call.phase = Phase::Waiting;
+        let (priority, freshness) = (call.priority, call.freshness);
+        let (arrived, in_time_until) = (call.arrived, call.in_time_until);
+        let service = call.service.clone();
+        let waiting = &mut self.service(&service).waiting;
+        waiting.push(key, priority, freshness, arrived, in_time_until);
+    }
+
+    pub(super) fn pump_all(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        let waits = self.services.iter().filter(|(_, s)| !s.waiting.is_empty());
+        let names: SmallVec<[ServiceName; 4]> = waits.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.pump(now, &name, fx);
+        }
+    }
+
+    /// Starts waiting calls as long as there is room.
+    fn pump(&mut self, now: Instant, service: &ServiceName, fx: &mut Vec<DispatchEffect>) {
+        while let Some(key) = self.service(service).waiting.first() {
+            let Some(upstream) = self.place(service, key) else {
+                return;
+            };
+            let state = self.service(service);
+            state.waiting.remove(key);
+            state.starts.started(now);
+            self.send(now, key, upstream, fx);
+        }
+    }
+
+    /// Returns how many calls a service runs and may run, at all entries.
+    fn room(&self, service: &ServiceName) -> (u32, u32) {
+        let ready = self.upstreams.ready(service);
+        let (running, ranks) = ready.fold((0, 0), |(calls, ranks), (_, u)| {
+            (calls + u.calls(), ranks + 1)
+        });
+        let pauses = self.services.get(service).and_then(|s| s.pauses.as_ref());
+        let bound = pauses.map_or(u32::MAX, |pauses| pauses.bound(ranks));
+        (running, bound)
+    }
+
+    /// Chooses an upstream for a call, if there is room.
+    fn place(&self, service: &ServiceName, key: CallKey) -> Option<UpstreamKey> {
+        let call = self.calls.get(&key)?;
+        let (running, bound) = self.room(service);
+        if running >= bound {
+            return None;
+        }
+        let queue = if call.route.kind.is_stream() {
+            0
+        } else {
+            self.limits.plain_queue
+        };
+        placement::choose(
+            &self.upstreams,
+            service,
+            &self.zone,
+            &call.tried,
+            |upstream| upstream.listed.slots + queue,
+            self.incarnation ^ key.0,
+        )
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        upstream: UpstreamKey,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        let (running, bound) = match self.calls.get(&key) {
+            Some(call) => self.room(&call.service),
+            None => return,
+        };
+        let (Some(call), Some(target)) =
+            (self.calls.get_mut(&key), self.upstreams.get_mut(upstream))
+        else {
+            return;
+        };
+        target.own_calls += 1;
+        self.changed = true;
+        call.phase = Phase::Running {
+            upstream,
+            since: now,
+        };
+        call.attempts += 1;
+        call.tried.push(upstream);
+        let line = DecisionLine {
+            verb: if call.attempts == 1 { "place" } else { "retry" },
+            request: Some(call.head.request.clone()),
+            route: Some(call.route.name.clone()),
+            organisation: call.organisation.clone(),
+            service: Some(call.service.clone()),
+            upstream: Some(target.listed.instance.clone()),
+            reason: Some(call.freshness.into()),
+            attempts: Some(call.attempts),
+            running: Some(running),
+            bound: (bound != u32::MAX).then_some(bound),
+            age_ms: Some(millis(now.saturating_duration_since(call.arrived))),
+            configuration: self.table.as_ref().map(|table| table.version()),
+            peers_age_ms: self.peers.oldest(now).map(millis),
+            ..DecisionLine::default()
+        };
+        let attempt = Box::new(Attempt {
+            upstream,
+            instance: target.listed.instance.clone(),
+            address: target.listed.address,
+            expires: call.expires,
+            organisation: call.organisation.clone(),
+            streams: call.route.kind.is_stream(),
+            repeatable: call.route.kind.is_repeatable(),
+            number: call.attempts,
+        });
+        let first = call.attempts == 1;
+        let service = call.service.clone();
+        if first {
+            self.service(&service).retries.requested();
+        }
+        fx.push(DispatchEffect::Log(Box::new(line)));
+        fx.push(DispatchEffect::Send { call: key, attempt });
+    }
+
+    pub(super) fn first_byte(&mut self, now: Instant, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if let Phase::Running { upstream, since } = call.phase {
+            let after = now.saturating_duration_since(since);
+            self.upstreams.answered(upstream, after, false);
+        }
+    }
+
+    pub(super) fn pause(&mut self, key: CallKey, pause: Duration) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let service = call.service.clone();
+        let (running, _) = self.room(&service);
+        if let Some(pauses) = &mut self.service(&service).pauses {
+            pauses.observe(pause, running);
+        }
+    }
+
+    /// Frees the upstream that runs a call.
+    fn release(&mut self, key: CallKey) -> Option<UpstreamKey> {
+        let call = self.calls.get_mut(&key)?;
+        let Phase::Running { upstream, .. } = call.phase else {
+            return None;
+        };
+        call.phase = Phase::Waiting;
+        self.changed = true;
+        if let Some(upstream) = self.upstreams.get_mut(upstream) {
+            upstream.own_calls = upstream.own_calls.saturating_sub(1);
+        }
+        Some(upstream)
+    }
+
+    pub(super) fn ended(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        whole: bool,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        self.release(key);
+        if let Some(call) = self.forget(key) {
+            fx.push(DispatchEffect::Log(Box::new(DecisionLine {
+                verb: "end",
+                request: Some(call.head.request),
+                reason: Some(if whole { "whole" } else { "caller-gone" }),
+                attempts: Some(call.attempts),
+                age_ms: Some(millis(now.saturating_duration_since(call.arrived))),
+                ..DecisionLine::default()
+            })));
+            self.pump(now, &call.service, fx);
+        }
+    }
+
+    fn forget(&mut self, key: CallKey) -> Option<Call> {
+        let call = self.calls.remove(&key)?;
+        self.expiries.remove(&(call.expires, key));
+        self.service(&call.service).waiting.remove(key);
+        Some(call)
+    }
+
+    pub(super) fn attempt_ended(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        end: AttemptEnd,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        let upstream = self.release(key);
+        let Some(call) = self.calls.get_mut(&key) else {
+            return;
+        };
+        if let AttemptEnd::NotSent { .. } = end {
+            call.attempts -= 1;
+            call.unsent += 1;
+        }
+        let ran = matches!(end, AttemptEnd::Unknown { .. } | AttemptEnd::Failure { .. });
+        let step = next_step(&call.route, &end, call.attempts, call.maybe_ran);
+        call.maybe_ran |= ran;
+        let out_of_tries = call.unsent > self.limits.max_unsent;
+        let full = matches!(
+            end,
+            AttemptEnd::NotRun {
+                cause: crate::NotRunCause::Full
+            }
+        );
+        if let Some(upstream) = upstream
+            && !full
+        {
+            self.upstreams.answered(upstream, Duration::ZERO, true);
+        }
+        let step = match step {
+            NextStep::Retry if out_of_tries => self.give_up(key),
+            NextStep::Retry if !self.may_retry(key, end) => self.without_retry(key, end),
+            step => step,
+        };
+        match step {
+            NextStep::Retry => self.send_again(now, key, fx),
+            NextStep::EndNotRun => self.refuse(now, key, RefusalKind::NoUpstream, fx),
+            NextStep::EndUnknown => self.refuse(now, key, RefusalKind::Unknown, fx),
+            NextStep::EndWithAnswer => fx.push(DispatchEffect::PassOn { call: key }),
+        }
+    }
+
+    fn give_up(&self, key: CallKey) -> NextStep {
+        match self.calls.get(&key) {
+            Some(call) if call.maybe_ran => NextStep::EndUnknown,
+            _ => NextStep::EndNotRun,
+        }
+    }
+
+    /// Takes a retry from the service's budget, unless nothing was sent.
+    fn may_retry(&mut self, key: CallKey, end: AttemptEnd) -> bool {
+        let Some(call) = self.calls.get(&key) else {
+            return false;
+        };
+        let service = call.service.clone();
+        matches!(end, AttemptEnd::NotSent { .. }) || self.service(&service).retries.take()
+    }
+
+    fn without_retry(&self, key: CallKey, end: AttemptEnd) -> NextStep {
+        match end {
+            AttemptEnd::Failure { .. } => NextStep::EndWithAnswer,
+            _ => self.give_up(key),
+        }
+    }
+
+    fn send_again(&mut self, now: Instant, key: CallKey, fx: &mut Vec<DispatchEffect>) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let service = call.service.clone();
+        if self.upstreams.ready(&service).next().is_none() {
+            let kind = if call.maybe_ran {
+                RefusalKind::Unknown
+            } else {
+                RefusalKind::NoUpstream
+            };
+            self.refuse(now, key, kind, fx);
+            return;
+        }
+        self.enqueue(key);
+        self.pump(now, &service, fx);
+    }
+
+    /// Ends a call without an upstream's answer.
+    fn refuse(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        kind: RefusalKind,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        self.release(key);
+        let Some(call) = self.forget(key) else {
+            return;
+        };
+        let retry_after = self.retry_after(now, &call, kind);
+        let waited = now.saturating_duration_since(call.arrived);
+        let mut line = self.refusal_line(&call.head, kind, retry_after);
+        let (running, bound) = self.room(&call.service);
+        line.running = Some(running);
+        line.bound = (bound != u32::MAX).then_some(bound);
+        line.waiting = Some(self.service(&call.service).waiting.len());
+        line.age_ms = Some(millis(waited));
+        line.attempts = Some(call.attempts);
+        line.peers_age_ms = self.peers.oldest(now).map(millis);
+        line.route = Some(call.route.name.clone());
+        line.service = Some(call.service.clone());
+        fx.push(DispatchEffect::Log(Box::new(line)));
+        let refusal = Refusal { kind, retry_after };
+        fx.push(DispatchEffect::Refuse { call: key, refusal });
+        self.pump(now, &call.service, fx);
+    }
+
+    fn refusal_line(
+        &self,
+        head: &CallHead,
+        kind: RefusalKind,
+        retry_after: Option<Duration>,
+    ) -> DecisionLine {
+        DecisionLine {
+            verb: "refuse",
+            request: Some(head.request.clone()),
+            reason: Some(kind.into()),
+            retry_after_ms: retry_after.map(millis),
+            configuration: self.table.as_ref().map(|table| table.version()),
+            ..DecisionLine::default()
+        }
+    }
+
+    fn retry_after(&mut self, now: Instant, call: &Call, kind: RefusalKind) -> Option<Duration> {
+        let spent = now.saturating_duration_since(call.arrived);
+        let left = call.head.budget.saturating_sub(spent);
+        let longest = left.mul_f32(MAX_DELAY_SHARE);
+        match kind {
+            RefusalKind::NoRoom | RefusalKind::ExpiredNotRun => {
+                let service = self.service(&call.service);
+                let interval = service.starts.time_for(now, 1);
+                Some(service.returns.assign(now, interval, longest))
+            }
+            RefusalKind::NoUpstream | RefusalKind::Unready => Some(UNREADY_DELAY.min(longest)),
+            RefusalKind::Stopping => Some(STOPPING_DELAY),
+            RefusalKind::NoRoute
+            | RefusalKind::UnknownKey
+            | RefusalKind::ExpiredUnknown
+            | RefusalKind::Unknown => None,
+        }
+    }
+
+    /// Ends the calls whose time is up.
+    pub(super) fn expire(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        while let Some((at, key)) = self.expiries.first().copied() {
+            if at > now {
+                return;
+            }
+            self.expiries.remove(&(at, key));
+            let Some(call) = self.calls.get(&key) else {
+                continue;
+            };
+            let runs = matches!(call.phase, Phase::Running { .. });
+            let kind = if runs || call.maybe_ran {
+                RefusalKind::ExpiredUnknown
+            } else {
+                RefusalKind::ExpiredNotRun
+            };
+            self.refuse(now, key, kind, fx);
+        }
+    }
+
+    /// Moves overdue calls back and refuses those that have waited too long.
+    pub(super) fn look_at_waiting(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        for service in self.services.values_mut() {
+            service.waiting.settle(now);
+        }
+        let waits = self
+            .calls
+            .iter()
+            .filter(|(_, c)| matches!(c.phase, Phase::Waiting));
+        let too_long = waits
+            .filter(|(_, call)| now.saturating_duration_since(call.arrived) >= self.max_wait(call));
+        let mut keys: SmallVec<[CallKey; 8]> = too_long.map(|(key, _)| *key).collect();
+        keys.sort_unstable();
+        for key in keys {
+            let ran = self.calls.get(&key).is_some_and(|call| call.maybe_ran);
+            let kind = if ran {
+                RefusalKind::Unknown
+            } else {
+                RefusalKind::NoRoom
+            };
+            self.refuse(now, key, kind, fx);
+        }
+        self.pump_all(now, fx);
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -0,0 +1,55 @@
+//! What a dispatcher keeps for each service.
+
+use super::DispatchLimits;
+use crate::admission::PauseControl;
+use crate::returns::{ReturnLimits, ReturnSchedule};
+use crate::waiting::{StartRate, WaitingCalls};
+use crate::{EngineProfile, ServiceProfile};
+use egretstage_routing::{RetryBudget, RetryLimits};
+use std::time::Duration;
+
+/// Time over which the starts of waiting calls are counted.
+const START_WINDOW: Duration = Duration::from_secs(2);
+
+/// Longest pause that streams may have where no route says so.
+const DEFAULT_MAX_PAUSE: Duration = Duration::from_millis(120);
+
+/// What a dispatcher keeps for each service.
+#[derive(Clone, Debug)]
+pub(super) struct ServiceState {
+    pub(super) waiting: WaitingCalls,
+    pub(super) starts: StartRate,
+    pub(super) returns: ReturnSchedule,
+    pub(super) retries: RetryBudget,
+    /// The engine and the bound of its streams, if it is a model group.
+    pub(super) pauses: Option<PauseControl>,
+}
+
+impl ServiceState {
+    pub(super) fn new(limits: &DispatchLimits) -> Self {
+        Self {
+            waiting: WaitingCalls::default(),
+            starts: StartRate::new(START_WINDOW),
+            returns: ReturnSchedule::new(ReturnLimits::default()),
+            retries: RetryBudget::new(RetryLimits {
+                retries_per_thousand: limits.retries_per_thousand,
+                burst: limits.retry_burst,
+            }),
+            pauses: None,
+        }
+    }
+
+    /// Takes over what the operator says of the service.
+    pub(super) fn configure(&mut self, profile: &ServiceProfile, max_pause: Option<Duration>) {
+        let max_pause = max_pause.unwrap_or(DEFAULT_MAX_PAUSE);
+        match (profile.engine, &mut self.pauses) {
+            (None, pauses) => *pauses = None,
+            (Some(engine), Some(pauses)) => pauses.reconfigure(engine, max_pause),
+            (Some(engine), pauses) => *pauses = Some(start(engine, max_pause)),
+        }
+    }
+}
+
+fn start(engine: EngineProfile, max_pause: Duration) -> PauseControl {
+    PauseControl::new(engine, max_pause)
+}
--- /dev/null
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -0,0 +1,261 @@
+//! Which service a call belongs to and what may be done with it.
+
+use compact_str::CompactString;
+use egretstage_wire::{OrganisationName, ServiceName};
+use smallvec::SmallVec;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// A call may run any number of times.
+    Idempotent,
+    /// A call runs at most once.
+    NonIdempotent,
+    /// The answer is a stream of events.
+    Stream {
+        /// Whether another upstream may go on after the last event passed on.
+        resumable: bool,
+        /// Longest pause between two events of an answer in time.
+        max_pause: Duration,
+    },
+}
+
+impl RouteKind {
+    /// Tells whether a call that may have run may be sent to another upstream.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::NonIdempotent => false,
+            Self::Stream { resumable, .. } => *resumable,
+        }
+    }
+
+    /// Tells whether the answer is a stream of events.
+    #[must_use]
+    pub fn is_stream(&self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+}
+
+/// A service with its share of a route's calls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its share, relative to the others of the route.
+    pub weight: u32,
+}
+
+/// A route: the calls to one host below one path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The operator's name of the route.
+    pub name: CompactString,
+    /// Host that the route belongs to.
+    pub host: CompactString,
+    /// Start of the paths; begins and ends with a slash.
+    pub path_prefix: CompactString,
+    /// The services that run its calls.
+    pub services: SmallVec<[WeightedService; 2]>,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a call is kept without its final answer.
+    pub timeout: Duration,
+    /// Time within which an answer (for streams, its first event) is in time.
+    pub objective: Duration,
+    /// Rank of its calls; 0 is the most urgent.
+    pub priority: u8,
+    /// Most upstreams that one call is sent to.
+    pub max_attempts: u32,
+    /// Whether calls need no API key.
+    pub public: bool,
+}
+
+/// How an engine of a model group spends its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineProfile {
+    /// Calls that an engine runs at once.
+    pub slots: u32,
+    /// Time of a token step without any call, in milliseconds.
+    pub step_ms: f32,
+    /// Token steps between two events of a stream.
+    pub steps_per_event: u32,
+    /// Prompt tokens read in a second.
+    pub read_per_s: f32,
+}
+
+/// A service as the operator describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceProfile {
+    /// The service.
+    pub name: ServiceName,
+    /// Connections that one upstream accepts from all callers together.
+    pub max_connections: u32,
+    /// The engine, if the service is a model group.
+    pub engine: Option<EngineProfile>,
+}
+
+/// An organisation with the keys of its callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Organisation {
+    /// The organisation.
+    pub name: OrganisationName,
+    /// Rank of its calls, if it takes precedence over the route's.
+    pub priority: Option<u8>,
+    /// Its callers' API keys.
+    pub api_keys: SmallVec<[CompactString; 2]>,
+}
+
+/// What callers may send, and how long they may stay idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest size of all headers, in bytes.
+    pub max_header_bytes: usize,
+    /// Largest size of a body, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time for the headers of a request.
+    pub header_timeout: Duration,
+    /// Longest time that a kept connection stays idle.
+    pub idle_timeout: Duration,
+}
+
+/// Why a routing table can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RoutingTableError {
+    /// A route names no service.
+    NoService(CompactString),
+    /// A path prefix doesn't begin and end with a slash.
+    PathPrefix(CompactString),
+}
+
+impl std::fmt::Display for RoutingTableError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NoService(route) => write!(f, "route {route:?} names no service"),
+            Self::PathPrefix(route) => write!(
+                f,
+                "route {route:?}: a path prefix must begin and end with '/'"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for RoutingTableError {}
+
+/// The configuration in force, indexed for look-ups.
+#[derive(Clone, Debug)]
+pub struct RoutingTable {
+    version: u64,
+    services: HashMap<ServiceName, ServiceProfile>,
+    organisations: Vec<Organisation>,
+    limits: CallerLimits,
+    /// Routes of each host, the longest prefix first.
+    by_host: HashMap<CompactString, Vec<Arc<Route>>>,
+    by_api_key: HashMap<CompactString, usize>,
+}
+
+impl RoutingTable {
+    /// Checks and indexes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first route that can't be used.
+    pub fn new(
+        version: u64,
+        routes: Vec<Route>,
+        services: Vec<ServiceProfile>,
+        organisations: Vec<Organisation>,
+        limits: CallerLimits,
+    ) -> Result<Self, RoutingTableError> {
+        let mut by_host: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::new();
+        for route in routes {
+            if route.services.is_empty() {
+                return Err(RoutingTableError::NoService(route.name));
+            }
+            let prefix = &route.path_prefix;
+            if !prefix.starts_with('/') || !prefix.ends_with('/') {
+                return Err(RoutingTableError::PathPrefix(route.name));
+            }
+            let routes = by_host.entry(route.host.clone()).or_default();
+            routes.push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let keys = |(index, org): (usize, &Organisation)| {
+            let keys = org.api_keys.clone();
+            keys.into_iter().map(move |key| (key, index))
+        };
+        Ok(Self {
+            version,
+            by_api_key: organisations.iter().enumerate().flat_map(keys).collect(),
+            services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
+            organisations,
+            limits,
+            by_host,
+        })
+    }
+
+    /// Returns the version; a later configuration has a higher one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns what callers may send.
+    #[must_use]
+    pub fn limits(&self) -> &CallerLimits {
+        &self.limits
+    }
+
+    /// Returns the route of a host with the longest prefix of a path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.by_host.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.path_prefix.as_str()))
+    }
+
+    /// Returns the organisation that holds an API key.
+    #[must_use]
+    pub fn organisation(&self, api_key: &str) -> Option<&Organisation> {
+        let index = *self.by_api_key.get(api_key)?;
+        self.organisations.get(index)
+    }
+
+    /// Tells whether the calls of routes that aren't public need an API key.
+    #[must_use]
+    pub fn needs_api_keys(&self) -> bool {
+        !self.organisations.is_empty()
+    }
+
+    /// Returns the profile of a service.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceProfile> {
+        self.services.get(name)
+    }
+
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceProfile> {
+        self.services.values()
+    }
+
+    /// Returns the shortest pause that any route allows within the streams of
+    /// a service.
+    #[must_use]
+    pub fn max_pause(&self, service: &ServiceName) -> Option<Duration> {
+        let routes = self.by_host.values().flatten();
+        routes
+            .filter(|route| route.services.iter().any(|s| s.service == *service))
+            .filter_map(|route| match route.kind {
+                RouteKind::Stream { max_pause, .. } => Some(max_pause),
+                _ => None,
+            })
+            .min()
+    }
+}
--- /dev/null
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -0,0 +1,175 @@
+//! The upstreams that an entry may call.
+
+use egretstage_routing::Ewma;
+use egretstage_wire::{InstanceId, ServiceName, ZoneName};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+new_key_type! {
+    /// Identifies an upstream within an entry.
+    pub struct UpstreamKey;
+}
+
+/// What an upstream says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum UpstreamState {
+    /// It takes new work.
+    Ready,
+    /// It finishes its work and will stop.
+    Draining,
+}
+
+/// An upstream as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedUpstream {
+    /// Its name; another start mostly has another one.
+    pub instance: InstanceId,
+    /// When it started, in milliseconds of the Unix time, if it tells: a
+    /// later start under the same name is another upstream.
+    pub started_ms: Option<u64>,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it is called.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: UpstreamState,
+}
+
+/// Weight of the newest answer in an upstream's share of failures.
+const FAILURE_WEIGHT: f32 = 0.15;
+
+/// Weight of the newest answer in an upstream's answer time.
+const ANSWER_TIME_WEIGHT: f32 = 0.1;
+
+/// An upstream with what the entry knows of it.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// What the platform lists.
+    pub listed: ListedUpstream,
+    /// Calls of this entry that it runs.
+    pub own_calls: u32,
+    /// Calls of the other entries that it runs, as they last reported.
+    pub peer_calls: u32,
+    /// Share of its recent answers that failed.
+    pub failures: Ewma,
+    /// Time to its recent answers in milliseconds.
+    pub answer_ms: Ewma,
+}
+
+impl Upstream {
+    fn new(listed: ListedUpstream) -> Self {
+        Self {
+            listed,
+            own_calls: 0,
+            peer_calls: 0,
+            failures: Ewma::new(FAILURE_WEIGHT),
+            answer_ms: Ewma::new(ANSWER_TIME_WEIGHT),
+        }
+    }
+
+    /// Returns the calls of all entries that it runs.
+    #[must_use]
+    pub fn calls(&self) -> u32 {
+        self.own_calls + self.peer_calls
+    }
+
+    /// Tells whether it takes new work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.listed.state == UpstreamState::Ready
+    }
+}
+
+/// All upstreams that an entry knows, in an arena.
+#[derive(Clone, Debug, Default)]
+pub struct Upstreams {
+    arena: SlotMap<UpstreamKey, Upstream>,
+    by_instance: HashMap<InstanceId, UpstreamKey>,
+}
+
+impl Upstreams {
+    /// Adds an upstream, or takes over what it says of itself now.
+    pub fn list(&mut self, listed: ListedUpstream) -> UpstreamKey {
+        if let Some(key) = self.by_instance.get(&listed.instance).copied()
+            && let Some(known) = self.arena.get_mut(key)
+            && is_same_start(&known.listed, &listed)
+        {
+            known.listed = listed;
+            return key;
+        }
+        let instance = listed.instance.clone();
+        let key = self.arena.insert(Upstream::new(listed));
+        if let Some(old) = self.by_instance.insert(instance, key) {
+            self.arena.remove(old);
+        }
+        key
+    }
+
+    /// Removes an upstream by its name.
+    pub fn remove(&mut self, instance: &InstanceId) {
+        if let Some(key) = self.by_instance.remove(instance) {
+            self.arena.remove(key);
+        }
+    }
+
+    /// Returns an upstream by its name.
+    #[must_use]
+    pub fn find(&self, instance: &InstanceId) -> Option<&Upstream> {
+        self.by_instance
+            .get(instance)
+            .and_then(|key| self.arena.get(*key))
+    }
+
+    /// Returns an upstream.
+    #[must_use]
+    pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.arena.get(key)
+    }
+
+    /// Returns an upstream to change.
+    pub fn get_mut(&mut self, key: UpstreamKey) -> Option<&mut Upstream> {
+        self.arena.get_mut(key)
+    }
+
+    /// Returns all upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.arena.iter()
+    }
+
+    /// Returns all upstreams to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (UpstreamKey, &mut Upstream)> {
+        self.arena.iter_mut()
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn ready<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
+        let of_service = move |u: &Upstream| u.is_ready() && u.listed.service == *service;
+        self.arena.iter().filter(move |(_, u)| of_service(u))
+    }
+
+    /// Notes the end of an answer.
+    pub fn answered(&mut self, key: UpstreamKey, after: Duration, failed: bool) {
+        if let Some(upstream) = self.arena.get_mut(key) {
+            upstream.failures.add(if failed { 1.0 } else { 0.0 });
+            if !failed {
+                upstream.answer_ms.add(after.as_secs_f32() * 1000.0);
+            }
+        }
+    }
+}
+
+fn is_same_start(known: &ListedUpstream, listed: &ListedUpstream) -> bool {
+    known.started_ms == listed.started_ms
+        && known.address == listed.address
+        && known.service == listed.service
+}
--- /dev/null
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -0,0 +1,146 @@
+//! In which order calls wait, and when waiting is hopeless.
+//!
+//! Load pattern: for seconds more calls arrive than places come free. A call
+//! that still can be in time goes before one that can't; among equals the more
+//! urgent goes first, then the one that arrived first. Calls that are late
+//! already fill the places that nobody else could use.
+
+use crate::CallKey;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// How far a waiting call is from its objective.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum Freshness {
+    /// It can still be answered in time.
+    InTime,
+    /// It came back after a refusal, as it was told.
+    Returned,
+    /// It waited until it could no longer be in time.
+    Overdue,
+}
+
+/// Place in the order; the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    priority: u8,
+    freshness: Freshness,
+    arrived: Instant,
+    call: CallKey,
+}
+
+/// The waiting calls of one service.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingCalls {
+    order: BTreeMap<Rank, Instant>,
+    ranks: HashMap<CallKey, Rank>,
+}
+
+impl WaitingCalls {
+    /// Adds a call that can be in time until the instant given.
+    pub fn push(
+        &mut self,
+        call: CallKey,
+        priority: u8,
+        freshness: Freshness,
+        arrived: Instant,
+        in_time_until: Instant,
+    ) {
+        let rank = Rank {
+            priority,
+            freshness,
+            arrived,
+            call,
+        };
+        self.order.insert(rank, in_time_until);
+        self.ranks.insert(call, rank);
+    }
+
+    /// Removes a call; returns whether it waited.
+    pub fn remove(&mut self, call: CallKey) -> bool {
+        let rank = self.ranks.remove(&call);
+        rank.is_some_and(|rank| self.order.remove(&rank).is_some())
+    }
+
+    /// Returns the call that goes next.
+    #[must_use]
+    pub fn first(&self) -> Option<CallKey> {
+        self.order.keys().next().map(|rank| rank.call)
+    }
+
+    /// Returns how many calls wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Tells whether no call waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Returns how many calls go before a new one.
+    #[must_use]
+    pub fn ahead_of(&self, priority: u8, freshness: Freshness) -> usize {
+        let before = |rank: &&Rank| (rank.priority, rank.freshness) <= (priority, freshness);
+        self.order.keys().filter(before).count()
+    }
+
+    /// Moves the calls that can no longer be in time behind the others.
+    pub fn settle(&mut self, now: Instant) {
+        let overdue = |(rank, until): (&Rank, &Instant)| {
+            (rank.freshness == Freshness::InTime && *until <= now).then_some(*rank)
+        };
+        let overdue: Vec<Rank> = self.order.iter().filter_map(overdue).collect();
+        for rank in overdue {
+            self.remove(rank.call);
+            let call = rank.call;
+            self.push(call, rank.priority, Freshness::Overdue, rank.arrived, now);
+        }
+    }
+}
+
+/// Estimates how fast waiting calls are started.
+#[derive(Clone, Debug)]
+pub struct StartRate {
+    window: Duration,
+    starts: std::collections::VecDeque<Instant>,
+}
+
+impl StartRate {
+    /// Counts starts over a window.
+    #[must_use]
+    pub fn new(window: Duration) -> Self {
+        Self {
+            window,
+            starts: std::collections::VecDeque::new(),
+        }
+    }
+
+    /// Notes a start.
+    pub fn started(&mut self, now: Instant) {
+        self.starts.push_back(now);
+        self.forget(now);
+    }
+
+    fn forget(&mut self, now: Instant) {
+        while self
+            .starts
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) > self.window)
+        {
+            self.starts.pop_front();
+        }
+    }
+
+    /// Returns the time in which so many calls are started, if any were of late.
+    #[must_use]
+    pub fn time_for(&mut self, now: Instant, calls: usize) -> Option<Duration> {
+        self.forget(now);
+        let starts = u32::try_from(self.starts.len()).unwrap_or(u32::MAX);
+        let calls = u32::try_from(calls).unwrap_or(u32::MAX);
+        (starts > 0).then(|| self.window.saturating_mul(calls) / starts)
+    }
+}
--- /dev/null
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -0,0 +1,173 @@
+//! Reads the platform's store on threads of their own.
+
+use crate::dialect::RecordDecoder;
+use compact_str::CompactString;
+use egretstage_dispatch::{DispatchEvent, ListedUpstream};
+use egretstage_platform::{
+    KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, PlatformError,
+};
+use egretstage_wire::InstanceId;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::UnboundedSender;
+
+/// How long the store may wait for a change of the configuration: short, so
+/// that a connection that went silent is noticed within seconds.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two reads of the upstreams. A reader that waited would be
+/// woken by each of their heartbeats, and each call has its price.
+const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(600);
+
+/// How long the store may wait for a change among the entries.
+const ENTRIES_WAIT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed call.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// What a feed says.
+#[derive(Debug)]
+pub(crate) enum FeedNews {
+    /// Something for the dispatcher.
+    Event(DispatchEvent),
+    /// An entry is reached at an address.
+    Entry(CompactString, SocketAddr),
+}
+
+/// Follows a topic for as long as somebody listens.
+fn follow(
+    topic: KeyedTopic,
+    store: &dyn KeyedStore,
+    wait: Duration,
+    pause: Duration,
+    tx: &UnboundedSender<FeedNews>,
+    mut news: impl FnMut(KeyedChange) -> Option<FeedNews>,
+) {
+    let mut follower = KeyedFollower::new(topic);
+    let mut reachable = true;
+    let name: &'static str = topic.into();
+    loop {
+        let was_caught_up = follower.is_caught_up();
+        match follower.poll(Instant::now(), store, wait) {
+            Ok(changes) => {
+                if !reachable {
+                    log::info!(dependency = "store", topic = name; "regained");
+                    reachable = true;
+                }
+                for change in changes {
+                    if let Some(news) = news(change)
+                        && tx.send(news).is_err()
+                    {
+                        return;
+                    }
+                }
+                if was_caught_up && !pause.is_zero() {
+                    std::thread::sleep(pause);
+                }
+            }
+            Err(e) => {
+                if reachable {
+                    log_lost(name, &e);
+                    reachable = false;
+                }
+                std::thread::sleep(RETRY_DELAY);
+            }
+        }
+    }
+}
+
+fn log_lost(topic: &str, e: &PlatformError) {
+    log::warn!(dependency = "store", topic = topic, error:display = e; "lost");
+}
+
+/// Follows the configuration.
+pub(crate) fn follow_configuration(
+    store: &dyn KeyedStore,
+    decoder: &dyn RecordDecoder,
+    tx: &UnboundedSender<FeedNews>,
+) {
+    let topic = KeyedTopic::Configuration;
+    follow(
+        topic,
+        store,
+        CONFIGURATION_WAIT,
+        Duration::ZERO,
+        tx,
+        |change| {
+            let KeyedChange::Put { key, value } = change else {
+                return None;
+            };
+            match decoder.routing_table(&value) {
+                Ok(table) => Some(FeedNews::Event(DispatchEvent::Configured(Arc::new(table)))),
+                Err(e) => {
+                    log::error!(key = key.as_str(), error:display = e; "a configuration is not readable");
+                    None
+                }
+            }
+        },
+    );
+}
+
+/// Follows the upstreams.
+pub(crate) fn follow_upstreams(
+    store: &dyn KeyedStore,
+    decoder: &dyn RecordDecoder,
+    tx: &UnboundedSender<FeedNews>,
+) {
+    let topic = KeyedTopic::Upstreams;
+    follow(
+        topic,
+        store,
+        Duration::ZERO,
+        UPSTREAMS_INTERVAL,
+        tx,
+        |change| {
+            let event = match change {
+                KeyedChange::Put { key, value } => listed(decoder, &key, &value)?,
+                KeyedChange::Removed(key) => unlisted(&key)?,
+            };
+            Some(FeedNews::Event(event))
+        },
+    );
+}
+
+/// Reads an upstream's record; one that can't be read names no upstream.
+fn listed(decoder: &dyn RecordDecoder, key: &str, value: &[u8]) -> Option<DispatchEvent> {
+    match decoder.upstream(key, value) {
+        Ok(upstream) => Some(DispatchEvent::Listed(Box::<ListedUpstream>::new(upstream))),
+        Err(e) => {
+            log::debug!(key = key, error:display = e; "a record names no upstream");
+            unlisted(key)
+        }
+    }
+}
+
+fn unlisted(key: &str) -> Option<DispatchEvent> {
+    InstanceId::try_from(key).ok().map(DispatchEvent::Unlisted)
+}
+
+/// Tells the others where this entry is, then follows where they are.
+pub(crate) fn follow_entries(
+    store: &dyn KeyedStore,
+    own: &InstanceId,
+    address: SocketAddr,
+    tx: &UnboundedSender<FeedNews>,
+) {
+    let record = KeyedRecord {
+        key: own.as_str().into(),
+        value: Some(address.to_string().into_bytes()),
+    };
+    while let Err(e) = store.put(KeyedTopic::Entries, &record) {
+        log::warn!(error:display = e; "this entry isn't announced yet");
+        std::thread::sleep(RETRY_DELAY);
+    }
+    let topic = KeyedTopic::Entries;
+    follow(topic, store, ENTRIES_WAIT, Duration::ZERO, tx, |change| {
+        let KeyedChange::Put { key, value } = change else {
+            return None;
+        };
+        let address = std::str::from_utf8(&value).ok()?.parse().ok()?;
+        (key != own.as_str()).then_some(FeedNews::Entry(key, address))
+    });
+}
--- /dev/null
+++ b/crates/egretstage_gateway/src/peers.rs
@@ -0,0 +1,58 @@
+//! Load reports between entries, as datagrams.
+//!
+//! A report that is lost is replaced by the next one, so nothing is repeated
+//! and no entry waits for another.
+
+use crate::driver::Driver;
+use egretstage_dispatch::{DispatchEvent, LoadReport};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
+
+/// Largest datagram that is read, in bytes.
+const MAX_REPORT_BYTES: usize = 16 * 1024;
+
+/// Addresses of the other entries, by name.
+pub(crate) type PeerAddresses = HashMap<compact_str::CompactString, SocketAddr>;
+
+/// Sends this entry's reports to the others.
+pub(crate) async fn send_reports(
+    socket: Rc<UdpSocket>,
+    mut reports: UnboundedReceiver<Box<LoadReport>>,
+    peers: watch::Receiver<PeerAddresses>,
+) {
+    while let Some(report) = reports.recv().await {
+        let mut bytes = Vec::new();
+        if let Err(e) = ciborium::into_writer(&report, &mut bytes) {
+            log::error!(error:display = e; "a load report can't be encoded");
+            continue;
+        }
+        let addresses: Vec<SocketAddr> = peers.borrow().values().copied().collect();
+        for address in addresses {
+            if let Err(e) = socket.send_to(&bytes, address).await {
+                log::debug!(peer:display = address, error:display = e; "a load report isn't sent");
+            }
+        }
+    }
+}
+
+/// Passes the others' reports to the dispatcher.
+pub(crate) async fn receive_reports(socket: Rc<UdpSocket>, driver: Rc<Driver>) {
+    let mut buf = vec![0; MAX_REPORT_BYTES];
+    loop {
+        let (size, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::debug!(error:display = e; "no load report can be read");
+                continue;
+            }
+        };
+        match ciborium::from_reader::<LoadReport, _>(&buf[..size]) {
+            Ok(report) => driver.event(DispatchEvent::PeerReported(Box::new(report))),
+            Err(e) => log::warn!(peer:display = from, error:display = e; "not a load report"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretstage_gateway/src/server.rs
@@ -0,0 +1,93 @@
+//! The callers' HTTP server.
+
+use crate::exchange::Gateway;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections that wait to be accepted; the usual 128 drops bursts.
+const LISTEN_BACKLOG: i32 = 4096;
+
+/// Pause after a connection that couldn't be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Idle time of callers' connections while no configuration says otherwise.
+const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_mins(1);
+
+/// Idle time that callers get beyond the configured one, so that a request
+/// doesn't cross the end of its connection.
+const IDLE_MARGIN: Duration = Duration::from_secs(2);
+
+/// Largest size of all headers, in bytes, while no configuration says
+/// otherwise; also the least that the HTTP library takes.
+const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
+
+/// Binds a listener whose backlog holds a burst of connections.
+///
+/// # Errors
+///
+/// Returns the system's error when the address can't be used.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Accepts callers' connections for as long as the process runs.
+pub(crate) async fn accept(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        match listener.accept().await {
+            Ok((tcp, _)) => {
+                tokio::task::spawn_local(connection(tcp, Rc::clone(&gateway)));
+            }
+            Err(e) => {
+                log::warn!(error:display = e; "a connection can't be accepted");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn connection(tcp: TcpStream, gateway: Rc<Gateway>) {
+    if let Err(e) = tcp.set_nodelay(true) {
+        log::debug!(error:display = e; "a caller's connection keeps Nagle's algorithm");
+    }
+    let (idle_timeout, max_header_bytes) = {
+        let table = gateway.table.borrow();
+        let limits = table.as_ref().map(|table| *table.limits());
+        (
+            limits.map_or(DEFAULT_IDLE_TIMEOUT, |l| l.idle_timeout) + IDLE_MARGIN,
+            limits.map_or(DEFAULT_MAX_HEADER_BYTES, |l| l.max_header_bytes),
+        )
+    };
+    let mut closing = gateway.closing.clone();
+    let service = service_fn(move |req| {
+        let gateway = Rc::clone(&gateway);
+        async move { Ok::<_, Infallible>(gateway.serve(req).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle_timeout)
+        .max_buf_size(max_header_bytes.max(DEFAULT_MAX_HEADER_BYTES))
+        .serve_connection(TokioIo::new(tcp), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        _ = closing.wait_for(|closing| *closing) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!(error:display = e; "a caller's connection ended");
+    }
+}
--- /dev/null
+++ b/crates/egretstage_gateway/src/settings.rs
@@ -0,0 +1,78 @@
+//! Settings of an entry that calls upstreams itself.
+
+use compact_str::format_compact;
+use egretstage_config::settings::{Bounded, Clash, SettingsFile};
+use egretstage_wire::{InstanceId, ZoneName};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// Settings of an entry that calls upstreams itself.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// The entry's name among the system's processes.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Callers' side.
+    pub callers: CallersSettings,
+    /// The other entries.
+    pub peers: PeersSettings,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Planned stops.
+    pub stop: StopSettings,
+}
+
+/// Where callers and the platform's balancer reach the entry.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallersSettings {
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address of the health and metrics endpoints.
+    pub admin_listen: SocketAddr,
+}
+
+/// Where the other entries reach this one.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeersSettings {
+    /// Address for load reports (UDP).
+    pub listen: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Time that the platform gives to a planned stop, in milliseconds: at least
+/// a second, at most an hour.
+type GraceMillis = Bounded<1_000, 3_600_000>;
+
+/// Planned stops.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StopSettings {
+    /// Time between the stop signal and the kill, in milliseconds.
+    pub grace_ms: GraceMillis,
+}
+
+impl SettingsFile for GatewaySettings {
+    fn check(&self) -> Result<(), Clash> {
+        if self.callers.listen == self.callers.admin_listen {
+            return Err(Clash {
+                key: "admin_listen",
+                message: format_compact!(
+                    "{} is the callers' address, a port of its own is needed",
+                    self.callers.admin_listen
+                ),
+            });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -0,0 +1,193 @@
+//! Follows a keyed topic: first the newest records, then each change.
+
+use crate::{Changes, KeyedRecord, KeyedStore, KeyedTopic, PlatformError};
+use compact_str::CompactString;
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// Time for which a record that is missing after an outage is still believed:
+/// its writer needs about two seconds to write it again.
+const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+
+/// What has changed in a topic.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyedChange {
+    /// A record was written, for the first time or anew.
+    Put {
+        /// The key.
+        key: CompactString,
+        /// The value.
+        value: Vec<u8>,
+    },
+    /// The key was dropped.
+    Removed(CompactString),
+}
+
+#[derive(Clone, Debug)]
+enum Position {
+    /// The newest records are being read, up to a key.
+    Newest {
+        after: Option<CompactString>,
+        /// Offset from which changes are read later: that of the first page,
+        /// since the pages together are no snapshot.
+        end: Option<u64>,
+        seen: HashSet<CompactString>,
+    },
+    /// Changes are read from an offset on.
+    Tail(u64),
+}
+
+/// Follows a keyed topic of the store, through outages and lost history.
+#[derive(Clone, Debug)]
+pub struct KeyedFollower {
+    topic: KeyedTopic,
+    position: Position,
+    known: HashSet<CompactString>,
+    failed_at: Option<Instant>,
+    missing: HashMap<CompactString, Instant>,
+}
+
+impl KeyedFollower {
+    /// Starts before the first record.
+    #[must_use]
+    pub fn new(topic: KeyedTopic) -> Self {
+        Self {
+            topic,
+            position: start(),
+            known: HashSet::new(),
+            failed_at: None,
+            missing: HashMap::new(),
+        }
+    }
+
+    /// Tells whether all that was there at the start has been read.
+    #[must_use]
+    pub fn is_caught_up(&self) -> bool {
+        matches!(self.position, Position::Tail(_))
+    }
+
+    /// Makes one call and returns what has changed.
+    ///
+    /// `wait` is how long the store may wait for the first change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the call's error; the next call takes up where this one was.
+    pub fn poll(
+        &mut self,
+        now: Instant,
+        store: &dyn KeyedStore,
+        wait: Duration,
+    ) -> Result<Vec<KeyedChange>, PlatformError> {
+        let read = match &self.position {
+            Position::Newest { after, .. } => {
+                let after = after.clone();
+                self.read_newest(now, store, after.as_deref())
+            }
+            Position::Tail(from) => self.read_tail(now, store, *from, wait),
+        };
+        if read.is_err() {
+            self.failed_at = Some(now);
+        }
+        let mut changes = read?;
+        self.drop_missing(now, &mut changes);
+        Ok(changes)
+    }
+
+    fn read_newest(
+        &mut self,
+        now: Instant,
+        store: &dyn KeyedStore,
+        after: Option<&str>,
+    ) -> Result<Vec<KeyedChange>, PlatformError> {
+        let page = store.newest(self.topic, after)?;
+        let last = page.records.last().map(|record| record.key.clone());
+        let Position::Newest { end, seen, .. } = &mut self.position else {
+            return Ok(Vec::new());
+        };
+        let end = *end.get_or_insert(page.end);
+        let mut seen = std::mem::take(seen);
+        seen.extend(page.records.iter().map(|record| record.key.clone()));
+        let mut changes = Vec::new();
+        for record in page.records {
+            self.apply(now, record, &mut changes);
+        }
+        if page.more && last.is_some() {
+            self.position = Position::Newest {
+                after: last,
+                end: Some(end),
+                seen,
+            };
+            return Ok(changes);
+        }
+        self.position = Position::Tail(end);
+        let gone: Vec<_> = self.known.difference(&seen).cloned().collect();
+        for key in gone {
+            self.removed(now, key, &mut changes);
+        }
+        Ok(changes)
+    }
+
+    fn read_tail(
+        &mut self,
+        now: Instant,
+        store: &dyn KeyedStore,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Vec<KeyedChange>, PlatformError> {
+        let mut changes = Vec::new();
+        match store.changes(self.topic, from, wait)? {
+            Changes::Records { records, next } => {
+                self.position = Position::Tail(next);
+                for record in records {
+                    self.apply(now, record, &mut changes);
+                }
+            }
+            Changes::Expired => self.position = start(),
+        }
+        Ok(changes)
+    }
+
+    fn apply(&mut self, now: Instant, record: KeyedRecord, changes: &mut Vec<KeyedChange>) {
+        let key = record.key;
+        match record.value {
+            Some(value) => {
+                self.known.insert(key.clone());
+                self.missing.remove(&key);
+                changes.push(KeyedChange::Put { key, value });
+            }
+            None => self.removed(now, key, changes),
+        }
+    }
+
+    /// Drops a key, later if the store was away a moment ago.
+    fn removed(&mut self, now: Instant, key: CompactString, changes: &mut Vec<KeyedChange>) {
+        let was_away = self
+            .failed_at
+            .is_some_and(|at| now.saturating_duration_since(at) < RETURN_GRACE);
+        if was_away {
+            self.missing.entry(key).or_insert(now + RETURN_GRACE);
+        } else if self.known.remove(&key) {
+            changes.push(KeyedChange::Removed(key));
+        }
+    }
+
+    fn drop_missing(&mut self, now: Instant, changes: &mut Vec<KeyedChange>) {
+        let due = |(key, at): (&CompactString, &Instant)| (*at <= now).then(|| key.clone());
+        let gone: Vec<CompactString> = self.missing.iter().filter_map(due).collect();
+        for key in gone {
+            self.missing.remove(&key);
+            if self.known.remove(&key) {
+                changes.push(KeyedChange::Removed(key));
+            }
+        }
+    }
+}
+
+fn start() -> Position {
+    Position::Newest {
+        after: None,
+        end: None,
+        seen: HashSet::new(),
+    }
+}
--- a/crates/egretstage_runtime/src/lib.rs
+++ b/crates/egretstage_runtime/src/lib.rs
@@ -3,21 +3,26 @@
 //! All decisions of a process are made by one [`Reducer`]: a state machine
 //! that takes events and returns effects as data. I/O threads send it events
 //! over a channel and carry out its effects, so no lock is shared with the
-//! decision logic. The same reducer runs under [`EventLoop`] in a daemon and
-//! under [`VirtualLoop`] in tests, where the clock moves only on request.
+//! decision logic. The same reducer runs under [`EventLoop`] in a daemon, under
+//! [`LocalLoop`] in one whose I/O has the same thread, and under
+//! [`VirtualLoop`] in tests, where the clock moves only on request.
 
 mod actor;
 mod event_loop;
+mod local_loop;
 mod reducer;
 mod signals;
 mod virtual_loop;
 
 pub use event_loop::{EventLoop, EventSender};
+pub use local_loop::LocalLoop;
 pub use reducer::{EffectSink, Reducer};
 pub use signals::on_stop_signal;
 pub use virtual_loop::VirtualLoop;
 
 /// The items that most users of this crate need.
 pub mod prelude {
-    pub use crate::{EffectSink, EventLoop, EventSender, Reducer, VirtualLoop, on_stop_signal};
+    pub use crate::{
+        EffectSink, EventLoop, EventSender, LocalLoop, Reducer, VirtualLoop, on_stop_signal,
+    };
 }
