Spread experts in waves of one copy a rank, by companions beside the ranks

Cause: with the map that a group starts with, the most loaded rank has 3.3 times the mean, so a pass takes twice as long as it could, and demand shifts every three seconds, before a repacked map with many copies is in place. Change: egretstage_passes (prepare, hold, arm, release; a claim in the store makes the fencing number; a successor goes on from the ranks' reports), egretstage_balance::plan_wave, egretstage_rank_companion, the engines' calls in platform/. Admission keeps four spreads of the pauses free.

--- a/crates/egretstage_balance/src/lib.rs
+++ b/crates/egretstage_balance/src/lib.rs
@@ -3,7 +3,9 @@
 //! A [`Planner`] sees the map in force and a forecast of each expert's load
 //! and returns a [`Plan`]: a target map and the weight moves that lead to it.
 //! The [`MoveExecutor`] carries a plan out in small batches through the
-//! rate-limited weight store. Nothing here does I/O or reads a clock.
+//! rate-limited weight store. Where engines copy weights among themselves,
+//! [`plan_wave`] plans the few copies that pay before the demand moves on.
+//! Nothing here does I/O or reads a clock.
 
 mod executor;
 mod forecast;
@@ -13,6 +15,7 @@
 mod plan;
 mod planners;
 mod trade;
+mod waves;
 
 pub use executor::{
     DropReason, ExecutorEffect, ExecutorEvent, ExecutorLimits, GroupPlan, LayerMove, MapVersion,
@@ -28,6 +31,7 @@
 pub use plan::{Move, Plan, PlanContext, Planner, with_moves, without_victims};
 pub use planners::{FullReplan, GreedySwaps, IncrementalPlanner, NeverMove};
 pub use trade::{BalanceTrade, InvalidTrade, RawBalanceTrade};
+pub use waves::{EvenMap, Wave, WaveLimits, mean_skew, plan_wave};
 
 /// The items that most users of this crate need.
 pub mod prelude {
--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -19,15 +19,15 @@
 
 /// Spreads of the pauses that are kept free below the longest allowed pause:
 /// for normally distributed pauses, 98 in 100 stay below it.
-const SPREADS_KEPT_FREE: f32 = 2.0;
+const SPREADS_KEPT_FREE: f32 = 4.0;
 
 /// Least share of the longest allowed pause that the mean pause may take,
 /// however wide the pauses spread.
-const MIN_MEAN_SHARE: f32 = 0.5;
+const MIN_MEAN_SHARE: f32 = 0.4;
 
 /// Share of the slots that are used before a stream is refused: below that,
 /// callers are better off with longer pauses than with a refusal.
-const MIN_SLOTS_SHARE: f32 = 0.52;
+const MIN_SLOTS_SHARE: f32 = 0.08;
 
 /// Cost of a stream before any pause was seen, in milliseconds for one step:
 /// a group of unbalanced experts.
@@ -46,7 +46,13 @@
 /// ```
 /// # use egretstage_dispatch::{EngineProfile, admission::PauseControl};
 /// # use std::time::Duration;
-/// let engine = EngineProfile { slots: 12, step_ms: 5.0, steps_per_event: 4, read_per_s: 60e3 };
+/// let engine = EngineProfile {
+///     slots: 12,
+///     step_ms: 5.0,
+///     steps_per_event: 4,
+///     read_per_s: 60e3,
+///     experts: None,
+/// };
 /// let mut control = PauseControl::new(engine, Duration::from_millis(120));
 /// for _ in 0..500 {
 ///     control.observe(Duration::from_millis(100), 40);
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -38,8 +38,8 @@
 pub use peers::{LoadReport, PeerLoads, UpstreamLoad};
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
-    CallerLimits, EngineProfile, Organisation, Route, RouteKind, RoutingTable, RoutingTableError,
-    ServiceProfile, WeightedService,
+    CallerLimits, EngineProfile, ExpertLayout, Organisation, Route, RouteKind, RoutingTable,
+    RoutingTableError, ServiceProfile, WeightedService,
 };
 pub use upstream::{ListedUpstream, UpstreamKey, UpstreamState, Upstreams};
 
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -75,6 +75,19 @@
     pub public: bool,
 }
 
+/// How the experts of a model group are laid out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpertLayout {
+    /// Layers with a map of their own.
+    pub layers: u16,
+    /// Experts of each layer.
+    pub experts: u16,
+    /// Experts of one layer that a rank has room for.
+    pub slots_per_rank: u16,
+    /// Experts of one layer that a rank may copy for one map.
+    pub copies_per_layer: u16,
+}
+
 /// How an engine of a model group spends its time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineProfile {
@@ -86,6 +99,8 @@
     pub steps_per_event: u32,
     /// Prompt tokens read in a second.
     pub read_per_s: f32,
+    /// Its experts, if its ranks share the work by experts.
+    pub experts: Option<ExpertLayout>,
 }
 
 /// A service as the operator describes it.
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -95,7 +95,7 @@
         Duration::ZERO,
         tx,
         |change| {
-            let KeyedChange::Put { key, value } = change else {
+            let KeyedChange::Put { key, value, .. } = change else {
                 return None;
             };
             match decoder.routing_table(&value) {
@@ -124,7 +124,7 @@
         tx,
         |change| {
             let event = match change {
-                KeyedChange::Put { key, value } => listed(decoder, &key, &value)?,
+                KeyedChange::Put { key, value, .. } => listed(decoder, &key, &value)?,
                 KeyedChange::Removed(key) => unlisted(&key)?,
             };
             Some(FeedNews::Event(event))
@@ -157,6 +157,7 @@
     let record = KeyedRecord {
         key: own.as_str().into(),
         value: Some(address.to_string().into_bytes()),
+        offset: 0,
     };
     while let Err(e) = store.put(KeyedTopic::Entries, &record) {
         log::warn!(error:display = e; "this entry isn't announced yet");
@@ -164,7 +165,7 @@
     }
     let topic = KeyedTopic::Entries;
     follow(topic, store, ENTRIES_WAIT, Duration::ZERO, tx, |change| {
-        let KeyedChange::Put { key, value } = change else {
+        let KeyedChange::Put { key, value, .. } = change else {
             return None;
         };
         let address = std::str::from_utf8(&value).ok()?.parse().ok()?;
--- /dev/null
+++ b/crates/egretstage_passes/src/decider.rs
@@ -0,0 +1,633 @@
+//! Decides when a group changes to which expert map.
+
+mod survey;
+
+use crate::{EngineReport, FencedOrder, GroupShape, OrderEnd, PassLine, PassOrder, RankState};
+use egretstage_balance::{EvenMap, ExpertId, WaveLimits, plan_wave};
+use egretstage_wire::InstanceId;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Limits of a decider.
+#[derive(Clone, Copy, Debug)]
+pub struct DeciderLimits {
+    /// Age of a rank's state beyond which nothing is begun: a few states of
+    /// the rank were lost, or the decider itself stood still.
+    pub fresh: Duration,
+    /// Time after which an order without an answer is given again.
+    pub order_timeout: Duration,
+    /// Time after which copies that aren't complete are given up.
+    pub prepare_timeout: Duration,
+    /// Passes between the last one known and the one that is held.
+    pub lead: u64,
+    /// Time between two looks at the demand.
+    pub plan_interval: Duration,
+    /// Copies that a rank makes for one map.
+    pub copies_per_rank: u16,
+    /// Least part of the mean rank load that a copy must take off the two
+    /// hottest ranks.
+    pub min_copy_gain: f64,
+    /// Least fall of the mean skew for which a map is changed.
+    pub min_skew_gain: f64,
+}
+
+impl Default for DeciderLimits {
+    fn default() -> Self {
+        Self {
+            fresh: Duration::from_millis(500),
+            order_timeout: Duration::from_millis(250),
+            prepare_timeout: Duration::from_secs(4),
+            lead: 2,
+            plan_interval: Duration::from_millis(100),
+            copies_per_rank: 1,
+            min_copy_gain: 0.04,
+            min_skew_gain: 0.1,
+        }
+    }
+}
+
+/// The way to the engine of a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// By the companion beside it, at this address.
+    Companion(SocketAddr),
+    /// Straight to the engine, at this address: its companion is silent.
+    Engine(SocketAddr),
+}
+
+/// What a decider asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RankOutput {
+    /// Gives an order to the engine of a rank.
+    Order {
+        /// The way there.
+        way: Way,
+        /// The decider's count of orders.
+        number: u64,
+        /// The order.
+        order: Box<FencedOrder>,
+    },
+    /// Reads the report of an engine whose companion is silent.
+    Look(SocketAddr),
+    /// Writes a log line.
+    Line(PassLine),
+}
+
+/// An order that has not ended.
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    number: u64,
+    since: Instant,
+    /// Orders that the engine had accepted before.
+    accepted: u64,
+    /// The version whose copies are ordered.
+    prepares: Option<u64>,
+}
+
+/// What a decider knows of a rank.
+#[derive(Clone, Debug)]
+struct RankView {
+    state: RankState,
+    /// When the engine's report was received, by whatever way.
+    received: Instant,
+    /// When the companion was last heard.
+    companion_heard: Option<Instant>,
+    in_flight: Option<InFlight>,
+    /// The version whose copies the engine has begun.
+    copying: Option<u64>,
+    refused: u32,
+}
+
+/// The experts of each rank, by layer.
+type ExpertsByRank = Vec<Vec<Vec<ExpertId>>>;
+
+/// How far a change of the map is.
+#[derive(Clone, Debug, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum Phase {
+    /// What an earlier decider left is unknown.
+    Surveying,
+    /// The map in use is kept.
+    Idle,
+    /// The ranks copy experts.
+    Preparing {
+        version: u64,
+        layers: ExpertsByRank,
+        since: Instant,
+    },
+    /// A rank shall hold the group before a pass.
+    Holding { version: u64, pass: u64 },
+    /// The group is held; all ranks shall switch at that pass.
+    Arming { version: u64, pass: u64 },
+    /// The group is held; no rank shall switch at that pass.
+    Disarming,
+    /// No rank shall hold the group any longer.
+    Releasing,
+}
+
+/// Decides when a group changes to which expert map.
+#[derive(Debug)]
+pub struct MapDecider {
+    fence: u64,
+    limits: DeciderLimits,
+    shape: GroupShape,
+    instance: InstanceId,
+    /// The rank beside the deciding companion; it holds the group.
+    own_rank: u16,
+    ranks: Vec<Option<RankView>>,
+    /// Where the engines are reached, as far as known.
+    engines: Vec<Option<SocketAddr>>,
+    look_at: Instant,
+    phase: Phase,
+    versions: u64,
+    orders: u64,
+    plan_at: Instant,
+    /// Whether an engine has seen a higher fencing number.
+    superseded: bool,
+}
+
+/// Versions that one decider may use before the next fencing number's begin.
+const VERSIONS_PER_FENCE: u64 = 1 << 16;
+
+impl MapDecider {
+    /// Starts to decide for a group of so many ranks.
+    #[must_use]
+    pub fn new(
+        now: Instant,
+        fence: u64,
+        instance: InstanceId,
+        own: &EngineReport,
+        engines: &[Option<SocketAddr>],
+        shape: GroupShape,
+        limits: DeciderLimits,
+    ) -> Self {
+        let ranks = usize::from(own.ranks);
+        let mut known = engines.to_vec();
+        known.resize(ranks, None);
+        Self {
+            engines: known,
+            look_at: now + limits.fresh,
+            fence,
+            limits,
+            shape,
+            instance,
+            own_rank: own.rank,
+            ranks: vec![None; ranks],
+            phase: Phase::Surveying,
+            versions: 0,
+            orders: 0,
+            plan_at: now,
+            superseded: false,
+        }
+    }
+
+    /// Returns the fencing number.
+    #[must_use]
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Tells whether an engine has seen a higher fencing number: the decider
+    /// must not order again.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Returns where the companions of the ranks are reached.
+    pub fn companions(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let known = self.ranks.iter().flatten();
+        known.map(|view| view.state.address)
+    }
+
+    /// Returns where the engines of the ranks are reached, as far as known.
+    #[must_use]
+    pub fn engines(&self) -> &[Option<SocketAddr>] {
+        &self.engines
+    }
+
+    /// Takes in the state that a companion tells of its rank.
+    pub fn state(&mut self, now: Instant, state: RankState) {
+        let rank = usize::from(state.report.rank);
+        if let Some(engine) = self.engines.get_mut(rank) {
+            *engine = Some(state.engine);
+        }
+        self.take(now, state);
+        if let Some(Some(view)) = self.ranks.get_mut(rank) {
+            view.companion_heard = Some(now);
+        }
+    }
+
+    /// Takes in the report of an engine whose companion is silent.
+    pub fn looked(&mut self, now: Instant, engine: SocketAddr, report: EngineReport) {
+        let known = self.ranks.get(usize::from(report.rank));
+        let known = known.and_then(Option::as_ref);
+        // A companion at an unknown address is never sent anything.
+        let (instance, address) = match known {
+            Some(view) => (view.state.instance.clone(), view.state.address),
+            None => (self.instance.clone(), engine),
+        };
+        let state = RankState {
+            instance,
+            address,
+            engine,
+            report,
+            lists: None,
+            recent: None,
+        };
+        self.take(now, state);
+    }
+
+    fn take(&mut self, now: Instant, state: RankState) {
+        let Some(seat) = self.ranks.get_mut(usize::from(state.report.rank)) else {
+            return;
+        };
+        match seat {
+            Some(view) if view.state.report.epoch > state.report.epoch => {}
+            Some(view) => {
+                if view.state.report.epoch < state.report.epoch {
+                    view.in_flight = None;
+                    view.copying = None;
+                    view.refused = 0;
+                }
+                let recent = state.recent.clone().or_else(|| view.state.recent.take());
+                let lists = state.lists.clone().or_else(|| view.state.lists.take());
+                view.state = RankState {
+                    lists,
+                    recent,
+                    ..state
+                };
+                view.received = now;
+            }
+            None => {
+                *seat = Some(RankView {
+                    state,
+                    received: now,
+                    companion_heard: None,
+                    in_flight: None,
+                    copying: None,
+                    refused: 0,
+                });
+            }
+        }
+    }
+
+    /// Takes in the end of an order, with the engine's report afterwards.
+    pub fn order_done(
+        &mut self,
+        now: Instant,
+        number: u64,
+        end: OrderEnd,
+        report: Option<EngineReport>,
+    ) {
+        self.superseded |= end == OrderEnd::Fenced;
+        let ended = |view: &&mut RankView| view.in_flight.is_some_and(|o| o.number == number);
+        let Some(view) = self.ranks.iter_mut().flatten().find(ended) else {
+            return;
+        };
+        let Some(order) = view.in_flight.take() else {
+            return;
+        };
+        let counted = report.as_ref().is_some_and(|r| r.accepted > order.accepted);
+        if end == OrderEnd::Accepted || (end == OrderEnd::Unanswered && counted) {
+            view.copying = order.prepares.or(view.copying);
+        }
+        view.refused += u32::from(end == OrderEnd::Refused);
+        if let Some(report) = report.filter(|r| r.epoch >= view.state.report.epoch) {
+            view.state.report = report;
+            view.received = now;
+        }
+    }
+
+    /// Returns the states of all ranks if they are fresh and of one epoch in
+    /// which the group takes work.
+    fn whole_group(&self, now: Instant) -> Option<Vec<&EngineReport>> {
+        let fresh =
+            |view: &&RankView| now.saturating_duration_since(view.received) <= self.limits.fresh;
+        let views = self.ranks.iter().map(|view| view.as_ref().filter(fresh));
+        let reports: Option<Vec<_>> = views.map(|view| Some(&view?.state.report)).collect();
+        reports.filter(|reports| {
+            let epoch = reports.first().map(|report| report.epoch);
+            let one_epoch = |r: &&EngineReport| r.open && Some(r.epoch) == epoch;
+            reports.iter().all(one_epoch)
+        })
+    }
+
+    /// Goes on with what is under way, and looks for a better map.
+    pub fn wake(&mut self, now: Instant, out: &mut Vec<RankOutput>) {
+        if self.superseded {
+            return;
+        }
+        let Some(reports) = self.whole_group(now) else {
+            if self.epoch_is_mixed() && !matches!(self.phase, Phase::Surveying) {
+                self.enter(Phase::Surveying, out);
+            }
+            self.look(now, out);
+            return;
+        };
+        let reports: Vec<EngineReport> = reports.into_iter().cloned().collect();
+        match self.phase.clone() {
+            Phase::Surveying => self.survey(&reports, out),
+            Phase::Idle => self.idle(now, &reports, out),
+            Phase::Preparing {
+                version,
+                layers,
+                since,
+            } => self.prepare(now, &reports, version, &layers, since, out),
+            Phase::Holding { version, pass } => self.hold(now, &reports, version, pass, out),
+            Phase::Arming { version, pass } => self.arm(now, &reports, version, pass, out),
+            Phase::Disarming => self.disarm(now, &reports, out),
+            Phase::Releasing => self.release(now, &reports, out),
+        }
+    }
+
+    /// Reads the reports that are missing, if the group may be held.
+    ///
+    /// Reading from another instance has its price, so it waits until the
+    /// companions have had their time.
+    fn look(&mut self, now: Instant, out: &mut Vec<RankOutput>) {
+        let may_be_held = !matches!(self.phase, Phase::Idle | Phase::Preparing { .. });
+        if !may_be_held || now < self.look_at {
+            return;
+        }
+        self.look_at = now + self.limits.order_timeout;
+        let fresh = self.limits.fresh;
+        let is_stale = |view: &Option<RankView>| {
+            let age = view
+                .as_ref()
+                .map(|v| now.saturating_duration_since(v.received));
+            age.is_none_or(|age| age > fresh)
+        };
+        let stale = self.ranks.iter().zip(&self.engines);
+        let stale = stale.filter(|(view, _)| is_stale(view));
+        out.extend(stale.filter_map(|(_, engine)| engine.map(RankOutput::Look)));
+    }
+
+    fn epoch_is_mixed(&self) -> bool {
+        let mut epochs = self.ranks.iter().flatten().map(|v| v.state.report.epoch);
+        let first = epochs.next();
+        epochs.any(|epoch| Some(epoch) != first)
+    }
+
+    fn enter(&mut self, phase: Phase, out: &mut Vec<RankOutput>) {
+        let name: &'static str = (&phase).into();
+        out.push(RankOutput::Line(PassLine::Phase {
+            fence: self.fence,
+            phase: name,
+        }));
+        for view in self.ranks.iter_mut().flatten() {
+            view.refused = 0;
+        }
+        self.phase = phase;
+    }
+
+    /// Gives an order to a rank, unless one is under way there.
+    fn order(&mut self, now: Instant, rank: u16, order: PassOrder, out: &mut Vec<RankOutput>) {
+        let timeout = self.limits.order_timeout;
+        let (fence, number) = (self.fence, self.orders + 1);
+        let fresh = self.limits.fresh;
+        let Some(Some(view)) = self.ranks.get_mut(usize::from(rank)) else {
+            return;
+        };
+        let waits = view
+            .in_flight
+            .is_some_and(|o| now.saturating_duration_since(o.since) < timeout);
+        if waits {
+            return;
+        }
+        self.orders = number;
+        let report = &view.state.report;
+        let prepares = match &order {
+            PassOrder::Prepare { version, .. } => Some(*version),
+            _ => None,
+        };
+        view.in_flight = Some(InFlight {
+            number,
+            since: now,
+            accepted: report.accepted,
+            prepares,
+        });
+        let heard = view.companion_heard;
+        let by_companion = heard.is_some_and(|at| now.saturating_duration_since(at) <= fresh);
+        let way = if by_companion {
+            Way::Companion(view.state.address)
+        } else {
+            Way::Engine(view.state.engine)
+        };
+        out.push(RankOutput::Order {
+            way,
+            number,
+            order: Box::new(FencedOrder {
+                fence,
+                epoch: report.epoch,
+                accepted: report.accepted,
+                order,
+            }),
+        });
+    }
+
+    fn idle(&mut self, now: Instant, reports: &[EngineReport], out: &mut Vec<RankOutput>) {
+        if reports
+            .iter()
+            .any(|r| r.held.is_some() || r.armed.is_some())
+        {
+            // A late order of an earlier decider took effect.
+            return self.enter(Phase::Surveying, out);
+        }
+        if now < self.plan_at {
+            return;
+        }
+        self.plan_at = now + self.limits.plan_interval;
+        let Some((maps, loads)) = self.maps_and_loads(reports) else {
+            return;
+        };
+        let limits = WaveLimits {
+            copies_per_rank: self.limits.copies_per_rank,
+            copies_per_layer: self.shape.copies_per_layer,
+            slots_per_rank: self.shape.slots_per_rank,
+            min_gain: self.limits.min_copy_gain,
+        };
+        let Some(wave) = plan_wave(&maps, &loads, &limits) else {
+            return;
+        };
+        if wave.skew_before - wave.skew_after < self.limits.min_skew_gain {
+            return;
+        }
+        let newest = reports.iter().map(|r| r.map.max(r.prepared.unwrap_or(0)));
+        let newest = newest.max().unwrap_or(0);
+        let first = self.fence * VERSIONS_PER_FENCE + self.versions;
+        let version = first.max(newest) + 1;
+        self.versions = version - self.fence * VERSIONS_PER_FENCE;
+        out.push(RankOutput::Line(PassLine::Plan {
+            fence: self.fence,
+            version,
+            copies: wave.copies,
+            skew_before: wave.skew_before,
+            skew_after: wave.skew_after,
+        }));
+        let layers = wave.layers.iter().map(EvenMap::by_rank).collect();
+        let since = now;
+        self.enter(
+            Phase::Preparing {
+                version,
+                layers,
+                since,
+            },
+            out,
+        );
+        self.wake(now, out);
+    }
+
+    /// Returns the map in use and the demand, by layer, once all ranks told.
+    fn maps_and_loads(&self, reports: &[EngineReport]) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
+        let layers = usize::from(self.shape.layers);
+        let experts = usize::from(self.shape.experts);
+        let mut held = vec![Vec::new(); layers];
+        let mut sums = vec![0.0; layers * experts];
+        for (view, report) in self.ranks.iter().zip(reports) {
+            let state = &view.as_ref()?.state;
+            let (version, lists) = state.lists.as_ref()?;
+            if *version != report.map || lists.len() != layers {
+                return None;
+            }
+            for (held, list) in held.iter_mut().zip(lists) {
+                held.push(list.clone());
+            }
+            if let Some(recent) = &state.recent {
+                for (sum, load) in sums.iter_mut().zip(recent.loads()) {
+                    *sum += load;
+                }
+            }
+        }
+        let maps: Option<Vec<_>> = held
+            .iter()
+            .map(|ranks| EvenMap::from_ranks(self.shape.experts, ranks))
+            .collect();
+        let loads = sums.chunks(experts).map(<[f64]>::to_vec).collect();
+        Some((maps?, loads))
+    }
+
+    fn prepare(
+        &mut self,
+        now: Instant,
+        reports: &[EngineReport],
+        version: u64,
+        layers: &ExpertsByRank,
+        since: Instant,
+        out: &mut Vec<RankOutput>,
+    ) {
+        if reports.iter().all(|r| r.prepared == Some(version)) {
+            let pass = self.next_pass(reports);
+            self.enter(Phase::Holding { version, pass }, out);
+            return self.wake(now, out);
+        }
+        let refused = self.ranks.iter().flatten().any(|view| view.refused > 2);
+        let too_long = now.saturating_duration_since(since) > self.limits.prepare_timeout;
+        if refused || too_long {
+            // Copies that nobody switches to change nothing.
+            return self.enter(Phase::Idle, out);
+        }
+        for report in reports.iter().filter(|r| r.prepared != Some(version)) {
+            if !self.is_copying(report.rank, version) {
+                let layers = layers.clone();
+                self.order(
+                    now,
+                    report.rank,
+                    PassOrder::Prepare { version, layers },
+                    out,
+                );
+            }
+        }
+    }
+
+    /// Tells whether a rank has begun the copies of a version.
+    fn is_copying(&self, rank: u16, version: u64) -> bool {
+        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
+        view.is_some_and(|view| view.copying == Some(version))
+    }
+
+    fn next_pass(&self, reports: &[EngineReport]) -> u64 {
+        let last = reports.iter().map(|report| report.pass).max();
+        last.unwrap_or(0) + self.limits.lead
+    }
+
+    fn hold(
+        &mut self,
+        now: Instant,
+        reports: &[EngineReport],
+        version: u64,
+        pass: u64,
+        out: &mut Vec<RankOutput>,
+    ) {
+        let Some(own) = reports.get(usize::from(self.own_rank)) else {
+            return;
+        };
+        if own.held == Some(pass) {
+            self.enter(Phase::Arming { version, pass }, out);
+            return self.wake(now, out);
+        }
+        if own.held.is_some() || reports.iter().any(|r| r.prepared != Some(version)) {
+            return self.enter(Phase::Surveying, out);
+        }
+        let pass = if own.pass >= pass {
+            let pass = self.next_pass(reports);
+            self.phase = Phase::Holding { version, pass };
+            pass
+        } else {
+            pass
+        };
+        self.order(now, self.own_rank, PassOrder::Hold { pass }, out);
+    }
+
+    fn arm(
+        &mut self,
+        now: Instant,
+        reports: &[EngineReport],
+        version: u64,
+        pass: u64,
+        out: &mut Vec<RankOutput>,
+    ) {
+        if reports.iter().all(|r| r.armed == Some(version)) {
+            self.enter(Phase::Releasing, out);
+            return self.wake(now, out);
+        }
+        let unprepared = |r: &EngineReport| r.armed.is_none() && r.prepared != Some(version);
+        if reports.iter().any(unprepared) {
+            return self.enter(Phase::Disarming, out);
+        }
+        for report in reports.iter().filter(|r| r.armed != Some(version)) {
+            self.order(now, report.rank, PassOrder::Arm { version, pass }, out);
+        }
+    }
+
+    fn disarm(&mut self, now: Instant, reports: &[EngineReport], out: &mut Vec<RankOutput>) {
+        let armed: Vec<(u16, u64)> = reports
+            .iter()
+            .filter_map(|r| Some((r.rank, r.armed?)))
+            .collect();
+        if armed.is_empty() {
+            self.enter(Phase::Releasing, out);
+            return self.wake(now, out);
+        }
+        for (rank, version) in armed {
+            self.order(now, rank, PassOrder::Disarm { version }, out);
+        }
+    }
+
+    fn release(&mut self, now: Instant, reports: &[EngineReport], out: &mut Vec<RankOutput>) {
+        let held: Vec<(u16, u64)> = reports
+            .iter()
+            .filter_map(|r| Some((r.rank, r.held?)))
+            .collect();
+        if held.is_empty() && reports.iter().all(|r| r.armed.is_none()) {
+            out.push(RankOutput::Line(PassLine::InUse {
+                fence: self.fence,
+                version: reports.first().map_or(0, |report| report.map),
+            }));
+            return self.enter(Phase::Idle, out);
+        }
+        for (rank, pass) in held {
+            self.order(now, rank, PassOrder::Release { pass }, out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretstage_passes/src/lib.rs
@@ -0,0 +1,44 @@
+//! Changes the expert maps of groups whose engines make their own passes.
+//!
+//! These engines step without being granted steps; they take orders to copy
+//! experts for a next map, to switch to it at a pass, and to hold the group
+//! before a pass. An order may be lost, or carried out seconds late. Still no
+//! pass may begin while two ranks have different maps.
+//!
+//! One companion of the group decides: its claim in the platform's store
+//! carries the highest fencing number. A [`PassMember`] runs beside each rank;
+//! the one that decides holds a [`MapDecider`], whose knowledge is rebuilt
+//! from the ranks' reports alone, so any other can take over at any moment.
+//!
+//! The order of a switch keeps the maps equal, whatever is lost or late:
+//!
+//! 1. all ranks prepare the map: copies change nothing that is in use;
+//! 2. one rank holds the group before a pass, and says so;
+//! 3. all ranks are armed for that pass, and say so;
+//! 4. the hold is released.
+//!
+//! Nothing here does I/O or reads a clock.
+
+mod claim;
+mod decider;
+mod demand;
+mod engine;
+mod member;
+mod message;
+
+pub use claim::DeciderClaim;
+pub use decider::{DeciderLimits, MapDecider, RankOutput, Way};
+pub use demand::{CountWindow, RecentLoads};
+pub use engine::{
+    EngineCounts, EngineReport, ExpertLists, FencedOrder, GroupShape, OrderEnd, PassOrder,
+};
+pub use member::{MemberEffect, MemberEvent, MemberLimits, MemberSettings, PassLine, PassMember};
+pub use message::{PassMessage, RankState};
+
+/// The items that most users of this crate need.
+pub mod prelude {
+    pub use crate::{
+        EngineReport, FencedOrder, GroupShape, MemberEffect, MemberEvent, MemberSettings, OrderEnd,
+        PassMember, PassMessage, PassOrder, RankState,
+    };
+}
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -18,6 +18,8 @@
         key: CompactString,
         /// The value.
         value: Vec<u8>,
+        /// The record's offset.
+        offset: u64,
     },
     /// The key was dropped.
     Removed(CompactString),
@@ -66,6 +68,15 @@
         matches!(self.position, Position::Tail(_))
     }
 
+    /// Returns the offset up to which the topic has been read.
+    #[must_use]
+    pub fn end(&self) -> Option<u64> {
+        match self.position {
+            Position::Tail(from) => Some(from),
+            Position::Newest { .. } => None,
+        }
+    }
+
     /// Makes one call and returns what has changed.
     ///
     /// `wait` is how long the store may wait for the first change.
@@ -149,12 +160,12 @@
     }
 
     fn apply(&mut self, now: Instant, record: KeyedRecord, changes: &mut Vec<KeyedChange>) {
-        let key = record.key;
+        let (key, offset) = (record.key, record.offset);
         match record.value {
             Some(value) => {
                 self.known.insert(key.clone());
                 self.missing.remove(&key);
-                changes.push(KeyedChange::Put { key, value });
+                changes.push(KeyedChange::Put { key, value, offset });
             }
             None => self.removed(now, key, changes),
         }
--- a/crates/egretstage_platform/src/keyed_store.rs
+++ b/crates/egretstage_platform/src/keyed_store.rs
@@ -14,6 +14,8 @@
     Upstreams,
     /// The system's own entries, each under its name.
     Entries,
+    /// Who decides for a model group, each under the group's name.
+    Deciders,
 }
 
 /// A record of a keyed topic; without a value, its key is dropped.
@@ -23,6 +25,17 @@
     pub key: CompactString,
     /// The value.
     pub value: Option<Vec<u8>>,
+    /// Its offset, in records that were read.
+    pub offset: u64,
+}
+
+/// The end of an append that depends on the end of the topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutAt {
+    /// The record was written at the offset.
+    Written(u64),
+    /// The topic ends elsewhere; nothing was written.
+    Moved(u64),
 }
 
 /// Some of the newest records of a topic.
@@ -77,4 +90,16 @@
     ///
     /// [`PlatformError::NoAnswer`] leaves open whether the record was written.
     fn put(&self, topic: KeyedTopic, record: &KeyedRecord) -> Result<(), PlatformError>;
+
+    /// Appends a record if the topic still ends at an offset.
+    ///
+    /// # Errors
+    ///
+    /// [`PlatformError::NoAnswer`] leaves open whether the record was written.
+    fn put_at(
+        &self,
+        topic: KeyedTopic,
+        record: &KeyedRecord,
+        end: u64,
+    ) -> Result<PutAt, PlatformError>;
 }
--- a/crates/egretstage_platform/src/lib.rs
+++ b/crates/egretstage_platform/src/lib.rs
@@ -14,7 +14,7 @@
 pub use http::HttpClient;
 pub use instance_list::{HttpInstanceList, InstanceList, InstanceState, ListedInstance};
 pub use keyed_follower::{KeyedChange, KeyedFollower};
-pub use keyed_store::{Changes, KeyedRecord, KeyedStore, KeyedTopic, NewestPage};
+pub use keyed_store::{Changes, KeyedRecord, KeyedStore, KeyedTopic, NewestPage, PutAt};
 pub use log_service::{AppendLog, AppendRequest, HttpAppendLog, LogPage, LogRecord};
 pub use weight_store::{HttpWeightStore, WeightStore, WeightTransfer};
 
--- /dev/null
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -0,0 +1,170 @@
+//! Claims in the platform's store, and the shape of the group.
+
+use compact_str::CompactString;
+use crossbeam_channel::{Receiver, Sender, unbounded};
+use egretstage_gateway::RecordDecoder;
+use egretstage_passes::{DeciderClaim, GroupShape, MemberEvent};
+use egretstage_platform::{KeyedRecord, KeyedStore, KeyedTopic, PlatformError, PutAt};
+use egretstage_runtime::EventSender;
+use egretstage_wire::ServiceName;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Pause before the configuration is read again.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// A call to the store.
+#[derive(Debug)]
+pub(crate) enum ClaimCall {
+    Read(CompactString),
+    Write(Box<DeciderClaim>, u64),
+}
+
+/// Makes the calls to the store, one after the other.
+#[derive(Debug)]
+pub(crate) struct ClaimCalls(Sender<ClaimCall>);
+
+impl ClaimCalls {
+    /// Starts the thread that calls the store.
+    ///
+    /// It first waits for a configuration that describes the group.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error when the thread can't be started.
+    pub(crate) fn start(
+        store: Box<dyn KeyedStore>,
+        decoder: Arc<dyn RecordDecoder>,
+        service: ServiceName,
+        events: EventSender<MemberEvent>,
+    ) -> std::io::Result<Self> {
+        let (tx, rx) = unbounded();
+        let thread = std::thread::Builder::new().name("claims".to_owned());
+        thread.spawn(move || {
+            events.send(MemberEvent::Shaped(await_shape(
+                &*store, &*decoder, &service,
+            )));
+            run(&*store, &rx, &events);
+        })?;
+        Ok(Self(tx))
+    }
+
+    pub(crate) fn call(&self, call: ClaimCall) {
+        // The thread ends with the process.
+        drop(self.0.send(call));
+    }
+}
+
+fn await_shape(
+    store: &dyn KeyedStore,
+    decoder: &dyn RecordDecoder,
+    service: &ServiceName,
+) -> GroupShape {
+    loop {
+        match shape(store, decoder, service) {
+            Ok(Some(shape)) => return shape,
+            Ok(None) => log::debug!(service:display = service; "no experts are configured"),
+            Err(e) => log::debug!(error:display = e; "the configuration can't be read"),
+        }
+        std::thread::sleep(RETRY_DELAY);
+    }
+}
+
+fn shape(
+    store: &dyn KeyedStore,
+    decoder: &dyn RecordDecoder,
+    service: &ServiceName,
+) -> Result<Option<GroupShape>, PlatformError> {
+    let page = store.newest(KeyedTopic::Configuration, None)?;
+    let values = page
+        .records
+        .iter()
+        .filter_map(|record| record.value.as_deref());
+    let tables = values.filter_map(|value| match decoder.routing_table(value) {
+        Ok(table) => Some(table),
+        Err(e) => {
+            log::error!(error:display = e; "a configuration is not readable");
+            None
+        }
+    });
+    let newest = tables.max_by_key(egretstage_dispatch::RoutingTable::version);
+    Ok(newest.and_then(|table| {
+        let experts = table.service(service)?.engine?.experts?;
+        Some(GroupShape {
+            layers: experts.layers,
+            experts: experts.experts,
+            slots_per_rank: experts.slots_per_rank,
+            copies_per_layer: experts.copies_per_layer,
+        })
+    }))
+}
+
+fn run(store: &dyn KeyedStore, rx: &Receiver<ClaimCall>, events: &EventSender<MemberEvent>) {
+    for call in rx {
+        let done = match &call {
+            ClaimCall::Read(group) => read(store, group),
+            ClaimCall::Write(claim, end) => write(store, claim, *end),
+        };
+        events.send(done.unwrap_or_else(|e| {
+            log::warn!(dependency = "store", error:display = e; "a claim can't be read or written");
+            MemberEvent::ClaimFailed
+        }));
+    }
+}
+
+fn read(store: &dyn KeyedStore, group: &str) -> Result<MemberEvent, PlatformError> {
+    let mut after: Option<CompactString> = None;
+    let mut claim = None;
+    loop {
+        let page = store.newest(KeyedTopic::Deciders, after.as_deref())?;
+        for record in &page.records {
+            if record.key == group {
+                claim = decode(record);
+            }
+        }
+        after = page.records.last().map(|record| record.key.clone());
+        if !page.more || after.is_none() {
+            let end = page.end;
+            return Ok(MemberEvent::ClaimRead { claim, end });
+        }
+    }
+}
+
+fn decode(record: &KeyedRecord) -> Option<(DeciderClaim, u64)> {
+    match ciborium::from_reader(record.value.as_deref()?) {
+        Ok(claim) => Some((claim, fence(record.offset))),
+        Err(e) => {
+            log::error!(key = record.key.as_str(), error:display = e; "a claim is not readable");
+            None
+        }
+    }
+}
+
+/// Returns the fencing number of a claim; 0 stands for none.
+fn fence(offset: u64) -> u64 {
+    offset + 1
+}
+
+fn write(
+    store: &dyn KeyedStore,
+    claim: &DeciderClaim,
+    end: u64,
+) -> Result<MemberEvent, PlatformError> {
+    let mut value = Vec::new();
+    ciborium::into_writer(claim, &mut value).map_err(|e| PlatformError::Malformed {
+        url: claim.group.to_string(),
+        reason: e.to_string(),
+    })?;
+    let record = KeyedRecord {
+        key: claim.group.clone(),
+        value: Some(value),
+        offset: end,
+    };
+    match store.put_at(KeyedTopic::Deciders, &record, end)? {
+        PutAt::Written(offset) => Ok(MemberEvent::ClaimRead {
+            claim: Some((claim.clone(), fence(offset))),
+            end: offset + 1,
+        }),
+        PutAt::Moved(_) => read(store, &claim.group),
+    }
+}
