Bound each group by its dearest recent pauses; follow shifts of demand faster

Cause: on the grown sites a service has three groups, and the bound over all of them filled a slow one; the cost of a stream was averaged by samples, so entries with few streams learnt it slowly; a switch took 0.3 s longer than its copies. Change: a bound for each group, from the dearest mean of 250 ms, which fades in 4 s; waves of 0.1 s of copies, states each 50 ms, counts of 200 ms, and the hold is put before the next pass.

--- a/crates/egretstage_balance/src/waves.rs
+++ b/crates/egretstage_balance/src/waves.rs
@@ -130,6 +130,7 @@
             .map(|(map, loads)| Layer::new(map, loads))
             .collect(),
         made: vec![0; layers.first().map_or(0, |map| usize::from(map.ranks))],
+        best: vec![Best::Unknown; layers.len()],
     };
     let mut copies = 0;
     while let Some(copy) = planning.best() {
@@ -175,6 +176,15 @@
     layers: Vec<Layer<'a>>,
     /// Copies planned for each rank.
     made: Vec<u16>,
+    /// The best copy of each layer.
+    best: Vec<Best>,
+}
+
+/// The best copy of a layer, kept while nothing that it depends on changes.
+#[derive(Clone, Debug)]
+enum Best {
+    Unknown,
+    Known(Option<Copy>),
 }
 
 /// Experts of the hottest rank that are looked at: those with most load.
@@ -268,17 +278,26 @@
 
 impl Planning<'_> {
     /// Returns the copy with the largest gain, if one pays.
-    fn best(&self) -> Option<Copy> {
-        let layers = 0..self.layers.len();
-        let copies = layers.flat_map(|layer| {
-            let experts = self.layers[layer].candidates();
-            experts
-                .into_iter()
-                .filter_map(move |expert| self.copy(layer, expert))
+    fn best(&mut self) -> Option<Copy> {
+        for layer in 0..self.layers.len() {
+            if matches!(self.best[layer], Best::Unknown) {
+                self.best[layer] = Best::Known(self.best_of(layer));
+            }
+        }
+        let known = self.best.iter().filter_map(|best| match best {
+            Best::Known(copy) => copy.as_ref(),
+            Best::Unknown => None,
         });
-        copies
+        known
             .max_by(|a, b| a.gain.total_cmp(&b.gain))
             .filter(|copy| copy.gain >= self.limits.min_gain)
+            .cloned()
+    }
+
+    fn best_of(&self, layer: usize) -> Option<Copy> {
+        let experts = self.layers[layer].candidates();
+        let copies = experts.into_iter().filter_map(|e| self.copy(layer, e));
+        copies.max_by(|a, b| a.gain.total_cmp(&b.gain))
     }
 
     /// Returns the copy of an expert to the coldest rank that may make it.
@@ -320,6 +339,14 @@
         }
         layer.rank_loads = copy.rank_loads;
         self.made[copy.to.index()] += 1;
+        self.best[copy.layer] = Best::Unknown;
+        if self.made[copy.to.index()] >= self.limits.copies_per_rank {
+            for best in &mut self.best {
+                if matches!(best, Best::Known(Some(other)) if other.to == copy.to) {
+                    *best = Best::Unknown;
+                }
+            }
+        }
     }
 }
 
--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -7,31 +7,32 @@
 //! bound follows the pauses that the entry sees now.
 
 use crate::EngineProfile;
-use egretstage_routing::Ewma;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Weight of the newest pause in the cost of a stream: about half a second of
-/// the pauses that one entry sees at the load of a busy group.
-const COST_WEIGHT: f32 = 0.02;
+/// Time in which the dearest cost that was seen fades to a third: demand for
+/// experts shifts every few seconds, and streams last one or two, so a stream
+/// that starts now probably meets the next shift.
+const PEAK_FADES_IN: Duration = Duration::from_secs(4);
 
-/// Weight of the newest pause in the spread of pauses.
-const SPREAD_WEIGHT: f32 = 0.02;
+/// Time over which the cost of a stream is averaged: a few passes, so that one
+/// event that was held up on its way doesn't count as a slow group.
+const MEAN_SPAN: Duration = Duration::from_millis(250);
 
-/// Spreads of the pauses that are kept free below the longest allowed pause:
-/// for normally distributed pauses, 98 in 100 stay below it.
-const SPREADS_KEPT_FREE: f32 = 4.0;
+/// Least streams for each rank by which a pause is divided: with fewer, the
+/// reading of prompts makes most of a pause.
+const MIN_STREAMS_PER_RANK: u32 = 2;
 
-/// Least share of the longest allowed pause that the mean pause may take,
-/// however wide the pauses spread.
-const MIN_MEAN_SHARE: f32 = 0.4;
+/// Share of the longest allowed pause for which the bound is made: the rest is
+/// for the way to the caller and for prompts that are read meanwhile.
+const TARGET_SHARE: f32 = 0.88;
 
-/// Share of the slots that are used before a stream is refused: below that,
-/// callers are better off with longer pauses than with a refusal.
-const MIN_SLOTS_SHARE: f32 = 0.08;
+/// Multiple of the longest allowed pause above which a pause tells of a stalled
+/// group, not of the cost of its streams.
+const STALL_FACTOR: f32 = 2.0;
 
 /// Cost of a stream before any pause was seen, in milliseconds for one step:
 /// a group of unbalanced experts.
-const FIRST_COST_MS: f32 = 0.2;
+const FIRST_COST_MS: f32 = 0.25;
 
 /// Least cost of a stream, in milliseconds for one step: keeps the bound
 /// finite when a few streams run without delay.
@@ -41,11 +42,12 @@
 ///
 /// A pause is taken as `base + cost * streams`: `base` is the time of the
 /// steps without any stream, `cost` is learnt from each pause with the number
-/// of streams at that time.
+/// of streams at that time. The bound is made for the dearest cost of the last
+/// seconds.
 ///
 /// ```
 /// # use egretstage_dispatch::{EngineProfile, admission::PauseControl};
-/// # use std::time::Duration;
+/// # use std::time::{Duration, Instant};
 /// let engine = EngineProfile {
 ///     slots: 12,
 ///     step_ms: 5.0,
@@ -53,22 +55,29 @@
 ///     read_per_s: 60e3,
 ///     experts: None,
 /// };
+/// let mut now = Instant::now();
 /// let mut control = PauseControl::new(engine, Duration::from_millis(120));
-/// for _ in 0..500 {
-///     control.observe(Duration::from_millis(100), 40);
+/// control.observe(now, Duration::from_millis(110), 40, 12);
+/// let shifted = control.bound(12);
+/// for _ in 0..100 {
+///     now += Duration::from_millis(60);
+///     control.observe(now, Duration::from_millis(60), 40, 12);
 /// }
-/// let long = control.bound(12);
-/// for _ in 0..500 {
-///     control.observe(Duration::from_millis(60), 40);
-/// }
-/// assert!(control.bound(12) > long);
+/// assert!(control.bound(12) > shifted);
 /// ```
 #[derive(Clone, Debug)]
 pub struct PauseControl {
     engine: EngineProfile,
     max_pause_ms: f32,
-    cost_ms: Ewma,
-    spread_ms: Ewma,
+    costs: Option<Costs>,
+}
+
+/// What was learnt of the cost of a stream, in milliseconds for one event.
+#[derive(Clone, Copy, Debug)]
+struct Costs {
+    mean: f32,
+    peak: f32,
+    seen_at: Instant,
 }
 
 impl PauseControl {
@@ -78,8 +87,7 @@
         Self {
             engine,
             max_pause_ms: max_pause.as_secs_f32() * 1000.0,
-            cost_ms: Ewma::new(COST_WEIGHT),
-            spread_ms: Ewma::new(SPREAD_WEIGHT),
+            costs: None,
         }
     }
 
@@ -89,46 +97,60 @@
         self.max_pause_ms = max_pause.as_secs_f32() * 1000.0;
     }
 
-    /// Notes a pause between two events while so many streams ran.
-    pub fn observe(&mut self, pause: Duration, streams: u32) {
+    /// Notes a pause between two events while so many streams ran on so many
+    /// ranks.
+    pub fn observe(&mut self, now: Instant, pause: Duration, streams: u32, ranks: u32) {
         let pause_ms = pause.as_secs_f32() * 1000.0;
-        let expected = self.expected_pause_ms(streams);
-        let cost = (pause_ms - self.base_ms()) / to_f32(streams.max(1));
-        self.cost_ms.add(cost.max(0.0));
-        self.spread_ms.add((pause_ms - expected).abs());
-    }
-
-    /// Returns the pause that so many streams would have, in milliseconds.
-    #[must_use]
-    pub fn expected_pause_ms(&self, streams: u32) -> f32 {
-        self.base_ms() + self.cost() * to_f32(streams)
+        let pause_ms = pause_ms.min(self.max_pause_ms * STALL_FACTOR);
+        let streams = streams.max(ranks * MIN_STREAMS_PER_RANK).max(1);
+        let cost = ((pause_ms - self.base_ms()) / to_f32(streams)).max(0.0);
+        let Some(costs) = &mut self.costs else {
+            self.costs = Some(Costs {
+                mean: cost,
+                peak: cost,
+                seen_at: now,
+            });
+            return;
+        };
+        // Weights go by time: all streams of the group see the same passes.
+        let passed = now.saturating_duration_since(costs.seen_at);
+        costs.seen_at = now;
+        costs.mean += faded(passed, MEAN_SPAN) * (cost - costs.mean);
+        costs.peak += faded(passed, PEAK_FADES_IN) * (costs.mean - costs.peak);
+        costs.peak = costs.peak.max(costs.mean);
     }
 
     /// Returns the most streams that may run on so many ranks together.
     ///
-    /// At least about half of the slots of all, at most all of them.
+    /// At least one for each rank, at most the slots of all.
     #[must_use]
     pub fn bound(&self, ranks: u32) -> u32 {
-        let spread = self.spread_ms.get().unwrap_or(0.0);
-        let target = (self.max_pause_ms - SPREADS_KEPT_FREE * spread)
-            .max(self.max_pause_ms * MIN_MEAN_SHARE);
-        let streams = (target - self.base_ms()).max(0.0) / self.cost();
+        let target = self.max_pause_ms * TARGET_SHARE;
+        let streams = (target - self.base_ms()).max(0.0) / self.peak_cost();
         let slots = self.engine.slots.saturating_mul(ranks);
-        let least = to_u32((to_f32(slots) * MIN_SLOTS_SHARE).ceil());
-        to_u32(streams).clamp(least, slots)
+        to_u32(streams).clamp(ranks.min(slots), slots)
     }
 
     fn base_ms(&self) -> f32 {
-        self.engine.step_ms * to_f32(self.engine.steps_per_event.max(1))
+        self.engine.step_ms * self.steps()
+    }
+
+    fn peak_cost(&self) -> f32 {
+        let first = FIRST_COST_MS * self.steps();
+        let peak = self.costs.map_or(first, |costs| costs.peak);
+        peak.max(MIN_COST_MS * self.steps())
     }
 
-    fn cost(&self) -> f32 {
-        let steps = to_f32(self.engine.steps_per_event.max(1));
-        let cost = self.cost_ms.get().unwrap_or(FIRST_COST_MS * steps);
-        cost.max(MIN_COST_MS * steps)
+    fn steps(&self) -> f32 {
+        to_f32(self.engine.steps_per_event.max(1))
     }
 }
 
+/// Returns the share of something that has faded after a time.
+fn faded(passed: Duration, span: Duration) -> f32 {
+    1.0 - (-passed.as_secs_f32() / span.as_secs_f32()).exp()
+}
+
 #[expect(clippy::cast_precision_loss, reason = "counts are small")]
 fn to_f32(count: u32) -> f32 {
     count as f32
--- /dev/null
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -0,0 +1,108 @@
+//! The model groups of a service, each with a bound of its own.
+//!
+//! Load pattern: a service has several groups. The ranks of one step together,
+//! so a slow rank or an unbalanced map slows its own group only: a bound over
+//! the whole service would fill the slow group and leave the others idle.
+
+use crate::admission::PauseControl;
+use crate::{EngineProfile, Upstreams};
+use compact_str::CompactString;
+use egretstage_wire::ServiceName;
+use smallvec::SmallVec;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// What a group runs and may run, at all entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct GroupLoad {
+    /// The group; empty for upstreams that are in none.
+    pub(crate) group: CompactString,
+    /// Calls that it runs.
+    pub(crate) running: u32,
+    /// Ranks that take new work.
+    pub(crate) ranks: u32,
+    /// Calls that it may run.
+    pub(crate) bound: u32,
+}
+
+impl GroupLoad {
+    /// Tells whether one more call may run.
+    pub(crate) fn has_room(&self) -> bool {
+        self.running < self.bound
+    }
+
+    /// Compares by the share of the bound that is used.
+    pub(crate) fn cmp_used(&self, other: &Self) -> std::cmp::Ordering {
+        let used = |a: &Self, b: &Self| u64::from(a.running) * u64::from(b.bound);
+        used(self, other).cmp(&used(other, self))
+    }
+}
+
+/// The pause controls of a service's groups.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Groups {
+    engine: Option<(EngineProfile, Duration)>,
+    pauses: HashMap<CompactString, PauseControl>,
+}
+
+impl Groups {
+    /// Takes over what the operator says; what was learnt of pauses stays.
+    pub(crate) fn configure(&mut self, engine: Option<EngineProfile>, max_pause: Duration) {
+        self.engine = engine.map(|engine| (engine, max_pause));
+        match engine {
+            None => self.pauses.clear(),
+            Some(engine) => {
+                for pauses in self.pauses.values_mut() {
+                    pauses.reconfigure(engine, max_pause);
+                }
+            }
+        }
+    }
+
+    /// Notes a pause in a stream of a group.
+    pub(crate) fn observe(&mut self, now: Instant, pause: Duration, load: &GroupLoad) {
+        if let Some((engine, max_pause)) = self.engine {
+            let pauses = self.pauses.entry(load.group.clone());
+            let pauses = pauses.or_insert_with(|| PauseControl::new(engine, max_pause));
+            pauses.observe(now, pause, load.running, load.ranks);
+        }
+    }
+
+    fn bound(&self, group: &str, ranks: u32) -> u32 {
+        let Some((engine, max_pause)) = self.engine else {
+            return u32::MAX;
+        };
+        match self.pauses.get(group) {
+            Some(pauses) => pauses.bound(ranks),
+            None => PauseControl::new(engine, max_pause).bound(ranks),
+        }
+    }
+
+    /// Returns the loads of the groups that take new work.
+    pub(crate) fn loads(
+        &self,
+        upstreams: &Upstreams,
+        service: &ServiceName,
+    ) -> SmallVec<[GroupLoad; 4]> {
+        let mut loads: SmallVec<[GroupLoad; 4]> = SmallVec::new();
+        for (_, upstream) in upstreams.ready(service) {
+            let group = upstream.group();
+            let calls = upstream.calls();
+            if let Some(load) = loads.iter_mut().find(|load| load.group == group) {
+                load.running += calls;
+                load.ranks += 1;
+            } else {
+                loads.push(GroupLoad {
+                    group: group.into(),
+                    running: calls,
+                    ranks: 1,
+                    bound: 0,
+                });
+            }
+        }
+        for load in &mut loads {
+            load.bound = self.bound(&load.group, load.ranks);
+        }
+        loads
+    }
+}
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod attempts;
 mod call;
 mod event;
+mod groups;
 mod line;
 mod peers;
 pub mod placement;
@@ -41,7 +42,7 @@
     CallerLimits, EngineProfile, ExpertLayout, Organisation, Route, RouteKind, RoutingTable,
     RoutingTableError, ServiceProfile, WeightedService,
 };
-pub use upstream::{ListedUpstream, UpstreamKey, UpstreamState, Upstreams};
+pub use upstream::{GroupSeat, ListedUpstream, UpstreamKey, UpstreamState, Upstreams};
 
 /// The items that most users of this crate need.
 pub mod prelude {
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -259,7 +259,7 @@
             DispatchEvent::Arrived { call, head } => self.arrived(now, call, *head, fx),
             DispatchEvent::Ended { call, whole } => self.ended(now, call, whole, fx),
             DispatchEvent::FirstByte { call } => self.first_byte(now, call),
-            DispatchEvent::Pause { call, pause } => self.pause(call, pause),
+            DispatchEvent::Pause { call, pause } => self.pause(now, call, pause),
             DispatchEvent::AttemptEnded { call, end } => self.attempt_ended(now, call, end, fx),
             DispatchEvent::Configured(table) => self.configured(table, fx),
             DispatchEvent::Listed(listed) => {
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use crate::attempts::{NextStep, next_step};
+use crate::groups::GroupLoad;
 use crate::placement;
 use crate::waiting::Freshness;
 use crate::{
@@ -212,37 +213,52 @@
         }
     }
 
+    /// Returns the loads of a service's groups.
+    fn loads(&self, service: &ServiceName) -> SmallVec<[GroupLoad; 4]> {
+        match self.services.get(service) {
+            Some(state) => state.groups.loads(&self.upstreams, service),
+            None => SmallVec::new(),
+        }
+    }
+
     /// Returns how many calls a service runs and may run, at all entries.
     fn room(&self, service: &ServiceName) -> (u32, u32) {
-        let ready = self.upstreams.ready(service);
-        let (running, ranks) = ready.fold((0, 0), |(calls, ranks), (_, u)| {
-            (calls + u.calls(), ranks + 1)
-        });
-        let pauses = self.services.get(service).and_then(|s| s.pauses.as_ref());
-        let bound = pauses.map_or(u32::MAX, |pauses| pauses.bound(ranks));
-        (running, bound)
+        self.loads(service)
+            .iter()
+            .fold((0, 0), |(running, bound), load| {
+                (running + load.running, bound.saturating_add(load.bound))
+            })
     }
 
-    /// Chooses an upstream for a call, if there is room.
+    /// Chooses an upstream for a call, if there is room: first a group, then
+    /// one of its ranks.
     fn place(&self, service: &ServiceName, key: CallKey) -> Option<UpstreamKey> {
         let call = self.calls.get(&key)?;
-        let (running, bound) = self.room(service);
-        if running >= bound {
-            return None;
-        }
+        let mut loads = self.loads(service);
+        loads.retain(|load| load.has_room());
+        loads.sort_by(GroupLoad::cmp_used);
         let queue = if call.route.kind.is_stream() {
             0
         } else {
             self.limits.plain_queue
         };
-        placement::choose(
-            &self.upstreams,
-            service,
-            &self.zone,
-            &call.tried,
-            |upstream| upstream.listed.slots + queue,
-            self.incarnation ^ key.0,
-        )
+        loads.iter().find_map(|load| {
+            placement::choose(
+                &self.upstreams,
+                service,
+                &self.zone,
+                &call.tried,
+                |upstream| {
+                    let room = upstream.listed.slots + queue;
+                    if upstream.group() == load.group {
+                        room
+                    } else {
+                        0
+                    }
+                },
+                self.incarnation ^ key.0,
+            )
+        })
     }
 
     fn send(
@@ -314,14 +330,20 @@
         }
     }
 
-    pub(super) fn pause(&mut self, key: CallKey, pause: Duration) {
+    pub(super) fn pause(&mut self, now: Instant, key: CallKey, pause: Duration) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
+        let Phase::Running { upstream, .. } = call.phase else {
+            return;
+        };
+        let Some(upstream) = self.upstreams.get(upstream) else {
+            return;
+        };
         let service = call.service.clone();
-        let (running, _) = self.room(&service);
-        if let Some(pauses) = &mut self.service(&service).pauses {
-            pauses.observe(pause, running);
+        let loads = self.loads(&service);
+        if let Some(load) = loads.iter().find(|load| load.group == upstream.group()) {
+            self.service(&service).groups.observe(now, pause, load);
         }
     }
 
--- a/crates/egretstage_dispatch/src/reducer/service.rs
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -1,10 +1,10 @@
 //! What a dispatcher keeps for each service.
 
 use super::DispatchLimits;
-use crate::admission::PauseControl;
+use crate::ServiceProfile;
+use crate::groups::Groups;
 use crate::returns::{ReturnLimits, ReturnSchedule};
 use crate::waiting::{StartRate, WaitingCalls};
-use crate::{EngineProfile, ServiceProfile};
 use egretstage_routing::{RetryBudget, RetryLimits};
 use std::time::Duration;
 
@@ -21,8 +21,8 @@
     pub(super) starts: StartRate,
     pub(super) returns: ReturnSchedule,
     pub(super) retries: RetryBudget,
-    /// The engine and the bound of its streams, if it is a model group.
-    pub(super) pauses: Option<PauseControl>,
+    /// Its model groups, with the bounds of their streams.
+    pub(super) groups: Groups,
 }
 
 impl ServiceState {
@@ -35,21 +35,13 @@
                 retries_per_thousand: limits.retries_per_thousand,
                 burst: limits.retry_burst,
             }),
-            pauses: None,
+            groups: Groups::default(),
         }
     }
 
     /// Takes over what the operator says of the service.
     pub(super) fn configure(&mut self, profile: &ServiceProfile, max_pause: Option<Duration>) {
         let max_pause = max_pause.unwrap_or(DEFAULT_MAX_PAUSE);
-        match (profile.engine, &mut self.pauses) {
-            (None, pauses) => *pauses = None,
-            (Some(engine), Some(pauses)) => pauses.reconfigure(engine, max_pause),
-            (Some(engine), pauses) => *pauses = Some(start(engine, max_pause)),
-        }
+        self.groups.configure(profile.engine, max_pause);
     }
 }
-
-fn start(engine: EngineProfile, max_pause: Duration) -> PauseControl {
-    PauseControl::new(engine, max_pause)
-}
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -86,6 +86,8 @@
     pub slots_per_rank: u16,
     /// Experts of one layer that a rank may copy for one map.
     pub copies_per_layer: u16,
+    /// Time in which a rank copies one expert of one layer.
+    pub copy_time: Duration,
 }
 
 /// How an engine of a model group spends its time.
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry may call.
 
+use compact_str::CompactString;
 use egretstage_routing::Ewma;
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
 use slotmap::{SlotMap, new_key_type};
@@ -22,6 +23,15 @@
     Draining,
 }
 
+/// The place of an upstream in a model group whose ranks step together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupSeat {
+    /// The group.
+    pub group: CompactString,
+    /// Whether the group takes work; not while a rank is missing.
+    pub open: bool,
+}
+
 /// An upstream as the platform lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedUpstream {
@@ -40,6 +50,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: UpstreamState,
+    /// Its model group, if it is a rank of one.
+    pub seat: Option<GroupSeat>,
 }
 
 /// Weight of the newest answer in an upstream's share of failures.
@@ -85,6 +97,12 @@
     pub fn is_ready(&self) -> bool {
         self.listed.state == UpstreamState::Ready
     }
+
+    /// Returns the name of its model group, empty if it is in none.
+    #[must_use]
+    pub fn group(&self) -> &str {
+        self.listed.seat.as_ref().map_or("", |seat| &seat.group)
+    }
 }
 
 /// All upstreams that an entry knows, in an arena.
--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -22,8 +22,9 @@
     pub lead: u64,
     /// Time between two looks at the demand.
     pub plan_interval: Duration,
-    /// Copies that a rank makes for one map.
-    pub copies_per_rank: u16,
+    /// Time that a rank copies for one map: a fraction of the time for which
+    /// a demand lasts. A rank makes at least one copy.
+    pub copy_span: Duration,
     /// Least part of the mean rank load that a copy must take off the hottest
     /// ranks.
     pub min_copy_gain: f64,
@@ -37,9 +38,9 @@
             fresh: Duration::from_millis(500),
             order_timeout: Duration::from_millis(250),
             prepare_timeout: Duration::from_secs(4),
-            lead: 2,
-            plan_interval: Duration::from_millis(100),
-            copies_per_rank: 1,
+            lead: 1,
+            plan_interval: Duration::from_millis(50),
+            copy_span: Duration::from_millis(100),
             min_copy_gain: 0.04,
             min_skew_gain: 0.2,
         }
@@ -442,7 +443,7 @@
             return;
         };
         let limits = WaveLimits {
-            copies_per_rank: self.limits.copies_per_rank,
+            copies_per_rank: self.copies_per_rank(),
             copies_per_layer: self.shape.copies_per_layer,
             slots_per_rank: self.shape.slots_per_rank,
             min_gain: self.limits.min_copy_gain,
@@ -478,6 +479,12 @@
         self.wake(now, out);
     }
 
+    fn copies_per_rank(&self) -> u16 {
+        let copy_time = self.shape.copy_time.as_millis().max(1);
+        let copies = self.limits.copy_span.as_millis() / copy_time;
+        u16::try_from(copies).unwrap_or(u16::MAX).max(1)
+    }
+
     /// Returns the map in use and the demand, by layer, once all ranks told.
     fn maps_and_loads(&self, reports: &[EngineReport]) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
         let layers = usize::from(self.shape.layers);
--- a/crates/egretstage_passes/src/engine.rs
+++ b/crates/egretstage_passes/src/engine.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use egretstage_balance::ExpertId;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// The experts that one rank holds, by layer.
 pub type ExpertLists = Vec<Vec<ExpertId>>;
@@ -18,6 +19,8 @@
     pub slots_per_rank: u16,
     /// Experts of one layer that a rank may copy for one map.
     pub copies_per_layer: u16,
+    /// Time in which a rank copies one expert of one layer.
+    pub copy_time: Duration,
 }
 
 /// What the engine of a rank reports of itself.
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -37,9 +37,9 @@
 impl Default for MemberLimits {
     fn default() -> Self {
         Self {
-            report_interval: Duration::from_millis(100),
-            counts_interval: Duration::from_millis(100),
-            counts_window: Duration::from_millis(300),
+            report_interval: Duration::from_millis(50),
+            counts_interval: Duration::from_millis(50),
+            counts_window: Duration::from_millis(200),
             heartbeat: Duration::from_millis(250),
             suspect_after: Duration::from_millis(1_200),
             stagger: Duration::from_millis(150),
--- a/crates/egretstage_passes/tests/switches/engine.rs
+++ b/crates/egretstage_passes/tests/switches/engine.rs
@@ -9,7 +9,7 @@
 pub(crate) const LAYERS: u16 = 2;
 
 /// Time of a copy of one expert.
-const COPY_TIME: Duration = Duration::from_millis(200);
+pub(crate) const COPY_TIME: Duration = Duration::from_millis(300);
 
 /// Time of a pass.
 pub(crate) const PASS_TIME: Duration = Duration::from_millis(50);
--- a/crates/egretstage_passes/tests/switches/world.rs
+++ b/crates/egretstage_passes/tests/switches/world.rs
@@ -88,6 +88,7 @@
             experts: EXPERTS,
             slots_per_rank: 6,
             copies_per_layer: 2,
+            copy_time: crate::engine::COPY_TIME,
         }));
         Companion {
             run,
--- a/crates/egretstage_rank_companion/src/claims.rs
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -95,6 +95,7 @@
             experts: experts.experts,
             slots_per_rank: experts.slots_per_rank,
             copies_per_layer: experts.copies_per_layer,
+            copy_time: experts.copy_time,
         })
     }))
 }
