--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -19,6 +19,9 @@
     /// Time that companions have to tell a new decider their state, before it
     /// reads the engines' reports itself.
     pub first_look: Duration,
+    /// Time after a takeover in which the predecessor may still give orders to
+    /// engines whose companions are silent, and their reports lag.
+    pub settle: Duration,
     /// Time after which an order without an answer is given again.
     pub order_timeout: Duration,
     /// Time beyond that of the copies after which they are given up.
@@ -42,6 +45,7 @@
         Self {
             fresh: Duration::from_millis(500),
             first_look: Duration::from_millis(150),
+            settle: Duration::from_millis(500),
             order_timeout: Duration::from_millis(250),
             prepare_slack: Duration::from_secs(1),
             lead: 1,
@@ -119,6 +123,8 @@
     /// Until when a report that was read from another instance is older than
     /// the last accepted order.
     outdated_until: Instant,
+    /// Whether no order of an earlier decider comes after the report.
+    settled: bool,
     /// When the companion was last heard.
     companion_heard: Option<Instant>,
     in_flight: Option<InFlight>,
@@ -167,6 +173,9 @@
     ranks: Vec<Option<RankView>>,
     /// Where the ranks are reached, as far as known.
     seats: Vec<Option<RankAddress>>,
+    /// When a report that was read from another instance tells what an earlier
+    /// decider left.
+    settled_at: Instant,
     look_at: Instant,
     phase: Phase,
     versions: u64,
@@ -196,6 +205,7 @@
         seats.resize(ranks, None);
         Self {
             seats,
+            settled_at: now + limits.settle,
             look_at: now + limits.first_look,
             fence,
             limits,
@@ -264,6 +274,7 @@
             address,
             engine,
             report,
+            follows: 0,
             lists: None,
             recent: None,
         };
@@ -272,6 +283,7 @@
 
     /// Takes in a report; from another instance it lags behind the engine.
     fn take(&mut self, now: Instant, state: RankState, lags: bool) {
+        let settled = state.follows == self.fence || (lags && now >= self.settled_at);
         let Some(seat) = self.ranks.get_mut(usize::from(state.report.rank)) else {
             return;
         };
@@ -291,11 +303,13 @@
                     ..state
                 };
                 view.received = now;
+                view.settled |= settled;
             }
             None => {
                 *seat = Some(RankView {
                     state,
                     received: now,
+                    settled,
                     outdated_until: now,
                     companion_heard: None,
                     in_flight: None,
@@ -357,6 +371,7 @@
             return;
         };
         match self.phase.clone() {
+            Phase::Surveying if !self.is_settled() => self.look(now, out),
             Phase::Surveying => self.survey(&reports, out),
             Phase::Idle => self.idle(now, &reports, out),
             Phase::Preparing {
@@ -393,6 +408,11 @@
         out.extend(stale.filter_map(|(_, seat)| Some(RankOutput::Look(seat.as_ref()?.engine))));
     }
 
+    /// Tells whether no order of an earlier decider comes after what is known.
+    fn is_settled(&self) -> bool {
+        self.ranks.iter().flatten().all(|view| view.settled)
+    }
+
     fn epoch_is_mixed(&self) -> bool {
         let mut epochs = self.ranks.iter().flatten().map(|v| v.state.report.epoch);
         let first = epochs.next();
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -70,8 +70,9 @@
 pub enum MemberEvent {
     /// The operator has described the group.
     Shaped(GroupShape),
-    /// The own engine has reported.
-    Reported(Box<EngineReport>),
+    /// The own engine has reported, to a read that was asked for while the
+    /// decider with that fencing number was followed.
+    Reported(Box<EngineReport>, u64),
     /// The own engine has told what experts the rank holds in a map.
     Listed(u64, ExpertLists),
     /// The own engine has told its counts.
@@ -108,8 +109,9 @@
 /// What a member does.
 #[derive(Clone, Debug, PartialEq)]
 pub enum MemberEffect {
-    /// Reads the own engine's report.
-    ReadReport,
+    /// Reads the own engine's report, after the orders given before; the number
+    /// comes back with it.
+    ReadReport(u64),
     /// Reads the experts that the rank holds.
     ReadLists,
     /// Reads the own engine's counts.
@@ -194,6 +196,8 @@
     settings: MemberSettings,
     shape: Option<GroupShape>,
     report: Option<EngineReport>,
+    /// Fencing number of the decider followed when the report was asked for.
+    follows: u64,
     lists: Option<(u64, ExpertLists)>,
     counts: CountWindow,
     /// The newest claim with its fencing number.
@@ -217,6 +221,7 @@
             settings,
             shape: None,
             report: None,
+            follows: 0,
             lists: None,
             holder: None,
             heard: now,
@@ -245,11 +250,18 @@
             engine: self.settings.engine,
             lists: lists.filter(|(version, _)| *version == report.map),
             recent: self.counts.recent(),
+            follows: self.follows,
             report,
         })
     }
 
-    fn reported(&mut self, now: Instant, report: EngineReport, fx: &mut Vec<MemberEffect>) {
+    fn reported(
+        &mut self,
+        now: Instant,
+        report: EngineReport,
+        follows: u64,
+        fx: &mut Vec<MemberEffect>,
+    ) {
         let listed = self.lists.as_ref().map(|(version, _)| *version);
         if listed != Some(report.map) {
             fx.push(MemberEffect::ReadLists);
@@ -262,9 +274,15 @@
             self.forget_holder(fx);
         }
         self.report = Some(report);
+        self.follows = follows;
         self.tell_state(now, fx);
     }
 
+    /// Returns the fencing number of the decider that is followed.
+    fn fence(&self) -> u64 {
+        self.holder.as_ref().map_or(0, |(_, fence)| *fence)
+    }
+
     /// Tells the decider the state of the rank.
     fn tell_state(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
         let Some(state) = self.state() else {
@@ -297,8 +315,7 @@
                 seats,
             } => self.heartbeat(now, *claim, fence, seats, fx),
             PassMessage::Order { number, order } => {
-                let fence = self.holder.as_ref().map_or(0, |(_, fence)| *fence);
-                if order.fence < fence {
+                if order.fence < self.fence() {
                     let done = PassMessage::OrderDone {
                         number,
                         end: OrderEnd::Fenced,
@@ -336,7 +353,7 @@
         seats: Vec<Option<RankAddress>>,
         fx: &mut Vec<MemberEffect>,
     ) {
-        let known = self.holder.as_ref().map_or(0, |(_, known)| *known);
+        let known = self.fence();
         let own_group = self.report.as_ref().is_some_and(|r| r.group == claim.group);
         if fence < known || !own_group {
             return;
@@ -479,7 +496,7 @@
         let limits = self.settings.limits;
         if now >= self.report_at {
             self.report_at = now + limits.report_interval;
-            fx.push(MemberEffect::ReadReport);
+            fx.push(MemberEffect::ReadReport(self.fence()));
         }
         if now >= self.counts_at {
             self.counts_at = now + limits.counts_interval;
@@ -557,7 +574,7 @@
     fn reduce(&mut self, now: Instant, event: MemberEvent, fx: &mut Vec<MemberEffect>) {
         match event {
             MemberEvent::Shaped(shape) => self.shape = Some(shape),
-            MemberEvent::Reported(report) => self.reported(now, *report, fx),
+            MemberEvent::Reported(report, follows) => self.reported(now, *report, follows, fx),
             MemberEvent::Listed(version, lists) => {
                 self.lists = Some((version, lists));
                 self.tell_state(now, fx);
--- a/crates/egretstage_passes/src/message.rs
+++ b/crates/egretstage_passes/src/message.rs
@@ -19,6 +19,9 @@
     pub engine: SocketAddr,
     /// What the engine reports.
     pub report: EngineReport,
+    /// Fencing number of the decider that the companion followed when it asked
+    /// for the report: no order of an earlier one came after it.
+    pub follows: u64,
     /// The experts that the rank holds in the map in use.
     pub lists: Option<(u64, ExpertLists)>,
     /// What the rank's requests chose of late.
--- a/crates/egretstage_passes/tests/switches/world.rs
+++ b/crates/egretstage_passes/tests/switches/world.rs
@@ -193,9 +193,9 @@
     /// Carries an effect out and returns what the companion hears of it.
     fn effect(&mut self, rank: usize, effect: MemberEffect) -> Option<MemberEvent> {
         match effect {
-            MemberEffect::ReadReport => {
+            MemberEffect::ReadReport(follows) => {
                 let report = Box::new(self.group.report(rank));
-                Some(MemberEvent::Reported(report))
+                Some(MemberEvent::Reported(report, follows))
             }
             MemberEffect::ReadLists => {
                 let (version, lists) = self.group.lists(rank);
--- a/crates/egretstage_rank_companion/src/daemon.rs
+++ b/crates/egretstage_rank_companion/src/daemon.rs
@@ -114,7 +114,7 @@
 impl Sink {
     fn carry_out(&mut self, effect: MemberEffect) {
         match effect {
-            MemberEffect::ReadReport => self.calls.call(EngineCall::Report),
+            MemberEffect::ReadReport(follows) => self.calls.call(EngineCall::Report(follows)),
             MemberEffect::ReadLists => self.calls.call(EngineCall::Lists),
             MemberEffect::ReadCounts => self.calls.call(EngineCall::Counts),
             MemberEffect::Look(engine) => self.others.call(EngineCall::Look(engine)),
--- a/crates/egretstage_rank_companion/src/engine.rs
+++ b/crates/egretstage_rank_companion/src/engine.rs
@@ -38,7 +38,8 @@
 /// A call to an engine.
 #[derive(Debug)]
 pub(crate) enum EngineCall {
-    Report,
+    /// Comes back with the report.
+    Report(u64),
     Lists,
     Counts,
     Look(SocketAddr),
@@ -95,9 +96,9 @@
     let mut reachable = true;
     for call in rx {
         let event = match call {
-            EngineCall::Report => client
+            EngineCall::Report(follows) => client
                 .report(own)
-                .map(|report| MemberEvent::Reported(Box::new(report))),
+                .map(|report| MemberEvent::Reported(Box::new(report), follows)),
             EngineCall::Lists => client
                 .lists(own)
                 .map(|(version, lists)| MemberEvent::Listed(version, lists)),
