Send maps packed, and counts as often as the decider's link bears

Cause: on the grown sites a wave of one copy a rank (76 ms) took 0.4 s: states with 1,536 counts from 24 ranks each 50 ms are 8.4 Mbit/s on a link of 8, and a map went to every rank in 4 KB. Ruled out: the planning itself (the phase lines show that the time goes between the order to prepare and the last report of complete copies). Change: maps as byte strings, counts of all ranks within 170 KB/s, lists of experts only after they have changed.

--- a/crates/egretstage_passes/src/engine.rs
+++ b/crates/egretstage_passes/src/engine.rs
@@ -69,6 +69,7 @@
         /// The map's version.
         version: u64,
         /// The experts of each rank, by layer.
+        #[serde(with = "crate::packed")]
         layers: Vec<Vec<Vec<ExpertId>>>,
     },
     /// Switches to a prepared map as a pass begins.
--- a/crates/egretstage_passes/src/lib.rs
+++ b/crates/egretstage_passes/src/lib.rs
@@ -30,6 +30,7 @@
 mod engine;
 mod member;
 mod message;
+mod packed;
 
 pub use claim::DeciderClaim;
 pub use decider::{DeciderLimits, MapDecider, RankOutput, Way};
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -1,10 +1,9 @@
 //! The companion's part in its group: claims, reports, orders.
 
-use crate::RankAddress;
 use crate::decider::Way;
 use crate::{
     CountWindow, DeciderClaim, DeciderLimits, EngineCounts, EngineReport, ExpertLists, FencedOrder,
-    GroupShape, MapDecider, OrderEnd, PassMessage, RankOutput, RankState,
+    GroupShape, MapDecider, OrderEnd, PassMessage, RankAddress, RankOutput, RankState, RecentLoads,
 };
 use compact_str::CompactString;
 use egretstage_runtime::Reducer;
@@ -14,6 +13,17 @@
 use std::time::{Duration, Instant};
 use strum::IntoStaticStr;
 
+/// States that tell the rank's experts after they have changed: a datagram may
+/// be lost.
+const LISTS_AT_FIRST: u64 = 4;
+
+/// One in so many later states tells them again.
+const LISTS_EVERY: u64 = 10;
+
+/// Time that a byte of the ranks' counts takes of the decider's link: a small
+/// part of the slowest links, of one megabyte a second.
+const COUNTS_TIME_PER_BYTE: Duration = Duration::from_micros(6);
+
 /// Times of a member.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberLimits {
@@ -201,7 +211,11 @@
     /// Fencing number of the decider followed when the report was asked for.
     follows: u64,
     lists: Option<(u64, ExpertLists)>,
+    /// States that tell the lists, since they have changed.
+    lists_until: u64,
     counts: CountWindow,
+    /// When the recent counts are told next.
+    recent_at: Instant,
     /// The newest claim with its fencing number.
     holder: Option<(DeciderClaim, u64)>,
     heard: Instant,
@@ -226,6 +240,8 @@
             states: 0,
             follows: 0,
             lists: None,
+            lists_until: 0,
+            recent_at: now,
             holder: None,
             heard: now,
             seats: Vec::new(),
@@ -244,10 +260,12 @@
         self.decider.is_some()
     }
 
-    fn state(&mut self) -> Option<RankState> {
+    fn state(&mut self, now: Instant) -> Option<RankState> {
         let report = self.report.clone()?;
         self.states += 1;
-        let lists = self.lists.clone();
+        let tells_lists = self.states < self.lists_until || self.states.is_multiple_of(LISTS_EVERY);
+        let lists = self.lists.clone().filter(|_| tells_lists);
+        let recent = self.recent(now, report.ranks);
         Some(RankState {
             instance: self.settings.instance.clone(),
             incarnation: self.settings.incarnation,
@@ -255,12 +273,25 @@
             address: self.settings.address,
             engine: self.settings.engine,
             lists: lists.filter(|(version, _)| *version == report.map),
-            recent: self.counts.recent(),
+            recent,
             follows: self.follows,
             report,
         })
     }
 
+    /// Returns the recent counts when they are due: those of all ranks together
+    /// stay within what the decider's link carries.
+    fn recent(&mut self, now: Instant, ranks: u16) -> Option<RecentLoads> {
+        if now < self.recent_at {
+            return None;
+        }
+        let recent = self.counts.recent()?;
+        let bytes = u32::try_from(recent.scaled.len()).unwrap_or(u32::MAX);
+        let interval = COUNTS_TIME_PER_BYTE * bytes.saturating_mul(u32::from(ranks));
+        self.recent_at = now + interval;
+        Some(recent)
+    }
+
     fn reported(
         &mut self,
         now: Instant,
@@ -291,7 +322,7 @@
 
     /// Tells the decider the state of the rank.
     fn tell_state(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
-        let Some(state) = self.state() else {
+        let Some(state) = self.state(now) else {
             return;
         };
         if let Some(decider) = &mut self.decider {
@@ -391,7 +422,7 @@
         let done = PassMessage::OrderDone {
             number,
             end,
-            state: self.state().map(Box::new),
+            state: self.state(now).map(Box::new),
         };
         fx.push(MemberEffect::Send(giver, Box::new(done)));
     }
@@ -582,6 +613,7 @@
             MemberEvent::Reported(report, follows) => self.reported(now, *report, follows, fx),
             MemberEvent::Listed(version, lists) => {
                 self.lists = Some((version, lists));
+                self.lists_until = self.states + LISTS_AT_FIRST;
                 self.tell_state(now, fx);
             }
             MemberEvent::Counted(counts) => self.counts.add(now, counts),
--- /dev/null
+++ b/crates/egretstage_passes/src/packed.rs
@@ -0,0 +1,80 @@
+//! Packs the experts of all ranks into bytes: a map of 24 ranks and 16 layers
+//! goes to every rank with each change, over links that it would fill.
+
+use egretstage_balance::ExpertId;
+use serde::{Deserialize, Deserializer, Serializer, de, ser};
+
+/// The experts of each rank, by layer.
+type ExpertsByRank = Vec<Vec<Vec<ExpertId>>>;
+
+/// Serializes a map as one byte string.
+///
+/// # Errors
+///
+/// Returns an error for more than 65,535 experts on a rank.
+pub(crate) fn serialize<S: Serializer>(map: &ExpertsByRank, s: S) -> Result<S::Ok, S::Error> {
+    let mut bytes = Vec::new();
+    put(&mut bytes, map.len()).map_err(ser::Error::custom)?;
+    for ranks in map {
+        put(&mut bytes, ranks.len()).map_err(ser::Error::custom)?;
+        for experts in ranks {
+            put(&mut bytes, experts.len()).map_err(ser::Error::custom)?;
+            for expert in experts {
+                put(&mut bytes, usize::from(expert.0)).map_err(ser::Error::custom)?;
+            }
+        }
+    }
+    s.serialize_bytes(&bytes)
+}
+
+/// Deserializes a map from one byte string.
+///
+/// # Errors
+///
+/// Returns an error for a string that ends too early or too late.
+pub(crate) fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<ExpertsByRank, D::Error> {
+    let bytes = serde_bytes::ByteBuf::deserialize(d)?;
+    let mut rest = bytes.as_slice();
+    let map = map(&mut rest).filter(|_| rest.is_empty());
+    map.ok_or_else(|| de::Error::custom("the packed map has another length than it says"))
+}
+
+/// Marks a number of two bytes; smaller ones than it take one byte.
+const LONG: u8 = 0xff;
+
+fn put(bytes: &mut Vec<u8>, number: usize) -> Result<(), std::num::TryFromIntError> {
+    match u8::try_from(number) {
+        Ok(short) if short < LONG => bytes.push(short),
+        _ => {
+            bytes.push(LONG);
+            bytes.extend(u16::try_from(number)?.to_be_bytes());
+        }
+    }
+    Ok(())
+}
+
+fn take(rest: &mut &[u8]) -> Option<u16> {
+    let (first, tail) = rest.split_first()?;
+    *rest = tail;
+    if *first < LONG {
+        return Some(u16::from(*first));
+    }
+    let (long, tail) = rest.split_first_chunk()?;
+    *rest = tail;
+    Some(u16::from_be_bytes(*long))
+}
+
+fn map(rest: &mut &[u8]) -> Option<ExpertsByRank> {
+    let layers = take(rest)?;
+    (0..layers)
+        .map(|_| {
+            let ranks = take(rest)?;
+            (0..ranks).map(|_| experts(rest)).collect()
+        })
+        .collect()
+}
+
+fn experts(rest: &mut &[u8]) -> Option<Vec<ExpertId>> {
+    let count = take(rest)?;
+    (0..count).map(|_| take(rest).map(ExpertId)).collect()
+}
