Show the store's records to entries that the store turns away

Cause: the store may refuse single entries for nine seconds while the operator goes on to change the configuration and to take keys away; they knew nothing of it until then.

--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::feeds::{self, FeedNews};
 use crate::meters::GatewayMeters;
 use crate::peers::{self, PeerAddresses};
+use crate::record_relay::{self, RecordBoard};
 use crate::settings::GatewaySettings;
 use crate::upstream_pool::UpstreamPool;
 use crate::{RecordDecoder, server};
@@ -86,7 +87,8 @@
     let admin = settings.callers.admin_listen;
     AdminServer::start(admin, health, metrics, Box::new(|| "{}\n".to_owned())).into_diagnostic()?;
     let (news, news_rx) = unbounded_channel();
-    start_feeds(settings, &platform.decoder, &*platform.store, &news)?;
+    let board = RecordBoard::default();
+    start_feeds(settings, &platform.decoder, &*platform.store, &board, &news)?;
     stop_on_signal(news)?;
     let socket = UdpSocket::bind(settings.peers.listen).await;
     let socket = Rc::new(socket.into_diagnostic()?);
@@ -98,7 +100,9 @@
         addresses_rx,
     ));
     spawn_local(peers::receive_reports(socket, Rc::clone(&driver)));
-    spawn_local(take_news(news_rx, Rc::clone(&driver), addresses));
+    let records = server::bind(settings.peers.listen).into_diagnostic()?;
+    spawn_local(record_relay::show(records, board.clone()));
+    spawn_local(take_news(news_rx, Rc::clone(&driver), addresses, board));
     spawn_local(close_idle_connections(close_idle_rx, pool));
     spawn_local(server::accept(listener, gateway));
     log::info!(address:display = address; "entry started");
@@ -121,20 +125,24 @@
     settings: &GatewaySettings,
     decoder: &Arc<dyn RecordDecoder>,
     store: &dyn Fn() -> Box<dyn KeyedStore>,
+    board: &RecordBoard,
     news: &UnboundedSender<FeedNews>,
 ) -> miette::Result<()> {
     let (own, address) = (settings.instance.clone(), settings.peers.listen);
     let (client, tx, decode) = (store(), news.clone(), Arc::clone(decoder));
+    let shown = board.clone();
     spawn("configuration", move || {
-        feeds::follow_configuration(&*client, &*decode, &tx);
+        feeds::follow_configuration(&*client, &*decode, &shown, &tx);
     })?;
     let (client, tx, decode) = (store(), news.clone(), Arc::clone(decoder));
+    let shown = board.clone();
     spawn("upstreams", move || {
-        feeds::follow_upstreams(&*client, &*decode, &tx);
+        feeds::follow_upstreams(&*client, &*decode, &shown, &tx);
     })?;
     let (client, tx) = (store(), news.clone());
+    let shown = board.clone();
     spawn("entries", move || {
-        feeds::follow_entries(&*client, &own, address, &tx);
+        feeds::follow_entries(&*client, &own, address, &shown, &tx);
     })
 }
 
@@ -156,13 +164,17 @@
     mut news: UnboundedReceiver<FeedNews>,
     driver: Rc<Driver>,
     addresses: watch::Sender<PeerAddresses>,
+    board: RecordBoard,
 ) {
     while let Some(news) = news.recv().await {
         match news {
             FeedNews::Event(event) => driver.event(event),
-            FeedNews::Entry(name, address) => addresses.send_modify(|known| {
-                known.insert(name, address);
-            }),
+            FeedNews::Entry(name, address) => {
+                board.add_peer(name.clone(), address);
+                addresses.send_modify(|known| {
+                    known.insert(name, address);
+                });
+            }
         }
     }
 }
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -1,6 +1,7 @@
 //! Reads the platform's store on threads of their own.
 
 use crate::dialect::RecordDecoder;
+use crate::record_relay::{PeerRecords, RecordBoard};
 use compact_str::CompactString;
 use egretstage_dispatch::{DispatchEvent, ListedUpstream};
 use egretstage_platform::{
@@ -41,38 +42,42 @@
     store: &dyn KeyedStore,
     wait: Duration,
     pause: Duration,
+    board: &RecordBoard,
     tx: &UnboundedSender<FeedNews>,
     mut news: impl FnMut(KeyedChange) -> Option<FeedNews>,
 ) {
     let mut follower = KeyedFollower::new(topic);
+    let mut peers = PeerRecords::new(board.clone(), topic);
     let mut reachable = true;
     let name: &'static str = topic.into();
     loop {
         let was_caught_up = follower.is_caught_up();
-        match follower.poll(Instant::now(), store, wait) {
+        let (changes, pause) = match follower.poll(Instant::now(), store, wait) {
             Ok(changes) => {
                 if !reachable {
                     log::info!(dependency = "store", topic = name; "regained");
                     reachable = true;
                 }
-                for change in changes {
-                    if let Some(news) = news(change)
-                        && tx.send(news).is_err()
-                    {
-                        return;
-                    }
-                }
-                if was_caught_up && !pause.is_zero() {
-                    std::thread::sleep(pause);
-                }
+                board.read(topic, &changes);
+                (changes, if was_caught_up { pause } else { Duration::ZERO })
             }
             Err(e) => {
                 if reachable {
                     log_lost(name, &e);
                     reachable = false;
                 }
-                std::thread::sleep(RETRY_DELAY);
+                (peers.ask(), RETRY_DELAY)
             }
+        };
+        for change in changes {
+            if let Some(news) = news(change)
+                && tx.send(news).is_err()
+            {
+                return;
+            }
+        }
+        if !pause.is_zero() {
+            std::thread::sleep(pause);
         }
     }
 }
@@ -85,6 +90,7 @@
 pub(crate) fn follow_configuration(
     store: &dyn KeyedStore,
     decoder: &dyn RecordDecoder,
+    board: &RecordBoard,
     tx: &UnboundedSender<FeedNews>,
 ) {
     let topic = KeyedTopic::Configuration;
@@ -93,6 +99,7 @@
         store,
         CONFIGURATION_WAIT,
         Duration::ZERO,
+        board,
         tx,
         |change| {
             let KeyedChange::Put { key, value, .. } = change else {
@@ -113,6 +120,7 @@
 pub(crate) fn follow_upstreams(
     store: &dyn KeyedStore,
     decoder: &dyn RecordDecoder,
+    board: &RecordBoard,
     tx: &UnboundedSender<FeedNews>,
 ) {
     let topic = KeyedTopic::Upstreams;
@@ -121,6 +129,7 @@
         store,
         Duration::ZERO,
         UPSTREAMS_INTERVAL,
+        board,
         tx,
         |change| {
             let event = match change {
@@ -152,6 +161,7 @@
     store: &dyn KeyedStore,
     own: &InstanceId,
     address: SocketAddr,
+    board: &RecordBoard,
     tx: &UnboundedSender<FeedNews>,
 ) {
     let record = KeyedRecord {
@@ -164,11 +174,19 @@
         std::thread::sleep(RETRY_DELAY);
     }
     let topic = KeyedTopic::Entries;
-    follow(topic, store, ENTRIES_WAIT, Duration::ZERO, tx, |change| {
-        let KeyedChange::Put { key, value, .. } = change else {
-            return None;
-        };
-        let address = std::str::from_utf8(&value).ok()?.parse().ok()?;
-        (key != own.as_str()).then_some(FeedNews::Entry(key, address))
-    });
+    follow(
+        topic,
+        store,
+        ENTRIES_WAIT,
+        Duration::ZERO,
+        board,
+        tx,
+        |change| {
+            let KeyedChange::Put { key, value, .. } = change else {
+                return None;
+            };
+            let address = std::str::from_utf8(&value).ok()?.parse().ok()?;
+            (key != own.as_str()).then_some(FeedNews::Entry(key, address))
+        },
+    );
 }
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod feeds;
 mod meters;
 mod peers;
+mod record_relay;
 mod relay;
 mod server;
 mod settings;
