--- /dev/null
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -0,0 +1,5 @@
+//! Decisions on calls, in virtual time.
+
+mod at_most_once;
+mod support;
+mod under_load;
--- /dev/null
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -0,0 +1,179 @@
+//! A dispatcher in virtual time with a routing table of its own.
+
+use egretstage_dispatch::{
+    Attempt, CallHead, CallKey, CallerLimits, DispatchEffect, DispatchEvent, DispatchLimits,
+    Dispatcher, EngineProfile, GroupSeat, ListedUpstream, Organisation, Prompt, Refusal, Route,
+    RouteKind, RoutingTable, ServiceProfile, UpstreamState, WeightedService,
+};
+use egretstage_runtime::VirtualLoop;
+use smallvec::smallvec;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Longest pause of the streams.
+pub(crate) const MAX_PAUSE: Duration = Duration::from_millis(120);
+
+/// Most upstreams of a call that may be repeated.
+pub(crate) const MAX_ATTEMPTS: u32 = 2;
+
+pub(crate) struct Bench {
+    pub(crate) run: VirtualLoop<Dispatcher>,
+    next: u64,
+}
+
+fn route(name: &str, kind: RouteKind, service: &str, timeout_ms: u64) -> Route {
+    Route {
+        name: name.into(),
+        host: "desk.example".into(),
+        path_prefix: format!("/{name}/").as_str().into(),
+        services: smallvec![WeightedService {
+            service: service.try_into().expect("a name"),
+            weight: 1,
+        }],
+        kind,
+        timeout: Duration::from_millis(timeout_ms),
+        objective: Duration::from_millis(500),
+        priority: 1,
+        max_attempts: if kind.is_repeatable() {
+            MAX_ATTEMPTS
+        } else {
+            1
+        },
+        public: false,
+    }
+}
+
+pub(crate) fn table(version: u64, api_key: &str) -> Arc<RoutingTable> {
+    let stream = RouteKind::Stream {
+        resumable: true,
+        max_pause: MAX_PAUSE,
+    };
+    let routes = vec![
+        route("draft", stream, "drafting", 8_000),
+        route("book", RouteKind::NonIdempotent, "booking", 1_500),
+        route("look", RouteKind::Idempotent, "booking", 1_500),
+    ];
+    let services = vec![
+        ServiceProfile {
+            name: "drafting".try_into().expect("a name"),
+            max_connections: 100,
+            engine: Some(EngineProfile {
+                slots: 12,
+                step_ms: 4.5,
+                steps_per_event: 4,
+                read_per_s: 60_000.0,
+                experts: None,
+            }),
+        },
+        ServiceProfile {
+            name: "booking".try_into().expect("a name"),
+            max_connections: 100,
+            engine: None,
+        },
+    ];
+    let organisations = vec![Organisation {
+        name: "carrier".try_into().expect("a name"),
+        priority: None,
+        api_keys: smallvec![api_key.into()],
+    }];
+    let limits = CallerLimits {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let table = RoutingTable::new(version, routes, services, organisations, limits);
+    Arc::new(table.expect("a valid table"))
+}
+
+pub(crate) fn upstream(name: &str, service: &str, group: Option<&str>) -> ListedUpstream {
+    ListedUpstream {
+        instance: name.try_into().expect("a name"),
+        started_ms: Some(1),
+        service: service.try_into().expect("a name"),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        zone: "west".try_into().expect("a name"),
+        slots: if group.is_some() { 12 } else { 6 },
+        state: UpstreamState::Ready,
+        seat: group.map(|group| GroupSeat {
+            group: group.into(),
+            open: true,
+        }),
+    }
+}
+
+impl Bench {
+    /// An entry without configuration or upstreams.
+    pub(crate) fn unready() -> Self {
+        let (entry, zone) = ("entry".try_into(), "west".try_into());
+        let (entry, zone) = (entry.expect("a name"), zone.expect("a name"));
+        let limits = DispatchLimits::default();
+        let dispatcher = Dispatcher::new(Instant::now(), entry, zone, 7, limits);
+        Self {
+            run: VirtualLoop::new(dispatcher),
+            next: 0,
+        }
+    }
+
+    /// An entry with two ranks of one group and two plain upstreams.
+    pub(crate) fn ready() -> Self {
+        let mut bench = Self::unready();
+        bench.run.event(DispatchEvent::Configured(table(1, "key")));
+        for (name, service, group) in [
+            ("rank-0", "drafting", Some("g")),
+            ("rank-1", "drafting", Some("g")),
+            ("desk-0", "booking", None),
+            ("desk-1", "booking", None),
+        ] {
+            bench.list(upstream(name, service, group));
+        }
+        bench
+    }
+
+    pub(crate) fn list(&mut self, upstream: ListedUpstream) -> Vec<DispatchEffect> {
+        self.run.event(DispatchEvent::Listed(Box::new(upstream)))
+    }
+
+    /// A call arrives; returns its key and what follows.
+    pub(crate) fn call(&mut self, path: &str, budget_ms: u64) -> (CallKey, Vec<DispatchEffect>) {
+        self.call_with_key(path, budget_ms, "key")
+    }
+
+    pub(crate) fn call_with_key(
+        &mut self,
+        path: &str,
+        budget_ms: u64,
+        api_key: &str,
+    ) -> (CallKey, Vec<DispatchEffect>) {
+        let call = CallKey(self.next);
+        self.next += 1;
+        let head = Box::new(CallHead {
+            request: format!("r{}", call.0).as_str().try_into().expect("an id"),
+            host: "desk.example".into(),
+            path: path.into(),
+            api_key: Some(api_key.into()),
+            budget: Duration::from_millis(budget_ms),
+            prompt: Some(Prompt {
+                tokens: 800,
+                max_output: 100,
+            }),
+        });
+        (call, self.run.event(DispatchEvent::Arrived { call, head }))
+    }
+}
+
+/// Returns the attempt for a call among effects.
+pub(crate) fn sent(effects: &[DispatchEffect], key: CallKey) -> Option<Attempt> {
+    effects.iter().find_map(|effect| match effect {
+        DispatchEffect::Send { call, attempt } if *call == key => Some((**attempt).clone()),
+        _ => None,
+    })
+}
+
+/// Returns the refusal of a call among effects.
+pub(crate) fn refused(effects: &[DispatchEffect], key: CallKey) -> Option<Refusal> {
+    effects.iter().find_map(|effect| match effect {
+        DispatchEffect::Refuse { call, refusal } if *call == key => Some(*refusal),
+        _ => None,
+    })
+}
