Never wait for the log's reader; check the settings again at SIGHUP

Cause: the console appender blocks when nobody reads standard output, and the decisions' queue had no bound; SIGHUP ended the process. SIGHUP checks the settings, which apply at the next start.

--- a/crates/egretstage_observe/src/decision_log.rs
+++ b/crates/egretstage_observe/src/decision_log.rs
@@ -4,8 +4,10 @@
 //! loop that decides only hands the line over.
 
 use crate::DECISION_TARGET;
-use crossbeam_channel::{Sender, unbounded};
+use crossbeam_channel::{Sender, TrySendError, bounded};
 use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 
 /// A line that can be written as a decision.
@@ -17,14 +19,23 @@
 /// A line, or the end of the log.
 type Item<T> = Option<Box<T>>;
 
+/// Decisions that wait for the thread that writes them.
+const QUEUED_DECISIONS: usize = 4_096;
+
 /// Hands decision lines to the thread that writes them.
 #[derive(Debug)]
-pub struct DecisionWriter<T>(Sender<Item<T>>);
+pub struct DecisionWriter<T> {
+    tx: Sender<Item<T>>,
+    dropped: Arc<AtomicU64>,
+}
 
 impl<T> DecisionWriter<T> {
-    /// Hands a line over; a line after the end of the log is dropped.
+    /// Hands a line over; one that finds the queue full, or the log ended, is
+    /// dropped and counted: a decision never waits for its line.
     pub fn write(&self, line: Box<T>) {
-        let _ = self.0.send(Some(line));
+        if let Err(TrySendError::Full(_)) = self.tx.try_send(Some(line)) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
     }
 }
 
@@ -32,6 +43,7 @@
 #[derive(Debug)]
 pub struct DecisionLog<T> {
     tx: Sender<Item<T>>,
+    dropped: Arc<AtomicU64>,
     thread: JoinHandle<()>,
 }
 
@@ -42,21 +54,34 @@
     ///
     /// Returns the system's error when the thread can't be started.
     pub fn start() -> std::io::Result<Self> {
-        let (tx, rx) = unbounded::<Item<T>>();
+        let (tx, rx) = bounded::<Item<T>>(QUEUED_DECISIONS);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let count = Arc::clone(&dropped);
         let thread = std::thread::Builder::new()
             .name("decision-log".to_owned())
             .spawn(move || {
                 for line in rx.iter().map_while(|item| item) {
                     log::info!(target: DECISION_TARGET, decision:serde = line; "{}", line.verb());
+                    let dropped = count.swap(0, Ordering::Relaxed);
+                    if dropped > 0 {
+                        log::warn!(dropped; "decision lines dropped");
+                    }
                 }
             })?;
-        Ok(Self { tx, thread })
+        Ok(Self {
+            tx,
+            dropped,
+            thread,
+        })
     }
 
     /// Returns a writer for the loop that decides.
     #[must_use]
     pub fn writer(&self) -> DecisionWriter<T> {
-        DecisionWriter(self.tx.clone())
+        DecisionWriter {
+            tx: self.tx.clone(),
+            dropped: Arc::clone(&self.dropped),
+        }
     }
 
     /// Ends the log and waits until all lines are written.
--- a/crates/egretstage_observe/src/lib.rs
+++ b/crates/egretstage_observe/src/lib.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod decision_log;
 mod json_line;
+mod line_queue;
 mod logging;
 mod metrics;
 mod status;
--- a/crates/egretstage_runtime/src/lib.rs
+++ b/crates/egretstage_runtime/src/lib.rs
@@ -17,7 +17,7 @@
 pub use event_loop::{EventLoop, EventSender};
 pub use local_loop::LocalLoop;
 pub use reducer::{EffectSink, Reducer};
-pub use signals::on_stop_signal;
+pub use signals::{on_settings_signal, on_stop_signal};
 pub use virtual_loop::VirtualLoop;
 
 /// The items that most users of this crate need.
--- a/src/daemon_args.rs
+++ b/src/daemon_args.rs
@@ -98,7 +98,29 @@
 {
     let settings = egretstage_config::settings::load::<S>(path)?;
     egretstage_observe::init_logging(log::LevelFilter::Info).into_diagnostic()?;
-    run(&settings)
+    watch_settings::<S>(path.to_owned())?;
+    let done = run(&settings);
+    log::logger().flush();
+    done
+}
+
+/// Checks the settings again whenever the platform says that they have changed.
+///
+/// They apply at the next start: a process that is stopped as planned cuts off
+/// no call, so nothing has to change underneath those that run.
+fn watch_settings<S>(path: PathBuf) -> miette::Result<()>
+where
+    S: egretstage_config::settings::SettingsFile,
+{
+    egretstage_runtime::on_settings_signal(move || {
+        match egretstage_config::settings::load::<S>(&path) {
+            Ok(_) => log::info!("the settings were read again; they apply at the next start"),
+            Err(e) => {
+                log::error!(error:display = e; "the settings can't be used at the next start")
+            }
+        }
+    })
+    .into_diagnostic()
 }
 
 fn help(name: &str, about: &str) -> String {
