--- a/src/daemon_args.rs
+++ b/src/daemon_args.rs
@@ -116,7 +116,7 @@
         match egretstage_config::settings::load::<S>(&path) {
             Ok(_) => log::info!("the settings were read again; they apply at the next start"),
             Err(e) => {
-                log::error!(error:display = e; "the settings can't be used at the next start")
+                log::error!(error:display = e; "the settings can't be used at the next start");
             }
         }
     })
