--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -4,6 +4,7 @@
 mod service;
 mod stop;
 
+use crate::waiting::Budgets;
 use crate::{
     CallKey, DecisionLine, DispatchEffect, DispatchEvent, ListedUpstream, LoadReport, PeerLoads,
     RoutingTable, UpstreamLoad, UpstreamState, Upstreams,
@@ -79,8 +80,8 @@
     peers: PeerLoads,
     calls: HashMap<CallKey, Call>,
     services: HashMap<ServiceName, ServiceState>,
-    /// Longest budget that callers of a route bring: less was spent before.
-    longest_budgets: HashMap<compact_str::CompactString, Duration>,
+    /// Budgets that callers of each route bring.
+    budgets: HashMap<compact_str::CompactString, Budgets>,
     expiries: BTreeSet<(Instant, CallKey)>,
     tick_at: Instant,
     report_at: Instant,
@@ -111,7 +112,7 @@
             peers: PeerLoads::default(),
             calls: HashMap::new(),
             services: HashMap::new(),
-            longest_budgets: HashMap::new(),
+            budgets: HashMap::new(),
             expiries: BTreeSet::new(),
             tick_at: now + limits.tick,
             report_at: now,
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -14,9 +14,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Share of a route's longest budget below which a caller has asked before.
-const RETURNED_BUDGET_SHARE: f32 = 0.97;
-
 /// Delay for callers of an entry that knows no configuration yet, and for
 /// those of a service without any upstream.
 const UNREADY_DELAY: Duration = Duration::from_millis(700);
@@ -113,9 +110,8 @@
 
     fn new_call(&mut self, now: Instant, key: CallKey, head: CallHead, by: Admitted) -> Call {
         let route = by.route;
-        let longest = self.longest_budgets.entry(route.name.clone()).or_default();
-        *longest = (*longest).max(head.budget);
-        let returned = head.budget < longest.mul_f32(RETURNED_BUDGET_SHARE);
+        let budgets = self.budgets.entry(route.name.clone()).or_default();
+        let returned = budgets.is_returned(head.budget);
         let wait = route.objective.mul_f32(self.limits.in_time_wait_share);
         Call {
             service: self.choose_service(&route, key),
--- a/crates/egretstage_dispatch/src/waiting.rs
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -21,6 +21,44 @@
     Overdue,
 }
 
+/// Share of the longest budget below which a call has less time than others.
+const LESS_TIME_SHARE: f32 = 0.97;
+
+/// The budgets that callers of a route bring.
+///
+/// Where all first calls bring the same budget, one with less has been refused
+/// before. Where budgets differ anyway, nothing can be told from them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Budgets {
+    longest: Duration,
+    longest_seen: u32,
+    seen: u32,
+}
+
+impl Budgets {
+    /// Notes a call's budget; tells whether the call has come back.
+    ///
+    /// ```
+    /// # use egretstage_dispatch::waiting::Budgets;
+    /// # use std::time::Duration;
+    /// let mut budgets = Budgets::default();
+    /// assert!(!budgets.is_returned(Duration::from_secs(8)));
+    /// assert!(!budgets.is_returned(Duration::from_secs(8)));
+    /// assert!(budgets.is_returned(Duration::from_secs(6)));
+    /// ```
+    #[must_use]
+    pub fn is_returned(&mut self, budget: Duration) -> bool {
+        self.seen = self.seen.saturating_add(1);
+        if budget > self.longest {
+            self.longest = budget;
+            self.longest_seen = 0;
+        }
+        self.longest_seen += u32::from(budget == self.longest);
+        let alike = self.longest_seen > self.seen / 2;
+        alike && budget < self.longest.mul_f32(LESS_TIME_SHARE)
+    }
+}
+
 /// Place in the order; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
