--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -1,12 +1,15 @@
 //! Decides when a group changes to which expert map.
 
+mod phases;
+mod rank_view;
 mod survey;
 
 use crate::{
     EngineReport, FencedOrder, GroupShape, OrderEnd, PassLine, PassOrder, RankAddress, RankState,
 };
-use egretstage_balance::{EvenMap, ExpertId, WaveLimits, plan_wave};
+use egretstage_balance::ExpertId;
 use egretstage_wire::InstanceId;
+use rank_view::{InFlight, OrderEffect, RankView};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -80,55 +83,6 @@
     Line(PassLine),
 }
 
-/// An order that has not ended.
-#[derive(Clone, Copy, Debug)]
-struct InFlight {
-    number: u64,
-    since: Instant,
-    effect: OrderEffect,
-    /// Whether it went straight to another instance's engine.
-    direct: bool,
-}
-
-/// What an order changes in an engine's report.
-#[derive(Clone, Copy, Debug)]
-enum OrderEffect {
-    Copies(u64),
-    Armed(Option<u64>),
-    Held(Option<u64>),
-}
-
-impl OrderEffect {
-    fn of(order: &PassOrder) -> Self {
-        match order {
-            PassOrder::Prepare { version, .. } => Self::Copies(*version),
-            PassOrder::Arm { version, .. } => Self::Armed(Some(*version)),
-            PassOrder::Disarm { .. } => Self::Armed(None),
-            PassOrder::Hold { pass } => Self::Held(Some(*pass)),
-            PassOrder::Release { .. } => Self::Held(None),
-        }
-    }
-}
-
-/// What a decider knows of a rank.
-#[derive(Clone, Debug)]
-struct RankView {
-    state: RankState,
-    /// When the engine's report was received, by whatever way.
-    received: Instant,
-    /// Until when a report that was read from another instance is older than
-    /// the last accepted order.
-    outdated_until: Instant,
-    /// Whether no order of an earlier decider comes after the report.
-    settled: bool,
-    /// When the companion was last heard.
-    companion_heard: Option<Instant>,
-    in_flight: Option<InFlight>,
-    /// The version whose copies the engine has begun.
-    copying: Option<u64>,
-    refused: u32,
-}
-
 /// The experts of each rank, by layer.
 type ExpertsByRank = Vec<Vec<Vec<ExpertId>>>;
 
@@ -478,217 +432,6 @@
             }),
         });
     }
-
-    fn idle(&mut self, now: Instant, reports: &[EngineReport], out: &mut Vec<RankOutput>) {
-        if reports
-            .iter()
-            .any(|r| r.held.is_some() || r.armed.is_some())
-        {
-            // A late order of an earlier decider took effect.
-            return self.enter(Phase::Surveying, out);
-        }
-        if now < self.plan_at {
-            return;
-        }
-        self.plan_at = now + self.limits.plan_interval;
-        let Some((maps, loads)) = self.maps_and_loads(reports) else {
-            return;
-        };
-        let limits = WaveLimits {
-            copies_per_rank: self.copies_per_rank(),
-            copies_per_layer: self.shape.copies_per_layer,
-            slots_per_rank: self.shape.slots_per_rank,
-            min_gain: self.limits.min_copy_gain,
-        };
-        let Some(wave) = plan_wave(&maps, &loads, &limits) else {
-            return;
-        };
-        if wave.skew_before - wave.skew_after < self.limits.min_skew_gain {
-            return;
-        }
-        let newest = reports.iter().map(|r| r.map.max(r.prepared.unwrap_or(0)));
-        let newest = newest.max().unwrap_or(0);
-        let first = self.fence * VERSIONS_PER_FENCE + self.versions;
-        let version = first.max(newest) + 1;
-        self.versions = version - self.fence * VERSIONS_PER_FENCE;
-        out.push(RankOutput::Line(PassLine::Plan {
-            fence: self.fence,
-            version,
-            copies: wave.copies,
-            skew_before: wave.skew_before,
-            skew_after: wave.skew_after,
-        }));
-        let layers = wave.layers.iter().map(EvenMap::by_rank).collect();
-        let since = now;
-        self.enter(
-            Phase::Preparing {
-                version,
-                layers,
-                since,
-            },
-            out,
-        );
-        self.wake(now, out);
-    }
-
-    fn copies_per_rank(&self) -> u16 {
-        let copy_time = self.shape.copy_time.as_millis().max(1);
-        let copies = self.limits.copy_span.as_millis() / copy_time;
-        u16::try_from(copies).unwrap_or(u16::MAX).max(1)
-    }
-
-    /// Returns the map in use and the demand, by layer, once all ranks told.
-    fn maps_and_loads(&self, reports: &[EngineReport]) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
-        let layers = usize::from(self.shape.layers);
-        let experts = usize::from(self.shape.experts);
-        let mut held = vec![Vec::new(); layers];
-        let mut sums = vec![0.0; layers * experts];
-        for (view, report) in self.ranks.iter().zip(reports) {
-            let state = &view.as_ref()?.state;
-            let (version, lists) = state.lists.as_ref()?;
-            if *version != report.map || lists.len() != layers {
-                return None;
-            }
-            for (held, list) in held.iter_mut().zip(lists) {
-                held.push(list.clone());
-            }
-            if let Some(recent) = &state.recent {
-                for (sum, load) in sums.iter_mut().zip(recent.loads()) {
-                    *sum += load;
-                }
-            }
-        }
-        let maps: Option<Vec<_>> = held
-            .iter()
-            .map(|ranks| EvenMap::from_ranks(self.shape.experts, ranks))
-            .collect();
-        let loads = sums.chunks(experts).map(<[f64]>::to_vec).collect();
-        Some((maps?, loads))
-    }
-
-    fn prepare(
-        &mut self,
-        now: Instant,
-        reports: &[EngineReport],
-        version: u64,
-        layers: &ExpertsByRank,
-        since: Instant,
-        out: &mut Vec<RankOutput>,
-    ) {
-        if reports.iter().all(|r| r.prepared == Some(version)) {
-            let pass = self.next_pass(reports);
-            self.enter(Phase::Holding { version, pass }, out);
-            return self.wake(now, out);
-        }
-        let copies = self.shape.copy_time * u32::from(self.copies_per_rank());
-        let limit = self.limits.prepare_slack + copies;
-        if now.saturating_duration_since(since) > limit {
-            // Copies that nobody switches to change nothing.
-            return self.enter(Phase::Idle, out);
-        }
-        for report in reports.iter().filter(|r| r.prepared != Some(version)) {
-            if !self.is_copying(report.rank, version) {
-                let layers = layers.clone();
-                self.order(
-                    now,
-                    report.rank,
-                    PassOrder::Prepare { version, layers },
-                    out,
-                );
-            }
-        }
-    }
-
-    /// Tells whether a rank has begun the copies of a version.
-    fn is_copying(&self, rank: u16, version: u64) -> bool {
-        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
-        view.is_some_and(|view| view.copying == Some(version))
-    }
-
-    fn next_pass(&self, reports: &[EngineReport]) -> u64 {
-        let last = reports.iter().map(|report| report.pass).max();
-        last.unwrap_or(0) + self.limits.lead
-    }
-
-    fn hold(
-        &mut self,
-        now: Instant,
-        reports: &[EngineReport],
-        version: u64,
-        pass: u64,
-        out: &mut Vec<RankOutput>,
-    ) {
-        let holder = self.own_rank;
-        let Some(report) = reports.get(usize::from(holder)) else {
-            return;
-        };
-        if report.held == Some(pass) {
-            self.enter(Phase::Arming { version, pass }, out);
-            return self.wake(now, out);
-        }
-        if report.held.is_some() || reports.iter().any(|r| r.prepared != Some(version)) {
-            return self.enter(Phase::Surveying, out);
-        }
-        // What is known of the passes is old: each refusal takes a later one.
-        let refusals = self.refusals_of(holder);
-        let pass = pass.max(report.pass + self.limits.lead + refusals);
-        self.phase = Phase::Holding { version, pass };
-        self.order(now, holder, PassOrder::Hold { pass }, out);
-    }
-
-    fn refusals_of(&self, rank: u16) -> u64 {
-        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
-        view.map_or(0, |view| u64::from(view.refused))
-    }
-
-    fn arm(
-        &mut self,
-        now: Instant,
-        reports: &[EngineReport],
-        version: u64,
-        pass: u64,
-        out: &mut Vec<RankOutput>,
-    ) {
-        if reports.iter().all(|r| r.armed == Some(version)) {
-            self.enter(Phase::Releasing, out);
-            return self.wake(now, out);
-        }
-        // There is no way back from here: an order to arm that has no answer
-        // may still be carried out, so the group is released only when all are
-        // armed, or when it is formed again.
-        for report in reports.iter().filter(|r| r.armed != Some(version)) {
-            self.order(now, report.rank, PassOrder::Arm { version, pass }, out);
-        }
-    }
-
-    fn disarm(&mut self, now: Instant, reports: &[EngineReport], out: &mut Vec<RankOutput>) {
-        let armed = reports.iter().filter_map(|r| Some((r.rank, r.armed?)));
-        let armed: Vec<(u16, u64)> = armed.collect();
-        if armed.is_empty() {
-            self.enter(Phase::Releasing, out);
-            return self.wake(now, out);
-        }
-        for (rank, version) in armed {
-            self.order(now, rank, PassOrder::Disarm { version }, out);
-        }
-    }
-
-    fn release(&mut self, now: Instant, reports: &[EngineReport], out: &mut Vec<RankOutput>) {
-        let held: Vec<(u16, u64)> = reports
-            .iter()
-            .filter_map(|r| Some((r.rank, r.held?)))
-            .collect();
-        if held.is_empty() && reports.iter().all(|r| r.armed.is_none()) {
-            out.push(RankOutput::Line(PassLine::InUse {
-                fence: self.fence,
-                version: reports.first().map_or(0, |report| report.map),
-            }));
-            return self.enter(Phase::Idle, out);
-        }
-        for (rank, pass) in held {
-            self.order(now, rank, PassOrder::Release { pass }, out);
-        }
-    }
 }
 
 /// Tells whether all reports are of one epoch in which the group takes work.
@@ -696,36 +439,3 @@
     let epoch = reports.first().map(|report| report.epoch);
     reports.iter().all(|r| r.open && Some(r.epoch) == epoch)
 }
-
-/// Longest time by which a report read from another instance lags behind.
-const REPORT_LAG: Duration = Duration::from_millis(400);
-
-impl RankView {
-    /// Takes over the end of an order, before a report shows its effect.
-    fn ended(&mut self, now: Instant, order: &InFlight, end: OrderEnd) {
-        if end == OrderEnd::Accepted {
-            self.outdated_until = now + REPORT_LAG;
-            match order.effect {
-                OrderEffect::Copies(_) => {}
-                OrderEffect::Armed(version) => self.state.report.armed = version,
-                OrderEffect::Held(pass) => self.state.report.held = pass,
-            }
-        }
-        if let OrderEffect::Copies(version) = order.effect
-            && end != OrderEnd::Unanswered
-        {
-            // A refusal may mean that an order without an answer was accepted.
-            self.copying = Some(version);
-        } else if end == OrderEnd::Refused {
-            self.refused += 1;
-            self.outdated_until = now;
-        }
-    }
-
-    /// Tells whether a report is older than what is known.
-    fn is_outdated(&self, now: Instant, report: &EngineReport, lags: bool) -> bool {
-        let known = &self.state.report;
-        report.epoch < known.epoch
-            || (lags && (now < self.outdated_until || report.pass < known.pass))
-    }
-}
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -1,17 +1,19 @@
 //! The companion's part in its group: claims, reports, orders.
 
+mod claims;
+mod event;
+
+pub use event::{MemberEffect, MemberEvent, PassLine};
+
 use crate::decider::Way;
 use crate::{
-    CountWindow, DeciderClaim, DeciderLimits, EngineCounts, EngineReport, ExpertLists, FencedOrder,
-    GroupShape, MapDecider, OrderEnd, PassMessage, RankAddress, RankOutput, RankState, RecentLoads,
+    CountWindow, DeciderClaim, DeciderLimits, EngineReport, ExpertLists, GroupShape, MapDecider,
+    OrderEnd, PassMessage, RankAddress, RankOutput, RankState, RecentLoads,
 };
-use compact_str::CompactString;
 use egretstage_runtime::Reducer;
 use egretstage_wire::InstanceId;
-use serde::Serialize;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use strum::IntoStaticStr;
 
 /// States that tell the rank's experts after they have changed: a datagram may
 /// be lost.
@@ -75,131 +77,6 @@
     pub limits: MemberLimits,
 }
 
-/// What can happen to a member.
-#[derive(Clone, Debug)]
-pub enum MemberEvent {
-    /// The operator has described the group.
-    Shaped(GroupShape),
-    /// The own engine has reported, to a read that was asked for while the
-    /// decider with that fencing number was followed.
-    Reported(Box<EngineReport>, u64),
-    /// The own engine has told what experts the rank holds in a map.
-    Listed(u64, ExpertLists),
-    /// The own engine has told its counts.
-    Counted(EngineCounts),
-    /// An order that went straight to an engine has ended.
-    OrderEnded {
-        /// Who gave the order; none for this member's own decider.
-        giver: Option<SocketAddr>,
-        /// The giver's count of orders.
-        number: u64,
-        /// How it ended.
-        end: OrderEnd,
-        /// The engine's report afterwards.
-        report: Option<Box<EngineReport>>,
-    },
-    /// An engine whose companion is silent has reported.
-    Looked(SocketAddr, Box<EngineReport>),
-    /// A datagram has arrived.
-    Received(SocketAddr, Box<PassMessage>),
-    /// The newest claim of the group was read, if there is one, and where the
-    /// claims end.
-    ClaimRead {
-        /// The claim and its fencing number.
-        claim: Option<(DeciderClaim, u64)>,
-        /// End of the claims.
-        end: u64,
-    },
-    /// The claims can't be read or written.
-    ClaimFailed,
-    /// The process stood still without its clock noticing.
-    Suspended,
-}
-
-/// What a member does.
-#[derive(Clone, Debug, PartialEq)]
-pub enum MemberEffect {
-    /// Reads the own engine's report, after the orders given before; the number
-    /// comes back with it.
-    ReadReport(u64),
-    /// Reads the experts that the rank holds.
-    ReadLists,
-    /// Reads the own engine's counts.
-    ReadCounts,
-    /// Gives an order to an engine, and reads its report afterwards.
-    Order {
-        /// The engine.
-        engine: SocketAddr,
-        /// Who gave the order; none for this member's own decider.
-        giver: Option<SocketAddr>,
-        /// The giver's count of orders.
-        number: u64,
-        /// The order.
-        order: Box<FencedOrder>,
-    },
-    /// Reads the report of another rank's engine.
-    Look(SocketAddr),
-    /// Sends a datagram.
-    Send(SocketAddr, Box<PassMessage>),
-    /// Reads the newest claim of a group.
-    ReadClaim(CompactString),
-    /// Writes a claim if the claims still end there.
-    WriteClaim(Box<DeciderClaim>, u64),
-    /// Writes a log line.
-    Log(PassLine),
-}
-
-/// The log lines of a member.
-#[derive(Clone, Debug, PartialEq, Serialize, IntoStaticStr)]
-#[serde(rename_all = "kebab-case", tag = "what")]
-#[strum(serialize_all = "kebab-case")]
-pub enum PassLine {
-    /// Another companion decides from now on.
-    Decider {
-        /// The companion.
-        instance: InstanceId,
-        /// Its fencing number.
-        fence: u64,
-    },
-    /// This companion claims to decide.
-    Claim {
-        /// The group.
-        group: CompactString,
-    },
-    /// This companion decides no longer.
-    StandDown {
-        /// Its fencing number.
-        fence: u64,
-    },
-    /// A change of the map has come to a phase.
-    Phase {
-        /// The decider's fencing number.
-        fence: u64,
-        /// The phase.
-        phase: &'static str,
-    },
-    /// A map with few copies pays.
-    Plan {
-        /// The decider's fencing number.
-        fence: u64,
-        /// The map's version.
-        version: u64,
-        /// Copies.
-        copies: u32,
-        /// Largest over mean rank load with the map in use.
-        skew_before: f64,
-        /// The same with the new map, if the demand stays.
-        skew_after: f64,
-    },
-    /// A change of the map has ended.
-    InUse {
-        /// The decider's fencing number.
-        fence: u64,
-        /// Version of the map in use.
-        version: u64,
-    },
-}
-
 /// The companion's part in its group.
 #[derive(Debug)]
 pub struct PassMember {
@@ -427,107 +304,6 @@
         fx.push(MemberEffect::Send(giver, Box::new(done)));
     }
 
-    fn claim_read(
-        &mut self,
-        now: Instant,
-        claim: Option<(DeciderClaim, u64)>,
-        end: u64,
-        fx: &mut Vec<MemberEffect>,
-    ) {
-        self.reading_claim = false;
-        self.claim_at = now + self.settings.limits.claims_interval;
-        let known = self.holder.as_ref().map(|(_, fence)| *fence);
-        if let Some((claim, fence)) = claim
-            && known.is_none_or(|known| fence > known)
-        {
-            return self.follow(now, claim, fence, fx);
-        }
-        if self.decider.is_some() || !self.suspects(now) {
-            return;
-        }
-        let Some(report) = self.report.as_ref().filter(|_| self.shape.is_some()) else {
-            return;
-        };
-        let group = report.group.clone();
-        fx.push(MemberEffect::Log(PassLine::Claim {
-            group: group.clone(),
-        }));
-        self.reading_claim = true;
-        let claim = DeciderClaim {
-            group,
-            instance: self.settings.instance.clone(),
-            incarnation: self.settings.incarnation,
-            address: self.settings.address,
-        };
-        fx.push(MemberEffect::WriteClaim(Box::new(claim), end));
-    }
-
-    /// Follows the newest claim.
-    fn follow(
-        &mut self,
-        now: Instant,
-        claim: DeciderClaim,
-        fence: u64,
-        fx: &mut Vec<MemberEffect>,
-    ) {
-        self.stand_down(fx);
-        fx.push(MemberEffect::Log(PassLine::Decider {
-            instance: claim.instance.clone(),
-            fence,
-        }));
-        let own = claim.incarnation == self.settings.incarnation;
-        self.heard = now;
-        self.holder = Some((claim, fence));
-        if let (true, Some(report), Some(shape)) = (own, &self.report, self.shape) {
-            let instance = self.settings.instance.clone();
-            let limits = self.settings.limits.decider;
-            let seats = &self.seats;
-            let decider = MapDecider::new(now, fence, instance, report, seats, shape, limits);
-            self.decider = Some(decider);
-            self.heartbeat_at = now;
-        }
-        self.tell_state(now, fx);
-    }
-
-    fn stand_down(&mut self, fx: &mut Vec<MemberEffect>) {
-        if let Some(decider) = self.decider.take() {
-            let fence = decider.fence();
-            fx.push(MemberEffect::Log(PassLine::StandDown { fence }));
-        }
-    }
-
-    fn forget_holder(&mut self, fx: &mut Vec<MemberEffect>) {
-        self.stand_down(fx);
-        self.holder = None;
-    }
-
-    /// Returns when the decider has been silent for too long.
-    fn suspect_at(&self) -> Instant {
-        let rank = self.report.as_ref().map_or(0, |report| report.rank);
-        let limits = &self.settings.limits;
-        let silence = if self.holder.is_some() {
-            limits.suspect_after
-        } else {
-            Duration::ZERO
-        };
-        self.heard + silence + limits.stagger * u32::from(rank)
-    }
-
-    fn suspects(&self, now: Instant) -> bool {
-        now >= self.suspect_at()
-    }
-
-    /// Returns when the claims are read, if nothing is heard until then.
-    fn claim_due_at(&self) -> Option<Instant> {
-        let follows = self.decider.is_some() || self.reading_claim || self.report.is_none();
-        let suspect_at = if self.holder.is_some() {
-            self.suspect_at()
-        } else {
-            self.claim_at
-        };
-        (!follows).then(|| self.claim_at.max(suspect_at))
-    }
-
     fn poll(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
         let limits = self.settings.limits;
         if now >= self.report_at {
--- /dev/null
+++ b/crates/egretstage_passes/src/member/claims.rs
@@ -0,0 +1,108 @@
+//! Who decides: claims are read, written, followed and suspected.
+
+use super::{MemberEffect, PassLine, PassMember};
+use crate::{DeciderClaim, MapDecider};
+use std::time::{Duration, Instant};
+
+impl PassMember {
+    pub(super) fn claim_read(
+        &mut self,
+        now: Instant,
+        claim: Option<(DeciderClaim, u64)>,
+        end: u64,
+        fx: &mut Vec<MemberEffect>,
+    ) {
+        self.reading_claim = false;
+        self.claim_at = now + self.settings.limits.claims_interval;
+        let known = self.holder.as_ref().map(|(_, fence)| *fence);
+        if let Some((claim, fence)) = claim
+            && known.is_none_or(|known| fence > known)
+        {
+            return self.follow(now, claim, fence, fx);
+        }
+        if self.decider.is_some() || !self.suspects(now) {
+            return;
+        }
+        let Some(report) = self.report.as_ref().filter(|_| self.shape.is_some()) else {
+            return;
+        };
+        let group = report.group.clone();
+        fx.push(MemberEffect::Log(PassLine::Claim {
+            group: group.clone(),
+        }));
+        self.reading_claim = true;
+        let claim = DeciderClaim {
+            group,
+            instance: self.settings.instance.clone(),
+            incarnation: self.settings.incarnation,
+            address: self.settings.address,
+        };
+        fx.push(MemberEffect::WriteClaim(Box::new(claim), end));
+    }
+
+    /// Follows the newest claim.
+    pub(super) fn follow(
+        &mut self,
+        now: Instant,
+        claim: DeciderClaim,
+        fence: u64,
+        fx: &mut Vec<MemberEffect>,
+    ) {
+        self.stand_down(fx);
+        fx.push(MemberEffect::Log(PassLine::Decider {
+            instance: claim.instance.clone(),
+            fence,
+        }));
+        let own = claim.incarnation == self.settings.incarnation;
+        self.heard = now;
+        self.holder = Some((claim, fence));
+        if let (true, Some(report), Some(shape)) = (own, &self.report, self.shape) {
+            let instance = self.settings.instance.clone();
+            let limits = self.settings.limits.decider;
+            let seats = &self.seats;
+            let decider = MapDecider::new(now, fence, instance, report, seats, shape, limits);
+            self.decider = Some(decider);
+            self.heartbeat_at = now;
+        }
+        self.tell_state(now, fx);
+    }
+
+    pub(super) fn stand_down(&mut self, fx: &mut Vec<MemberEffect>) {
+        if let Some(decider) = self.decider.take() {
+            let fence = decider.fence();
+            fx.push(MemberEffect::Log(PassLine::StandDown { fence }));
+        }
+    }
+
+    pub(super) fn forget_holder(&mut self, fx: &mut Vec<MemberEffect>) {
+        self.stand_down(fx);
+        self.holder = None;
+    }
+
+    /// Returns when the decider has been silent for too long.
+    pub(super) fn suspect_at(&self) -> Instant {
+        let rank = self.report.as_ref().map_or(0, |report| report.rank);
+        let limits = &self.settings.limits;
+        let silence = if self.holder.is_some() {
+            limits.suspect_after
+        } else {
+            Duration::ZERO
+        };
+        self.heard + silence + limits.stagger * u32::from(rank)
+    }
+
+    pub(super) fn suspects(&self, now: Instant) -> bool {
+        now >= self.suspect_at()
+    }
+
+    /// Returns when the claims are read, if nothing is heard until then.
+    pub(super) fn claim_due_at(&self) -> Option<Instant> {
+        let follows = self.decider.is_some() || self.reading_claim || self.report.is_none();
+        let suspect_at = if self.holder.is_some() {
+            self.suspect_at()
+        } else {
+            self.claim_at
+        };
+        (!follows).then(|| self.claim_at.max(suspect_at))
+    }
+}
