Believe at once that a record is gone when the store failed this reader alone

The entry had been turned away by the store until a second before, and kept the record for 2.3 s from the removal, as if the store had been away and records had lapsed. Ruled out: the lag of the reads (the other entries dropped the record after 0.06 to 0.17 s) and the records of peers (the removal came after the return). Change: the grace ends 2.3 s after the last failed call, and there is none when peers showed fresh records meanwhile, which proves that the store served.

--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -66,7 +66,11 @@
                     log_lost(name, &e);
                     reachable = false;
                 }
-                (peers.ask(), RETRY_DELAY)
+                let told = peers.ask();
+                if !told.is_empty() {
+                    follower.served_elsewhere();
+                }
+                (told, RETRY_DELAY)
             }
         };
         for change in changes {
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -62,6 +62,12 @@
         }
     }
 
+    /// Notes that the store serves others while it fails this reader: no record
+    /// has lapsed for want of a store, so what is missing is gone.
+    pub fn served_elsewhere(&mut self) {
+        self.failed_at = None;
+    }
+
     /// Tells whether all that was there at the start has been read.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
@@ -173,11 +179,9 @@
 
     /// Drops a key, later if the store was away a moment ago.
     fn removed(&mut self, now: Instant, key: CompactString, changes: &mut Vec<KeyedChange>) {
-        let was_away = self
-            .failed_at
-            .is_some_and(|at| now.saturating_duration_since(at) < RETURN_GRACE);
-        if was_away {
-            self.missing.entry(key).or_insert(now + RETURN_GRACE);
+        let believed_at = self.failed_at.map(|at| at + RETURN_GRACE);
+        if let Some(at) = believed_at.filter(|at| now < *at) {
+            self.missing.entry(key).or_insert(at);
         } else if self.known.remove(&key) {
             changes.push(KeyedChange::Removed(key));
         }
--- a/crates/egretstage_platform/tests/keyed_follower.rs
+++ b/crates/egretstage_platform/tests/keyed_follower.rs
@@ -178,3 +178,35 @@
     reader.now += Duration::from_secs(1);
     assert_eq!(reader.poll().expect("changes"), ["-gone"]);
 }
+
+/// Fault: the store turns this reader away and serves the others; an upstream
+/// leaves a second after the reader is back.
+#[test]
+fn what_is_dropped_after_the_store_failed_this_reader_alone_is_gone_at_once() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1"));
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    reader.follower.served_elsewhere();
+    reader.store.change(|store| store.down = false);
+    reader.now += Duration::from_secs(1);
+    reader.store.put("a", None);
+    assert_eq!(reader.poll().expect("changes"), ["-a"]);
+}
+
+/// A record that is dropped late in the grace isn't believed for longer.
+#[test]
+fn the_grace_ends_some_time_after_the_outage() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1"));
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    reader.store.change(|store| store.down = false);
+    reader.now += Duration::from_secs(2);
+    reader.store.put("a", None);
+    assert_eq!(reader.poll().expect("changes"), [""; 0]);
+    reader.now += Duration::from_millis(400);
+    assert_eq!(reader.poll().expect("changes"), ["-a"]);
+}
