Let one stall, and pauses of a group that is far from full, not move its bound

Each fall follows one pause of 0.3 to 4.3 s: a switch whose order came late, or a decider that stood still. The pause was cut to twice the longest allowed one, but weighed by the time since the last one, it still took over the whole estimate. The other way round, the first pauses of a group that fills up are short and raised the bound from 41 to 144 within a second.

Ruled out: a real rise of the cost (the passes after each stall took 60 to 80 ms); refusals by the engines (none before second 19).

Change: a pause of over twice the longest allowed one counts only if the next pass is as long; the estimate starts from the cost of an unbalanced group, and fades by how full the group is.

--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -26,10 +26,14 @@
 /// for the way to the caller and for prompts that are read meanwhile.
 const TARGET_SHARE: f32 = 0.88;
 
-/// Multiple of the longest allowed pause above which a pause tells of a stalled
-/// group, not of the cost of its streams.
+/// Multiple of the longest allowed pause above which a single pause tells of a
+/// stalled group, not of the cost of its streams.
 const STALL_FACTOR: f32 = 2.0;
 
+/// Time by which the events of one pass reach an entry apart from each other:
+/// network jitter between availability zones, with a reserve.
+const PASS_SPREAD: Duration = Duration::from_millis(40);
+
 /// Cost of a stream before any pause was seen, in milliseconds for one step:
 /// a group of unbalanced experts.
 const FIRST_COST_MS: f32 = 0.25;
@@ -45,6 +49,11 @@
 /// of streams at that time. The bound is made for the dearest cost of the last
 /// seconds.
 ///
+/// Ranks also stand still while a map is switched, while a rank is silent or
+/// while the entry itself doesn't run. One such stall says nothing of the cost
+/// and would cut the bound for seconds, so it counts only if the next pass is
+/// as long.
+///
 /// ```
 /// # use egretstage_dispatch::{EngineProfile, admission::PauseControl};
 /// # use std::time::{Duration, Instant};
@@ -70,6 +79,8 @@
     engine: EngineProfile,
     max_pause_ms: f32,
     costs: Option<Costs>,
+    /// When the last stall ended.
+    stalled: Option<Instant>,
 }
 
 /// What was learnt of the cost of a stream, in milliseconds for one event.
@@ -88,6 +99,7 @@
             engine,
             max_pause_ms: max_pause.as_secs_f32() * 1000.0,
             costs: None,
+            stalled: None,
         }
     }
 
@@ -97,29 +109,63 @@
         self.max_pause_ms = max_pause.as_secs_f32() * 1000.0;
     }
 
+    /// Forgets what was learnt: the group was formed anew, without the balanced
+    /// map that it had.
+    pub fn forget(&mut self) {
+        self.costs = None;
+        self.stalled = None;
+    }
+
     /// Notes a pause between two events while so many streams ran on so many
     /// ranks.
     pub fn observe(&mut self, now: Instant, pause: Duration, streams: u32, ranks: u32) {
+        if self.is_stall(now, pause) {
+            return;
+        }
         let pause_ms = pause.as_secs_f32() * 1000.0;
         let pause_ms = pause_ms.min(self.max_pause_ms * STALL_FACTOR);
         let streams = streams.max(ranks * MIN_STREAMS_PER_RANK).max(1);
         let cost = ((pause_ms - self.base_ms()) / to_f32(streams)).max(0.0);
-        let Some(costs) = &mut self.costs else {
-            self.costs = Some(Costs {
-                mean: cost,
-                peak: cost,
-                seen_at: now,
-            });
-            return;
-        };
+        let bound = self.bound(ranks);
+        let first = FIRST_COST_MS * self.steps();
+        let costs = self.costs.get_or_insert(Costs {
+            mean: cost,
+            peak: first.max(cost),
+            seen_at: now,
+        });
         // Weights go by time: all streams of the group see the same passes.
         let passed = now.saturating_duration_since(costs.seen_at);
         costs.seen_at = now;
         costs.mean += faded(passed, MEAN_SPAN) * (cost - costs.mean);
-        costs.peak += faded(passed, PEAK_FADES_IN) * (costs.mean - costs.peak);
+        // Short pauses of a group that is far from full say little of what it
+        // costs to fill it.
+        let fullness = (to_f32(streams) / to_f32(bound.max(1))).min(1.0);
+        let fades = faded(passed, PEAK_FADES_IN) * fullness * fullness;
+        costs.peak += fades * (costs.mean - costs.peak);
         costs.peak = costs.peak.max(costs.mean);
     }
 
+    /// Tells whether a pause is a stall: longer than the cost of streams makes
+    /// it, and not the second one in a row.
+    fn is_stall(&mut self, now: Instant, pause: Duration) -> bool {
+        let longest = self.max_pause_ms * STALL_FACTOR;
+        if pause.as_secs_f32() * 1000.0 <= longest {
+            return false;
+        }
+        let Some(ended) = self.stalled else {
+            self.stalled = Some(now);
+            return true;
+        };
+        // Times since the last stall ended, at both ends of this pause.
+        let ends = now.saturating_duration_since(ended);
+        let in_a_row = ends + PASS_SPREAD >= pause && ends <= pause + PASS_SPREAD;
+        let is_same = ends + PASS_SPREAD < pause;
+        if !is_same && !in_a_row {
+            self.stalled = Some(now);
+        }
+        !in_a_row
+    }
+
     /// Returns the most streams that may run on so many ranks together.
     ///
     /// At least one for each rank, at most the slots of all.
--- /dev/null
+++ b/crates/egretstage_dispatch/tests/dispatch/admission.rs
@@ -0,0 +1,125 @@
+//! How a group's bound follows the pauses of its streams.
+
+use egretstage_dispatch::EngineProfile;
+use egretstage_dispatch::admission::PauseControl;
+use std::time::{Duration, Instant};
+
+const RANKS: u32 = 12;
+const MAX_PAUSE: Duration = Duration::from_millis(120);
+
+/// A group with its clock.
+struct Group {
+    control: PauseControl,
+    now: Instant,
+}
+
+impl Group {
+    fn new() -> Self {
+        let engine = EngineProfile {
+            slots: 12,
+            step_ms: 4.5,
+            steps_per_event: 4,
+            read_per_s: 60_000.0,
+            experts: None,
+        };
+        Self {
+            control: PauseControl::new(engine, MAX_PAUSE),
+            now: Instant::now(),
+        }
+    }
+
+    /// One pass, seen by so many streams.
+    fn pass(&mut self, pass_ms: u64, streams: u32) {
+        let pass = Duration::from_millis(pass_ms);
+        self.now += pass;
+        for _ in 0..streams {
+            self.now += Duration::from_micros(100);
+            self.control.observe(self.now, pass, streams, RANKS);
+        }
+    }
+
+    fn passes(&mut self, count: u32, pass_ms: u64, streams: u32) {
+        for _ in 0..count {
+            self.pass(pass_ms, streams);
+        }
+    }
+
+    fn bound(&self) -> u32 {
+        self.control.bound(RANKS)
+    }
+}
+
+/// Load pattern: the group stands still for seconds, since the order that lets
+/// it go on is late. The streams cost what they cost before.
+#[test]
+fn a_stall_does_not_cut_the_bound() {
+    for stall_ms in [250, 1_000, 4_300] {
+        let mut group = Group::new();
+        group.passes(40, 70, 60);
+        let before = group.bound();
+        group.pass(stall_ms, 60);
+        group.passes(5, 70, 60);
+        assert!(
+            group.bound() + 2 >= before,
+            "{} after a stall of {stall_ms} ms, {before} before it",
+            group.bound()
+        );
+    }
+}
+
+/// Load pattern: demand moves to experts of one rank, and each pass is twice
+/// as long as allowed. Only the first one looks like a stall.
+#[test]
+fn long_passes_in_a_row_cut_the_bound() {
+    let mut group = Group::new();
+    group.passes(40, 70, 60);
+    let before = group.bound();
+    group.passes(4, 300, 60);
+    assert!(
+        group.bound() < before / 2,
+        "{} after long passes, {before} before them",
+        group.bound()
+    );
+}
+
+/// Load pattern: a group that has just started fills up within a second. The
+/// short pauses of its first streams are no measure for a full group.
+#[test]
+fn the_first_short_pauses_do_not_open_a_group_to_all() {
+    let mut group = Group::new();
+    let first = group.bound();
+    for streams in 1..20 {
+        group.pass(30, streams);
+    }
+    assert!(
+        group.bound() <= first + first / 10,
+        "{} from {first}",
+        group.bound()
+    );
+}
+
+/// Load pattern: a group that runs as many streams as it may, with short
+/// pauses, because its map became better.
+#[test]
+fn short_pauses_of_a_full_group_raise_the_bound() {
+    let mut group = Group::new();
+    let first = group.bound();
+    group.passes(60, 60, first);
+    assert!(
+        group.bound() > first + first / 5,
+        "{} from {first}",
+        group.bound()
+    );
+}
+
+/// Load pattern: the group lost a rank and was formed anew, without the
+/// balanced map that it had.
+#[test]
+fn a_group_formed_anew_starts_with_the_first_bound() {
+    let mut group = Group::new();
+    let first = group.bound();
+    group.passes(60, 60, 90);
+    assert!(group.bound() > first);
+    group.control.forget();
+    assert_eq!(group.bound(), first);
+}
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Decisions on calls, in virtual time.
 
+mod admission;
 mod at_most_once;
 mod support;
 mod under_load;
