Close a model group that refuses calls, for all its ranks

Closing at the first refused connection to a rank: calls that wait out the stall are told to return later, which reaches further.

Change: a group is closed by its ranks' records (they follow within 0.4 s of the first refusal) or by two refusals in a row, opened by records or by an answer; a trial call each half second per entry covers a store that is away. New calls of a closed service are refused at once with 75 to 100 in 100 of the longest delay that callers accept; those that came back wait. The cost of streams is learnt anew when the group opens, as its map is the first one again. Lines `group` and `attempt` say why.

--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -82,6 +82,18 @@
     },
 }
 
+impl AttemptEnd {
+    /// Returns why, as it is logged.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::NotSent { cause } | Self::NotRun { cause } => cause.into(),
+            Self::Unknown { cause } => cause.into(),
+            Self::Failure { .. } => "failure",
+        }
+    }
+}
+
 /// Why a request didn't run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -5,6 +5,7 @@
 //! the whole service would fill the slow group and leave the others idle.
 
 use crate::admission::PauseControl;
+use crate::closure::Closure;
 use crate::{EngineProfile, Upstreams};
 use compact_str::CompactString;
 use egretstage_wire::ServiceName;
@@ -23,6 +24,8 @@
     pub(crate) ranks: u32,
     /// Calls that it may run.
     pub(crate) bound: u32,
+    /// Whether it is closed.
+    pub(crate) closed: bool,
 }
 
 impl GroupLoad {
@@ -38,11 +41,12 @@
     }
 }
 
-/// The pause controls of a service's groups.
+/// The pause controls and closures of a service's groups.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Groups {
     engine: Option<(EngineProfile, Duration)>,
     pauses: HashMap<CompactString, PauseControl>,
+    closures: HashMap<CompactString, Closure>,
 }
 
 impl Groups {
@@ -68,6 +72,46 @@
         }
     }
 
+    /// Closes a group whose records say that it is broken; returns whether it
+    /// was open.
+    pub(crate) fn close(&mut self, now: Instant, group: &str) -> bool {
+        self.close_by(group, |closure| closure.close(now))
+    }
+
+    /// Notes that a group refused a call; returns whether this closed it.
+    pub(crate) fn refused(&mut self, now: Instant, group: &str) -> bool {
+        self.close_by(group, |closure| closure.refused(now))
+    }
+
+    /// Notes that a call is sent to a group.
+    pub(crate) fn tried(&mut self, now: Instant, group: &str) {
+        if let Some(closure) = self.closures.get_mut(group) {
+            closure.tried(now);
+        }
+    }
+
+    /// Notes that a group runs calls, or that its records say so; returns
+    /// whether it was closed.
+    pub(crate) fn answered(&mut self, group: &str) -> bool {
+        let was_closed = self.closures.remove(group).is_some_and(|c| c.is_closed());
+        if was_closed && let Some(pauses) = self.pauses.get_mut(group) {
+            pauses.forget();
+        }
+        was_closed
+    }
+
+    /// Changes a group's closure; returns whether this closed the group.
+    fn close_by(&mut self, group: &str, change: impl FnOnce(&mut Closure)) -> bool {
+        // Plain upstreams that are in no group answer each for itself.
+        if self.engine.is_none() || group.is_empty() {
+            return false;
+        }
+        let closure = self.closures.entry(group.into()).or_default();
+        let was_closed = closure.is_closed();
+        change(closure);
+        !was_closed && closure.is_closed()
+    }
+
     fn bound(&self, group: &str, ranks: u32) -> u32 {
         let Some((engine, max_pause)) = self.engine else {
             return u32::MAX;
@@ -78,9 +122,12 @@
         }
     }
 
-    /// Returns the loads of the groups that take new work.
+    /// Returns the loads of the groups.
+    ///
+    /// A closed one has no room, but for a call that tries it.
     pub(crate) fn loads(
         &self,
+        now: Instant,
         upstreams: &Upstreams,
         service: &ServiceName,
     ) -> SmallVec<[GroupLoad; 4]> {
@@ -97,11 +144,19 @@
                     running: calls,
                     ranks: 1,
                     bound: 0,
+                    closed: false,
                 });
             }
         }
         for load in &mut loads {
-            load.bound = self.bound(&load.group, load.ranks);
+            let closure = self.closures.get(&load.group).copied();
+            let closure = closure.unwrap_or_default();
+            load.closed = closure.is_closed();
+            load.bound = match (load.closed, closure.may_try(now)) {
+                (false, _) => self.bound(&load.group, load.ranks),
+                (true, true) => load.running + 1,
+                (true, false) => 0,
+            };
         }
         loads
     }
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! |---|---|
 //! | how many streams a model group runs at once | [`admission`] |
 //! | in which order calls wait, and when waiting is hopeless | [`waiting`] |
+//! | whether a model group takes calls at all | [`closure`] |
 //! | which upstream runs a call | [`placement`] |
 //! | when a refused caller returns | [`returns`] |
 //! | whether a failed call is sent again | [`attempts`] |
@@ -19,6 +20,7 @@
 pub mod admission;
 pub mod attempts;
 mod call;
+pub mod closure;
 mod event;
 mod groups;
 mod line;
--- a/crates/egretstage_dispatch/src/line.rs
+++ b/crates/egretstage_dispatch/src/line.rs
@@ -7,8 +7,9 @@
 /// A decision, with the inputs that decided it and their age.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct DecisionLine {
-    /// What was decided: `place`, `retry`, `refuse`, `end`, or what the process
-    /// believes from now on: `configure`, `upstream`, `ready`, `stop`.
+    /// What was decided: `place`, `attempt` (how one ended without an answer to
+    /// pass on), `retry`, `refuse`, `end`, or what the process believes from
+    /// now on: `configure`, `upstream`, `group`, `ready`, `stop`.
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -25,6 +26,9 @@
     /// The upstream.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub upstream: Option<InstanceId>,
+    /// The model group.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub group: Option<CompactString>,
     /// Why.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub reason: Option<&'static str>,
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -1,6 +1,7 @@
 //! The reducer over all that happens to calls, upstreams and other entries.
 
 mod calls;
+mod closing;
 mod service;
 mod stop;
 
@@ -151,10 +152,12 @@
         self.changed = true;
     }
 
-    fn listed(&mut self, listed: ListedUpstream, fx: &mut Vec<DispatchEffect>) {
+    fn listed(&mut self, now: Instant, listed: ListedUpstream, fx: &mut Vec<DispatchEffect>) {
         let (instance, state) = (listed.instance.clone(), listed.state);
         let before = self.upstreams.find(&instance).map(|u| u.listed.state);
+        let said_open = self.says_open(&instance);
         self.upstreams.list(listed);
+        self.group_listed(now, &instance, said_open, fx);
         if before == Some(state) {
             return;
         }
@@ -259,12 +262,12 @@
         match event {
             DispatchEvent::Arrived { call, head } => self.arrived(now, call, *head, fx),
             DispatchEvent::Ended { call, whole } => self.ended(now, call, whole, fx),
-            DispatchEvent::FirstByte { call } => self.first_byte(now, call),
+            DispatchEvent::FirstByte { call } => self.first_byte(now, call, fx),
             DispatchEvent::Pause { call, pause } => self.pause(now, call, pause),
             DispatchEvent::AttemptEnded { call, end } => self.attempt_ended(now, call, end, fx),
             DispatchEvent::Configured(table) => self.configured(table, fx),
             DispatchEvent::Listed(listed) => {
-                self.listed(*listed, fx);
+                self.listed(now, *listed, fx);
                 self.pump_all(now, fx);
             }
             DispatchEvent::Unlisted(instance) => self.unlisted(&instance, fx),
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -157,6 +157,11 @@
         if self.upstreams.ready(&call.service).next().is_none() {
             return Some(RefusalKind::NoUpstream);
         }
+        // It may open at any moment, but a caller with time left does better to
+        // come back than to wait for it.
+        if call.freshness == Freshness::InTime && self.all_closed(now, &call.service) {
+            return Some(RefusalKind::NoUpstream);
+        }
         let longest = self.max_wait(call);
         let (priority, freshness) = (call.priority, call.freshness);
         let service = self.service(&call.service);
@@ -175,13 +180,14 @@
         }
     }
 
-    pub(super) fn first_byte(&mut self, now: Instant, key: CallKey) {
+    pub(super) fn first_byte(&mut self, now: Instant, key: CallKey, fx: &mut Vec<DispatchEffect>) {
         let Some(call) = self.calls.get(&key) else {
             return;
         };
         if let Phase::Running { upstream, since } = call.phase {
             let after = now.saturating_duration_since(since);
             self.upstreams.answered(upstream, after, false);
+            self.group_answered(upstream, fx);
         }
     }
 
@@ -196,7 +202,7 @@
             return;
         };
         let service = call.service.clone();
-        let loads = self.loads(&service);
+        let loads = self.loads(now, &service);
         if let Some(load) = loads.iter().find(|load| load.group == upstream.group()) {
             self.service(&service).groups.observe(now, pause, load);
         }
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -6,8 +6,20 @@
 use crate::{
     AttemptEnd, CallHead, CallKey, DecisionLine, DispatchEffect, NotRunCause, Refusal, RefusalKind,
 };
+use egretstage_wire::RequestId;
 use std::time::{Duration, Instant};
 
+/// Share of the longest delay after which the first callers of a closed group
+/// come back: the others follow until the longest, not all at one moment.
+const EARLIEST_RETURN_SHARE: f32 = 0.75;
+
+/// Returns the share of the longest delay after which a caller comes back.
+fn spread(request: &RequestId) -> f32 {
+    let drawn = rapidhash::v3::rapidhash_v3(request.as_str().as_bytes()) >> 48;
+    let drawn = f32::from(u16::try_from(drawn).unwrap_or(u16::MAX)) / f32::from(u16::MAX);
+    EARLIEST_RETURN_SHARE + (1.0 - EARLIEST_RETURN_SHARE) * drawn
+}
+
 impl Dispatcher {
     pub(in crate::reducer) fn attempt_ended(
         &mut self,
@@ -20,6 +32,15 @@
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
+        let called = upstream.and_then(|upstream| self.upstreams.get(upstream));
+        fx.push(DispatchEffect::Log(Box::new(DecisionLine {
+            verb: "attempt",
+            request: Some(call.head.request.clone()),
+            upstream: called.map(|upstream| upstream.listed.instance.clone()),
+            reason: Some(end.reason()),
+            attempts: Some(call.attempts),
+            ..DecisionLine::default()
+        })));
         if let AttemptEnd::NotSent { .. } = end {
             call.attempts -= 1;
             call.unsent += 1;
@@ -39,6 +60,9 @@
         {
             self.upstreams.answered(upstream, Duration::ZERO, true);
         }
+        if full && let Some(upstream) = upstream {
+            self.group_refused(now, upstream, fx);
+        }
         let step = match step {
             NextStep::Retry if out_of_tries => self.give_up(key),
             NextStep::Retry if !self.may_retry(key, end) => self.without_retry(key, end),
@@ -108,7 +132,7 @@
         let retry_after = self.retry_after(now, &call, kind);
         let waited = now.saturating_duration_since(call.arrived);
         let mut line = self.refusal_line(&call.head, kind, retry_after);
-        let (running, bound) = self.room(&call.service);
+        let (running, bound) = self.room(now, &call.service);
         line.running = Some(running);
         line.bound = (bound != u32::MAX).then_some(bound);
         line.waiting = Some(self.service(&call.service).waiting.len());
@@ -154,6 +178,9 @@
                 let interval = service.starts.time_for(now, 1);
                 Some(service.returns.assign(now, interval, longest))
             }
+            RefusalKind::NoUpstream if self.all_closed(now, &call.service) => {
+                Some(longest.mul_f32(spread(&call.head.request)))
+            }
             RefusalKind::NoUpstream | RefusalKind::Unready => Some(UNREADY_DELAY.min(longest)),
             RefusalKind::Stopping => Some(STOPPING_DELAY),
             RefusalKind::NoRoute
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -4,6 +4,7 @@
 use crate::groups::GroupLoad;
 use crate::reducer::Dispatcher;
 use crate::{Attempt, CallKey, DecisionLine, DispatchEffect, UpstreamKey, placement};
+use compact_str::CompactString;
 use egretstage_wire::ServiceName;
 use smallvec::SmallVec;
 use std::time::Instant;
@@ -37,7 +38,7 @@
         fx: &mut Vec<DispatchEffect>,
     ) {
         while let Some(key) = self.service(service).waiting.first() {
-            let Some(upstream) = self.place(service, key) else {
+            let Some(upstream) = self.place(now, service, key) else {
                 return;
             };
             let state = self.service(service);
@@ -48,16 +49,20 @@
     }
 
     /// Returns the loads of a service's groups.
-    pub(super) fn loads(&self, service: &ServiceName) -> SmallVec<[GroupLoad; 4]> {
+    pub(in crate::reducer) fn loads(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+    ) -> SmallVec<[GroupLoad; 4]> {
         match self.services.get(service) {
-            Some(state) => state.groups.loads(&self.upstreams, service),
+            Some(state) => state.groups.loads(now, &self.upstreams, service),
             None => SmallVec::new(),
         }
     }
 
     /// Returns how many calls a service runs and may run, at all entries.
-    pub(super) fn room(&self, service: &ServiceName) -> (u32, u32) {
-        self.loads(service)
+    pub(super) fn room(&self, now: Instant, service: &ServiceName) -> (u32, u32) {
+        self.loads(now, service)
             .iter()
             .fold((0, 0), |(running, bound), load| {
                 (running + load.running, bound.saturating_add(load.bound))
@@ -66,9 +71,14 @@
 
     /// Chooses an upstream for a call, if there is room: first a group, then
     /// one of its ranks.
-    pub(super) fn place(&self, service: &ServiceName, key: CallKey) -> Option<UpstreamKey> {
+    pub(super) fn place(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        key: CallKey,
+    ) -> Option<UpstreamKey> {
         let call = self.calls.get(&key)?;
-        let mut loads = self.loads(service);
+        let mut loads = self.loads(now, service);
         loads.retain(|load| load.has_room());
         loads.sort_by(GroupLoad::cmp_used);
         let queue = if call.route.kind.is_stream() {
@@ -103,7 +113,7 @@
         fx: &mut Vec<DispatchEffect>,
     ) {
         let (running, bound) = match self.calls.get(&key) {
-            Some(call) => self.room(&call.service),
+            Some(call) => self.room(now, &call.service),
             None => return,
         };
         let (Some(call), Some(target)) =
@@ -147,9 +157,12 @@
         });
         let first = call.attempts == 1;
         let service = call.service.clone();
+        let group = CompactString::from(target.group());
+        let state = self.service(&service);
         if first {
-            self.service(&service).retries.requested();
+            state.retries.requested();
         }
+        state.groups.tried(now, &group);
         fx.push(DispatchEffect::Log(Box::new(line)));
         fx.push(DispatchEffect::Send { call: key, attempt });
     }
--- /dev/null
+++ b/crates/egretstage_dispatch/tests/dispatch/broken_groups.rs
@@ -0,0 +1,161 @@
+//! What happens to the calls of a model group that has lost a rank.
+
+use crate::support::{Bench, refused, sends, sent, upstream};
+use egretstage_dispatch::{
+    AttemptEnd, CallKey, DispatchEffect, DispatchEvent, GroupSeat, NotRunCause, RefusalKind,
+};
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// Budget of a caller, in milliseconds.
+const BUDGET_MS: u64 = 8_000;
+
+const REFUSED: AttemptEnd = AttemptEnd::NotRun {
+    cause: NotRunCause::Full,
+};
+
+/// Lists both ranks of the group anew.
+fn list_ranks(bench: &mut Bench, open: bool) -> Vec<DispatchEffect> {
+    let mut effects = Vec::new();
+    for name in ["rank-0", "rank-1"] {
+        let mut rank = upstream(name, "drafting", Some("g"));
+        rank.seat = Some(GroupSeat {
+            group: "g".into(),
+            open,
+        });
+        effects.extend(bench.list(rank));
+    }
+    effects
+}
+
+/// Refuses a call at each rank that it is sent to; returns how often it was sent.
+fn refuse_each_attempt(bench: &mut Bench, call: CallKey, mut effects: Vec<DispatchEffect>) -> u32 {
+    let mut times = 0;
+    while sent(&effects, call).is_some() {
+        times += 1;
+        effects = bench
+            .run
+            .event(DispatchEvent::AttemptEnded { call, end: REFUSED });
+    }
+    times
+}
+
+fn group_lines(effects: &[DispatchEffect]) -> Vec<&'static str> {
+    let lines = effects.iter().filter_map(|effect| match effect {
+        DispatchEffect::Log(line) if line.verb == "group" => line.reason,
+        _ => None,
+    });
+    lines.collect()
+}
+
+/// Load pattern: a rank is missing; each other rank refuses each call for
+/// seconds, while callers keep coming.
+#[test]
+fn a_group_that_refuses_is_closed_for_all_its_ranks() {
+    let mut bench = Bench::ready();
+    let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+    assert_eq!(refuse_each_attempt(&mut bench, call, effects), 2);
+    let mut told = Vec::new();
+    for _ in 0..40 {
+        let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+        assert!(sent(&effects, call).is_none(), "sent to a closed group");
+        let refusal = refused(&effects, call).expect("an answer at once");
+        assert_eq!(refusal.kind, RefusalKind::NoUpstream);
+        told.push(refusal.retry_after.expect("a time to return"));
+        bench.run.advance(Duration::from_millis(10));
+    }
+    let times: HashSet<Duration> = told.iter().copied().collect();
+    assert!(times.len() > 30, "they come back together: {told:?}");
+    // Callers accept a third of the time that they have left.
+    let longest = Duration::from_millis(BUDGET_MS / 3);
+    assert!(told.iter().all(|t| *t <= longest && *t > longest / 2));
+}
+
+/// Load pattern: the store is away, so no record says that the group was
+/// formed anew. One call now and then finds out.
+#[test]
+fn a_trial_opens_a_closed_group_again() {
+    let mut bench = Bench::ready();
+    list_ranks(&mut bench, false);
+    let mut trials = 0;
+    for _ in 0..20 {
+        let mut effects = bench.run.advance(Duration::from_millis(100));
+        effects.extend(bench.call("/draft/1", BUDGET_MS).1);
+        for call in sends(&effects) {
+            trials += 1;
+            let end = REFUSED;
+            bench.run.event(DispatchEvent::AttemptEnded { call, end });
+        }
+    }
+    assert!((2..=5).contains(&trials), "{trials} trials in two seconds");
+    let mut effects = bench.run.advance(Duration::from_millis(600));
+    effects.extend(bench.call("/draft/1", BUDGET_MS).1);
+    let [call] = sends(&effects)[..] else {
+        panic!("one trial is due");
+    };
+    let effects = bench.run.event(DispatchEvent::FirstByte { call });
+    assert_eq!(group_lines(&effects), ["answers"]);
+    for _ in 0..5 {
+        let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+        assert!(sent(&effects, call).is_some(), "the group is open");
+    }
+}
+
+/// Load pattern: the records of the ranks change one after the other, when the
+/// group breaks and when it was formed anew.
+#[test]
+fn records_close_and_open_a_group() {
+    let mut bench = Bench::ready();
+    assert_eq!(group_lines(&list_ranks(&mut bench, false)), ["broken"]);
+    let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+    assert!(refused(&effects, call).is_some());
+    assert_eq!(group_lines(&list_ranks(&mut bench, true)), ["formed"]);
+    let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+    assert!(sent(&effects, call).is_some());
+    // A record that is listed again unchanged says nothing new.
+    assert!(group_lines(&list_ranks(&mut bench, true)).is_empty());
+}
+
+/// Load pattern: one of two groups is broken; the other takes the calls.
+#[test]
+fn calls_go_to_the_group_that_is_open() {
+    let mut bench = Bench::ready();
+    for name in ["other-0", "other-1"] {
+        bench.list(upstream(name, "drafting", Some("h")));
+    }
+    list_ranks(&mut bench, false);
+    for _ in 0..6 {
+        let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+        let attempt = sent(&effects, call).expect("an attempt");
+        assert!(attempt.instance.as_str().starts_with("other"));
+    }
+}
+
+/// Load pattern: plain upstreams are full one after the other; each answers
+/// for itself alone.
+#[test]
+fn plain_upstreams_are_never_closed_together() {
+    let mut bench = Bench::ready();
+    for _ in 0..4 {
+        let (call, effects) = bench.call("/look/1", 3_000);
+        refuse_each_attempt(&mut bench, call, effects);
+    }
+    let (call, effects) = bench.call("/look/1", 3_000);
+    assert!(sent(&effects, call).is_some());
+}
+
+/// Load pattern: a caller returns as it was told, and the group is still
+/// broken. It has little time left, so it waits for the group.
+#[test]
+fn a_caller_that_came_back_waits_for_the_group() {
+    let mut bench = Bench::ready();
+    list_ranks(&mut bench, false);
+    for _ in 0..2 {
+        let (first, effects) = bench.call("/draft/1", BUDGET_MS);
+        assert!(refused(&effects, first).is_some());
+    }
+    let (returned, effects) = bench.call("/draft/1", BUDGET_MS - 2_500);
+    assert!(refused(&effects, returned).is_none());
+    let effects = list_ranks(&mut bench, true);
+    assert!(sent(&effects, returned).is_some());
+}
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -2,5 +2,6 @@
 
 mod admission;
 mod at_most_once;
+mod broken_groups;
 mod support;
 mod under_load;
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -170,6 +170,15 @@
     })
 }
 
+/// Returns the calls that are sent among effects.
+pub(crate) fn sends(effects: &[DispatchEffect]) -> Vec<CallKey> {
+    let sent = effects.iter().filter_map(|effect| match effect {
+        DispatchEffect::Send { call, .. } => Some(*call),
+        _ => None,
+    });
+    sent.collect()
+}
+
 /// Returns the refusal of a call among effects.
 pub(crate) fn refused(effects: &[DispatchEffect], key: CallKey) -> Option<Refusal> {
     effects.iter().find_map(|effect| match effect {
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -1,6 +1,6 @@
 //! How calls wait, are refused and are placed when load is at its worst.
 
-use crate::support::{Bench, refused, sent, upstream};
+use crate::support::{Bench, refused, sends, sent, upstream};
 use egretstage_dispatch::{
     CallKey, DispatchEffect, DispatchEvent, LoadReport, RefusalKind, UpstreamLoad, UpstreamState,
 };
@@ -10,14 +10,6 @@
 /// Most streams that two ranks of twelve slots run.
 const SLOTS: usize = 24;
 
-fn sends(effects: &[DispatchEffect]) -> Vec<CallKey> {
-    let sent = effects.iter().filter_map(|effect| match effect {
-        DispatchEffect::Send { call, .. } => Some(*call),
-        _ => None,
-    });
-    sent.collect()
-}
-
 /// Load pattern: far more streams arrive at one moment than the group runs. Some
 /// wait; those for whom no place can come free in time are refused at once.
 #[test]
