--- a/crates/egretstage_dispatch/src/line.rs
+++ b/crates/egretstage_dispatch/src/line.rs
@@ -47,6 +47,13 @@
     /// Time since the call arrived, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub age_ms: Option<u64>,
+    /// Time from the arrival to the answer's first byte, or first event, in
+    /// milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub first_byte_ms: Option<u64>,
+    /// Longest pause between two events of the answer, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub longest_pause_ms: Option<u64>,
     /// When the caller is told to return, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -50,6 +50,9 @@
     unsent: u32,
     tried: SmallVec<[UpstreamKey; 2]>,
     maybe_ran: bool,
+    /// Time from the arrival to the first byte of the answer.
+    first_byte: Option<Duration>,
+    longest_pause: Duration,
 }
 
 /// Who calls, as far as the configuration tells.
@@ -129,6 +132,8 @@
             unsent: 0,
             tried: SmallVec::new(),
             maybe_ran: false,
+            first_byte: None,
+            longest_pause: Duration::ZERO,
             head,
             route,
         }
@@ -181,9 +186,11 @@
     }
 
     pub(super) fn first_byte(&mut self, now: Instant, key: CallKey, fx: &mut Vec<DispatchEffect>) {
-        let Some(call) = self.calls.get(&key) else {
+        let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
+        let passed = now.saturating_duration_since(call.arrived);
+        call.first_byte.get_or_insert(passed);
         if let Phase::Running { upstream, since } = call.phase {
             let after = now.saturating_duration_since(since);
             self.upstreams.answered(upstream, after, false);
@@ -192,9 +199,10 @@
     }
 
     pub(super) fn pause(&mut self, now: Instant, key: CallKey, pause: Duration) {
-        let Some(call) = self.calls.get(&key) else {
+        let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
+        call.longest_pause = call.longest_pause.max(pause);
         let Phase::Running { upstream, .. } = call.phase else {
             return;
         };
@@ -231,12 +239,15 @@
     ) {
         self.release(key);
         if let Some(call) = self.forget(key) {
+            let streamed = call.longest_pause > Duration::ZERO;
             fx.push(DispatchEffect::Log(Box::new(DecisionLine {
                 verb: "end",
                 request: Some(call.head.request),
                 reason: Some(if whole { "whole" } else { "caller-gone" }),
                 attempts: Some(call.attempts),
                 age_ms: Some(millis(now.saturating_duration_since(call.arrived))),
+                first_byte_ms: call.first_byte.map(millis),
+                longest_pause_ms: streamed.then(|| millis(call.longest_pause)),
                 ..DecisionLine::default()
             })));
             self.pump(now, &call.service, fx);
