Tell ranks the changes of a map instead of the whole map

A change of map took 370 to 400 ms from the plan to the hold, though a rank copies for 76 ms. With times of each order in a debug print: of 23 orders with the whole map (2.3 kB each) the first ten arrive, the others are lost in the queue of the decider's link of 8 Mbit/s, and are sent again after 250 ms, in each change.

Change: a companion remembers the last three maps that it was told; an order to prepare says which lists change in a map that the companion must know, with hashes of both maps, since versions could repeat after a lost history. A companion that doesn't know it says so and is sent the whole map. A wave's order takes under a kilobyte.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -5,12 +5,13 @@
 mod survey;
 
 use crate::{
-    EngineReport, FencedOrder, GroupShape, OrderEnd, PassLine, PassOrder, RankAddress, RankState,
+    EngineReport, ExpertsByRank, FencedChanges, FencedOrder, GroupShape, MapChanges, OrderEnd,
+    PassLine, PassOrder, RankAddress, RankState,
 };
-use egretstage_balance::ExpertId;
 use egretstage_wire::InstanceId;
 use rank_view::{InFlight, OrderEffect, RankView};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// Limits of a decider.
@@ -77,14 +78,28 @@
         /// The order.
         order: Box<FencedOrder>,
     },
+    /// Orders a rank's companion to prepare a map, told by its changes.
+    Changes {
+        /// The companion.
+        to: SocketAddr,
+        /// The decider's count of orders.
+        number: u64,
+        /// The order.
+        order: Box<FencedChanges>,
+    },
     /// Reads the report of an engine whose companion is silent.
     Look(SocketAddr),
     /// Writes a log line.
     Line(PassLine),
 }
 
-/// The experts of each rank, by layer.
-type ExpertsByRank = Vec<Vec<Vec<ExpertId>>>;
+/// The map that ranks shall prepare.
+#[derive(Clone, Debug)]
+struct NextMap {
+    layers: Rc<ExpertsByRank>,
+    /// What it changes of the map in use.
+    changes: Option<Rc<MapChanges>>,
+}
 
 /// How far a change of the map is.
 #[derive(Clone, Debug, strum::IntoStaticStr)]
@@ -97,7 +112,7 @@
     /// The ranks copy experts.
     Preparing {
         version: u64,
-        layers: ExpertsByRank,
+        map: NextMap,
         since: Instant,
     },
     /// A rank shall hold the group before a pass.
@@ -275,6 +290,7 @@
                     in_flight: None,
                     copying: None,
                     refused: 0,
+                    lacks_base: false,
                 });
             }
         }
@@ -336,9 +352,9 @@
             Phase::Idle => self.idle(now, &reports, out),
             Phase::Preparing {
                 version,
-                layers,
+                map,
                 since,
-            } => self.prepare(now, &reports, version, &layers, since, out),
+            } => self.prepare(now, &reports, version, &map, since, out),
             Phase::Holding { version, pass } => self.hold(now, &reports, version, pass, out),
             Phase::Arming { version, pass } => self.arm(now, &reports, version, pass, out),
             Phase::Disarming => self.disarm(now, &reports, out),
@@ -393,20 +409,86 @@
 
     /// Gives an order to a rank, unless one is under way there.
     fn order(&mut self, now: Instant, rank: u16, order: PassOrder, out: &mut Vec<RankOutput>) {
-        let timeout = self.limits.order_timeout;
-        let (fence, number) = (self.fence, self.orders + 1);
-        let fresh = self.limits.fresh;
-        let Some(Some(view)) = self.ranks.get_mut(usize::from(rank)) else {
+        let fence = self.fence;
+        let Some((way, number, view)) = self.begin_order(now, rank, OrderEffect::of(&order)) else {
             return;
         };
-        let waits = view
-            .in_flight
-            .is_some_and(|o| now.saturating_duration_since(o.since) < timeout);
-        if waits {
+        let report = &view.state.report;
+        out.push(RankOutput::Order {
+            way,
+            number,
+            order: Box::new(FencedOrder {
+                fence,
+                epoch: report.epoch,
+                accepted: report.accepted,
+                order,
+            }),
+        });
+    }
+
+    /// Orders a rank to prepare a map: by its changes, if its companion knows
+    /// the map in use.
+    fn order_map(
+        &mut self,
+        now: Instant,
+        rank: u16,
+        version: u64,
+        map: &NextMap,
+        out: &mut Vec<RankOutput>,
+    ) {
+        let (fence, own) = (self.fence, self.own_rank);
+        let effect = OrderEffect::Copies(version);
+        let Some((way, number, view)) = self.begin_order(now, rank, effect) else {
             return;
+        };
+        let report = &view.state.report;
+        let (epoch, accepted) = (report.epoch, report.accepted);
+        let changes = map.changes.as_ref().filter(|_| !view.lacks_base);
+        out.push(match (way, changes) {
+            (Way::Companion(to), Some(changes)) if rank != own => {
+                let changes = MapChanges::clone(changes);
+                RankOutput::Changes {
+                    to,
+                    number,
+                    order: Box::new(FencedChanges {
+                        fence,
+                        epoch,
+                        accepted,
+                        version,
+                        changes,
+                    }),
+                }
+            }
+            _ => {
+                let layers = ExpertsByRank::clone(&map.layers);
+                RankOutput::Order {
+                    way,
+                    number,
+                    order: Box::new(FencedOrder {
+                        fence,
+                        epoch,
+                        accepted,
+                        order: PassOrder::Prepare { version, layers },
+                    }),
+                }
+            }
+        });
+    }
+
+    /// Notes that an order is given to a rank, unless one is under way there.
+    fn begin_order(
+        &mut self,
+        now: Instant,
+        rank: u16,
+        effect: OrderEffect,
+    ) -> Option<(Way, u64, &RankView)> {
+        let (timeout, fresh) = (self.limits.order_timeout, self.limits.fresh);
+        let view = self.ranks.get_mut(usize::from(rank))?.as_mut()?;
+        let is_young = |order: &InFlight| now.saturating_duration_since(order.since) < timeout;
+        if view.in_flight.as_ref().is_some_and(is_young) {
+            return None;
         }
-        self.orders = number;
-        let effect = OrderEffect::of(&order);
+        self.orders += 1;
         let heard = view.companion_heard;
         let by_companion = heard.is_some_and(|at| now.saturating_duration_since(at) <= fresh);
         let way = if by_companion {
@@ -415,22 +497,12 @@
             Way::Engine(view.state.engine)
         };
         view.in_flight = Some(InFlight {
-            number,
+            number: self.orders,
             since: now,
             effect,
             direct: matches!(way, Way::Engine(_)),
         });
-        let report = &view.state.report;
-        out.push(RankOutput::Order {
-            way,
-            number,
-            order: Box::new(FencedOrder {
-                fence,
-                epoch: report.epoch,
-                accepted: report.accepted,
-                order,
-            }),
-        });
+        Some((way, self.orders, view))
     }
 }
 
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -1,8 +1,9 @@
 //! What a decider does in each phase of a change of the map.
 
-use super::{ExpertsByRank, MapDecider, Phase, RankOutput, VERSIONS_PER_FENCE};
-use crate::{EngineReport, PassLine, PassOrder};
+use super::{MapDecider, NextMap, Phase, RankOutput, VERSIONS_PER_FENCE};
+use crate::{EngineReport, ExpertsByRank, MapChanges, PassLine, PassOrder};
 use egretstage_balance::{EvenMap, WaveLimits, plan_wave};
+use std::rc::Rc;
 use std::time::Instant;
 
 impl MapDecider {
@@ -50,12 +51,17 @@
             skew_before: wave.skew_before,
             skew_after: wave.skew_after,
         }));
-        let layers = wave.layers.iter().map(EvenMap::by_rank).collect();
+        let by_rank = |maps: &[EvenMap]| maps.iter().map(EvenMap::by_rank).collect();
+        let layers: ExpertsByRank = by_rank(&wave.layers);
+        let map = NextMap {
+            changes: MapChanges::between(&by_rank(&maps), &layers).map(Rc::new),
+            layers: Rc::new(layers),
+        };
         let since = now;
         self.enter(
             Phase::Preparing {
                 version,
-                layers,
+                map,
                 since,
             },
             out,
@@ -103,7 +109,7 @@
         now: Instant,
         reports: &[EngineReport],
         version: u64,
-        layers: &ExpertsByRank,
+        map: &NextMap,
         since: Instant,
         out: &mut Vec<RankOutput>,
     ) {
@@ -120,13 +126,7 @@
         }
         for report in reports.iter().filter(|r| r.prepared != Some(version)) {
             if !self.is_copying(report.rank, version) {
-                let layers = layers.clone();
-                self.order(
-                    now,
-                    report.rank,
-                    PassOrder::Prepare { version, layers },
-                    out,
-                );
+                self.order_map(now, report.rank, version, map, out);
             }
         }
     }
--- a/crates/egretstage_passes/src/decider/rank_view.rs
+++ b/crates/egretstage_passes/src/decider/rank_view.rs
@@ -50,6 +50,8 @@
     /// The version whose copies the engine has begun.
     pub(super) copying: Option<u64>,
     pub(super) refused: u32,
+    /// Whether the companion lacks the map that the next one changes.
+    pub(super) lacks_base: bool,
 }
 
 /// Longest time by which a report read from another instance lags behind.
@@ -66,11 +68,16 @@
                 OrderEffect::Held(pass) => self.state.report.held = pass,
             }
         }
+        if end == OrderEnd::UnknownMap {
+            self.lacks_base = true;
+            return;
+        }
         if let OrderEffect::Copies(version) = order.effect
             && end != OrderEnd::Unanswered
         {
             // A refusal may mean that an order without an answer was accepted.
             self.copying = Some(version);
+            self.lacks_base = false;
         } else if end == OrderEnd::Refused {
             self.refused += 1;
             self.outdated_until = now;
--- a/crates/egretstage_passes/src/engine.rs
+++ b/crates/egretstage_passes/src/engine.rs
@@ -1,5 +1,6 @@
 //! What an engine reports and what it is ordered to do.
 
+use crate::{ExpertsByRank, MapChanges};
 use compact_str::CompactString;
 use egretstage_balance::ExpertId;
 use serde::{Deserialize, Serialize};
@@ -70,7 +71,7 @@
         version: u64,
         /// The experts of each rank, by layer.
         #[serde(with = "crate::packed")]
-        layers: Vec<Vec<Vec<ExpertId>>>,
+        layers: ExpertsByRank,
     },
     /// Switches to a prepared map as a pass begins.
     Arm {
@@ -110,6 +111,21 @@
     pub order: PassOrder,
 }
 
+/// An order to prepare a map that is told by its changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FencedChanges {
+    /// The decider's fencing number.
+    pub fence: u64,
+    /// The epoch for which the order is meant.
+    pub epoch: u64,
+    /// Orders that the engine must have accepted before.
+    pub accepted: u64,
+    /// The map's version.
+    pub version: u64,
+    /// What changes.
+    pub changes: MapChanges,
+}
+
 /// How an order ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
 #[serde(rename_all = "kebab-case")]
@@ -123,4 +139,7 @@
     Fenced,
     /// No answer came: it may take effect at any time.
     Unanswered,
+    /// The companion doesn't know the map that changes were based on; the
+    /// engine was ordered nothing.
+    UnknownMap,
 }
--- a/crates/egretstage_passes/src/lib.rs
+++ b/crates/egretstage_passes/src/lib.rs
@@ -28,6 +28,7 @@
 mod decider;
 mod demand;
 mod engine;
+mod map_changes;
 mod member;
 mod message;
 mod packed;
@@ -36,8 +37,10 @@
 pub use decider::{DeciderLimits, MapDecider, RankOutput, Way};
 pub use demand::{CountWindow, RecentLoads};
 pub use engine::{
-    EngineCounts, EngineReport, ExpertLists, FencedOrder, GroupShape, OrderEnd, PassOrder,
+    EngineCounts, EngineReport, ExpertLists, FencedChanges, FencedOrder, GroupShape, OrderEnd,
+    PassOrder,
 };
+pub use map_changes::{ExpertsByRank, KnownMaps, MapChanges};
 pub use member::{MemberEffect, MemberEvent, MemberLimits, MemberSettings, PassLine, PassMember};
 pub use message::{PassMessage, RankAddress, RankState};
 
--- /dev/null
+++ b/crates/egretstage_passes/src/map_changes.rs
@@ -0,0 +1,102 @@
+//! What changes from one expert map to the next.
+//!
+//! Load pattern: a map of 24 ranks and 16 layers takes over two kilobytes, and
+//! goes to each rank with each wave of copies. The queue of a link of a
+//! megabyte a second holds a dozen of them; those behind are lost, and each
+//! change waits until they are sent again. A wave changes a few lists only, so
+//! the ranks are told these.
+
+use egretstage_balance::ExpertId;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// The experts of each rank, by layer.
+pub type ExpertsByRank = Vec<Vec<Vec<ExpertId>>>;
+
+/// The difference of a map to one that the ranks know.
+///
+/// ```
+/// # use egretstage_balance::ExpertId;
+/// # use egretstage_passes::{KnownMaps, MapChanges};
+/// let lists = |first: u16| vec![vec![ExpertId(first)], vec![ExpertId(1)]];
+/// let (old, new) = (vec![lists(0), lists(0)], vec![lists(0), lists(1)]);
+/// let changes = MapChanges::between(&old, &new).expect("maps of one shape");
+///
+/// let mut known = KnownMaps::default();
+/// assert_eq!(known.apply(&changes), None);
+/// known.remember(old);
+/// assert_eq!(known.apply(&changes), Some(new));
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MapChanges {
+    /// Hash of the map that they change: a version alone could name two maps
+    /// after the platform's store has lost its history.
+    base: u64,
+    /// Hash of the map that they make.
+    result: u64,
+    /// The lists that are new, with their layers and ranks.
+    lists: Vec<(u16, u16, Vec<ExpertId>)>,
+}
+
+impl MapChanges {
+    /// Returns what changes between two maps; none if their shapes differ.
+    #[must_use]
+    pub fn between(old: &ExpertsByRank, new: &ExpertsByRank) -> Option<Self> {
+        if shape(old) != shape(new) {
+            return None;
+        }
+        let mut lists = Vec::new();
+        for (layer, (old, new)) in (0..).zip(old.iter().zip(new)) {
+            for (rank, (old, new)) in (0..).zip(old.iter().zip(new)) {
+                if old != new {
+                    lists.push((layer, rank, new.clone()));
+                }
+            }
+        }
+        Some(Self {
+            base: content_hash(old),
+            result: content_hash(new),
+            lists,
+        })
+    }
+}
+
+fn shape(map: &ExpertsByRank) -> impl PartialEq + '_ {
+    map.iter().map(Vec::len).collect::<Vec<_>>()
+}
+
+fn content_hash(map: &ExpertsByRank) -> u64 {
+    rapidhash::v3::rapidhash_v3(&crate::packed::pack(map).unwrap_or_default())
+}
+
+/// Maps that a companion remembers: the one in use, the one before it, and the
+/// one that is prepared.
+const REMEMBERED: usize = 3;
+
+/// The maps that a companion was told last.
+#[derive(Clone, Debug, Default)]
+pub struct KnownMaps(SmallVec<[(u64, ExpertsByRank); REMEMBERED]>);
+
+impl KnownMaps {
+    /// Remembers a map, and forgets the oldest.
+    pub fn remember(&mut self, map: ExpertsByRank) {
+        let hash = content_hash(&map);
+        self.0.retain(|(known, _)| *known != hash);
+        if self.0.len() == REMEMBERED {
+            self.0.remove(0);
+        }
+        self.0.push((hash, map));
+    }
+
+    /// Returns the map that changes make, if the one that they change is known.
+    #[must_use]
+    pub fn apply(&self, changes: &MapChanges) -> Option<ExpertsByRank> {
+        let (_, base) = self.0.iter().find(|(hash, _)| *hash == changes.base)?;
+        let mut map = base.clone();
+        for (layer, rank, list) in &changes.lists {
+            let ranks = map.get_mut(usize::from(*layer))?;
+            ranks.get_mut(usize::from(*rank))?.clone_from(list);
+        }
+        (content_hash(&map) == changes.result).then_some(map)
+    }
+}
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -7,8 +7,9 @@
 
 use crate::decider::Way;
 use crate::{
-    CountWindow, DeciderClaim, DeciderLimits, EngineReport, ExpertLists, GroupShape, MapDecider,
-    OrderEnd, PassMessage, RankAddress, RankOutput, RankState, RecentLoads,
+    CountWindow, DeciderClaim, DeciderLimits, EngineReport, ExpertLists, FencedOrder, GroupShape,
+    KnownMaps, MapDecider, OrderEnd, PassMessage, PassOrder, RankAddress, RankOutput, RankState,
+    RecentLoads,
 };
 use egretstage_runtime::Reducer;
 use egretstage_wire::InstanceId;
@@ -88,6 +89,8 @@
     /// Fencing number of the decider followed when the report was asked for.
     follows: u64,
     lists: Option<(u64, ExpertLists)>,
+    /// Maps that the decider told.
+    maps: KnownMaps,
     /// States that tell the lists, since they have changed.
     lists_until: u64,
     counts: CountWindow,
@@ -117,6 +120,7 @@
             states: 0,
             follows: 0,
             lists: None,
+            maps: KnownMaps::default(),
             lists_until: 0,
             recent_at: now,
             holder: None,
@@ -229,22 +233,24 @@
                 seats,
             } => self.heartbeat(now, *claim, fence, seats, fx),
             PassMessage::Order { number, order } => {
-                if order.fence < self.fence() {
-                    let done = PassMessage::OrderDone {
-                        number,
-                        end: OrderEnd::Fenced,
-                        state: None,
-                    };
-                    fx.push(MemberEffect::Send(from, Box::new(done)));
+                self.ordered(now, from, number, order, fx);
+            }
+            PassMessage::Changes { number, order } => {
+                let Some(layers) = self.maps.apply(&order.changes) else {
+                    let end = OrderEnd::UnknownMap;
+                    fx.push(not_carried_out(from, number, end));
                     return;
-                }
-                self.heard = now;
-                fx.push(MemberEffect::Order {
-                    engine: self.settings.engine,
-                    giver: Some(from),
-                    number,
-                    order,
-                });
+                };
+                let whole = FencedOrder {
+                    fence: order.fence,
+                    epoch: order.epoch,
+                    accepted: order.accepted,
+                    order: PassOrder::Prepare {
+                        version: order.version,
+                        layers,
+                    },
+                };
+                self.ordered(now, from, number, Box::new(whole), fx);
             }
             PassMessage::OrderDone { number, end, state } => {
                 if let Some(decider) = &mut self.decider {
@@ -257,6 +263,31 @@
         }
     }
 
+    /// Passes the decider's order to the own engine.
+    fn ordered(
+        &mut self,
+        now: Instant,
+        giver: SocketAddr,
+        number: u64,
+        order: Box<FencedOrder>,
+        fx: &mut Vec<MemberEffect>,
+    ) {
+        if order.fence < self.fence() {
+            fx.push(not_carried_out(giver, number, OrderEnd::Fenced));
+            return;
+        }
+        self.heard = now;
+        if let PassOrder::Prepare { layers, .. } = &order.order {
+            self.maps.remember(layers.clone());
+        }
+        fx.push(MemberEffect::Order {
+            engine: self.settings.engine,
+            giver: Some(giver),
+            number,
+            order,
+        });
+    }
+
     /// Hears of the decider, perhaps of a new one before its claim is read.
     fn heartbeat(
         &mut self,
@@ -357,6 +388,10 @@
         match output {
             RankOutput::Line(line) => MemberEffect::Log(line),
             RankOutput::Look(engine) => MemberEffect::Look(engine),
+            RankOutput::Changes { to, number, order } => {
+                let message = PassMessage::Changes { number, order };
+                MemberEffect::Send(to, Box::new(message))
+            }
             RankOutput::Order { way, number, order } => match way {
                 Way::Companion(to) if to != self.settings.address => {
                     let message = PassMessage::Order { number, order };
@@ -379,6 +414,13 @@
     }
 }
 
+/// Tells the decider that an order wasn't passed to the engine.
+fn not_carried_out(giver: SocketAddr, number: u64, end: OrderEnd) -> MemberEffect {
+    let state = None;
+    let done = PassMessage::OrderDone { number, end, state };
+    MemberEffect::Send(giver, Box::new(done))
+}
+
 impl Reducer for PassMember {
     type Event = MemberEvent;
     type Effect = MemberEffect;
--- a/crates/egretstage_passes/src/message.rs
+++ b/crates/egretstage_passes/src/message.rs
@@ -3,7 +3,9 @@
 //! States repeat until they are replaced, and orders until they are answered,
 //! so a datagram that is lost does no harm.
 
-use crate::{DeciderClaim, EngineReport, ExpertLists, FencedOrder, OrderEnd, RecentLoads};
+use crate::{
+    DeciderClaim, EngineReport, ExpertLists, FencedChanges, FencedOrder, OrderEnd, RecentLoads,
+};
 use egretstage_wire::InstanceId;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -64,6 +66,13 @@
         /// The order.
         order: Box<FencedOrder>,
     },
+    /// Decider to companion: an order to prepare a map, told by its changes.
+    Changes {
+        /// The decider's count of orders.
+        number: u64,
+        /// The order.
+        order: Box<FencedChanges>,
+    },
     /// Companion to decider: the end of an order.
     OrderDone {
         /// The decider's count of orders.
--- a/crates/egretstage_passes/src/packed.rs
+++ b/crates/egretstage_passes/src/packed.rs
@@ -1,30 +1,38 @@
-//! Packs the experts of all ranks into bytes: a map of 24 ranks and 16 layers
-//! goes to every rank with each change, over links that it would fill.
+//! Packs the experts of all ranks into bytes: a whole map goes to a rank that
+//! doesn't know the one before it, over a link that it would fill.
 
+use crate::ExpertsByRank;
 use egretstage_balance::ExpertId;
 use serde::{Deserialize, Deserializer, Serializer, de, ser};
 
-/// The experts of each rank, by layer.
-type ExpertsByRank = Vec<Vec<Vec<ExpertId>>>;
-
 /// Serializes a map as one byte string.
 ///
 /// # Errors
 ///
 /// Returns an error for more than 65,535 experts on a rank.
 pub(crate) fn serialize<S: Serializer>(map: &ExpertsByRank, s: S) -> Result<S::Ok, S::Error> {
+    let bytes = pack(map).map_err(ser::Error::custom)?;
+    s.serialize_bytes(&bytes)
+}
+
+/// Packs a map.
+///
+/// # Errors
+///
+/// Returns an error for more than 65,535 experts on a rank.
+pub(crate) fn pack(map: &ExpertsByRank) -> Result<Vec<u8>, std::num::TryFromIntError> {
     let mut bytes = Vec::new();
-    put(&mut bytes, map.len()).map_err(ser::Error::custom)?;
+    put(&mut bytes, map.len())?;
     for ranks in map {
-        put(&mut bytes, ranks.len()).map_err(ser::Error::custom)?;
+        put(&mut bytes, ranks.len())?;
         for experts in ranks {
-            put(&mut bytes, experts.len()).map_err(ser::Error::custom)?;
+            put(&mut bytes, experts.len())?;
             for expert in experts {
-                put(&mut bytes, usize::from(expert.0)).map_err(ser::Error::custom)?;
+                put(&mut bytes, usize::from(expert.0))?;
             }
         }
     }
-    s.serialize_bytes(&bytes)
+    Ok(bytes)
 }
 
 /// Deserializes a map from one byte string.
--- a/crates/egretstage_passes/tests/switches/main.rs
+++ b/crates/egretstage_passes/tests/switches/main.rs
@@ -6,6 +6,8 @@
 mod engine;
 mod world;
 
+use egretstage_balance::{EvenMap, WaveLimits, plan_wave};
+use egretstage_passes::{FencedChanges, MapChanges, PassMessage};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -57,6 +59,75 @@
     assert!(held > 0, "no decider froze while the group was held");
 }
 
+/// Load pattern: whole maps fill the queue of the decider's link and are lost.
+/// Ranks that know the map in use are told its changes.
+#[test]
+fn maps_change_while_whole_maps_are_lost() {
+    let mut world = World::new(4, true, false);
+    world.run_for(3 * SECOND);
+    world.faults.lost_whole_maps = true;
+    let mut switches = world.group.switches;
+    for hot in [9, 3, 12] {
+        world.group.shift(hot);
+        world.run_for(2 * SECOND);
+        assert!(
+            world.group.switches > switches,
+            "no switch for expert {hot}"
+        );
+        switches = world.group.switches;
+    }
+    // A companion that has just started knows no map: it needs a whole one.
+    let decider = world.decider().expect("a decider");
+    world.restart((decider + 1) % usize::from(engine::RANKS));
+    world.run_for(SECOND);
+    world.faults = Faults::default();
+    let switches = world.group.switches;
+    world.group.shift(6);
+    world.run_for(2 * SECOND);
+    assert!(world.group.switches > switches, "no switch after a restart");
+}
+
+/// Load pattern: the orders of one change go to 24 ranks at once, over a link
+/// of a megabyte a second whose queue holds 25 kilobytes.
+#[test]
+fn the_orders_of_a_wave_fit_the_queue_of_a_narrow_link() {
+    const QUEUE_BYTES: usize = 25_000;
+    let (ranks, layers, experts) = (24, 16_u16, 96);
+    let maps = vec![EvenMap::blocks(ranks, experts); usize::from(layers)];
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let loads: Vec<Vec<f64>> = (0..layers)
+        .map(|_| {
+            (0..experts)
+                .map(|_| rng.random_range(0.0..1.0_f64).powi(4))
+                .collect()
+        })
+        .collect();
+    let limits = WaveLimits {
+        copies_per_rank: 1,
+        copies_per_layer: 2,
+        slots_per_rank: 5,
+        min_gain: 0.01,
+    };
+    let wave = plan_wave(&maps, &loads, &limits).expect("a wave that pays");
+    assert!(wave.copies > 20, "{} copies", wave.copies);
+    let by_rank = |maps: &[EvenMap]| maps.iter().map(EvenMap::by_rank).collect::<Vec<_>>();
+    let changes = MapChanges::between(&by_rank(&maps), &by_rank(&wave.layers));
+    let message = PassMessage::Changes {
+        number: 1 << 20,
+        order: Box::new(FencedChanges {
+            fence: 1 << 20,
+            epoch: 9,
+            accepted: 1 << 20,
+            version: 1 << 40,
+            changes: changes.expect("maps of one shape"),
+        }),
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&message, &mut bytes).expect("it can be encoded");
+    let all = bytes.len() * usize::from(ranks);
+    assert!(all < QUEUE_BYTES, "{} bytes to each rank", bytes.len());
+}
+
 /// Loses the decider at each moment of a switch; returns how often the group
 /// was held then.
 fn lose_decider_at_each_tick(lose: fn(&mut World, usize)) -> u32 {
@@ -98,6 +169,7 @@
             lost_datagrams: [0.0, 0.1, 0.5][rng.random_range(0..3)],
             late_orders: [0.0, 0.35, 0.7][rng.random_range(0..3)],
             store_down: rng.random_bool(0.2),
+            lost_whole_maps: rng.random_bool(0.2),
         };
         world.group.shift(rng.random_range(0..16));
         let rank = rng.random_range(0..4);
--- a/crates/egretstage_passes/tests/switches/world.rs
+++ b/crates/egretstage_passes/tests/switches/world.rs
@@ -3,7 +3,7 @@
 use crate::engine::{EXPERTS, Group, LAYERS, RANKS};
 use egretstage_passes::{
     DeciderClaim, GroupShape, MemberEffect, MemberEvent, MemberLimits, MemberSettings, OrderEnd,
-    PassMember, PassMessage,
+    PassMember, PassMessage, PassOrder,
 };
 use egretstage_runtime::VirtualLoop;
 use rand::{Rng, SeedableRng};
@@ -24,6 +24,9 @@
     pub(crate) late_orders: f64,
     /// Whether the store can't be reached.
     pub(crate) store_down: bool,
+    /// Whether datagrams with a whole map are lost: the queue of a narrow link
+    /// holds few of them.
+    pub(crate) lost_whole_maps: bool,
 }
 
 /// What becomes of a companion's process.
@@ -258,7 +261,13 @@
     }
 
     fn send(&mut self, from: usize, to: SocketAddr, message: Box<PassMessage>) {
-        if self.rng.random_bool(self.faults.lost_datagrams) {
+        let is_whole_map = matches!(
+            &*message,
+            PassMessage::Order { order, .. } if matches!(order.order, PassOrder::Prepare { .. })
+        );
+        if (self.faults.lost_whole_maps && is_whole_map)
+            || self.rng.random_bool(self.faults.lost_datagrams)
+        {
             return;
         }
         let delay = self.rng.random_range(Duration::ZERO..MAX_DELAY);
