Let the decider know the map that it switched to

It had prepared that map itself.

Change: it plans from its own map as long as all ranks report its version; the lists serve a decider that takes over.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -143,6 +143,8 @@
     settled_at: Instant,
     look_at: Instant,
     phase: Phase,
+    /// The last map that was prepared at all ranks, with its version.
+    switched_to: Option<(u64, Rc<ExpertsByRank>)>,
     versions: u64,
     orders: u64,
     plan_at: Instant,
@@ -179,6 +181,7 @@
             own_rank: own.rank,
             ranks: vec![None; ranks],
             phase: Phase::Surveying,
+            switched_to: None,
             versions: 0,
             orders: 0,
             plan_at: now,
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -75,33 +75,47 @@
         u16::try_from(copies).unwrap_or(u16::MAX).max(1)
     }
 
-    /// Returns the map in use and the demand, by layer, once all ranks told.
+    /// Returns the map in use and the demand, by layer, once they are known.
     fn maps_and_loads(&self, reports: &[EngineReport]) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
-        let layers = usize::from(self.shape.layers);
+        let layers = self.own_map(reports).or_else(|| self.listed_map(reports))?;
+        let maps: Option<Vec<_>> = layers
+            .iter()
+            .map(|ranks| EvenMap::from_ranks(self.shape.experts, ranks))
+            .collect();
         let experts = usize::from(self.shape.experts);
+        let mut sums = vec![0.0; layers.len() * experts];
+        for recent in self.ranks.iter().flatten() {
+            if let Some(recent) = &recent.state.recent {
+                for (sum, load) in sums.iter_mut().zip(recent.loads()) {
+                    *sum += load;
+                }
+            }
+        }
+        let loads = sums.chunks(experts).map(<[f64]>::to_vec).collect();
+        Some((maps?, loads))
+    }
+
+    /// Returns the map in use if it is the one that this decider changed to.
+    fn own_map(&self, reports: &[EngineReport]) -> Option<ExpertsByRank> {
+        let (version, layers) = self.switched_to.as_ref()?;
+        let in_use = reports.iter().all(|report| report.map == *version);
+        in_use.then(|| ExpertsByRank::clone(layers))
+    }
+
+    /// Returns the map in use as the ranks list it, once all have.
+    fn listed_map(&self, reports: &[EngineReport]) -> Option<ExpertsByRank> {
+        let layers = usize::from(self.shape.layers);
         let mut held = vec![Vec::new(); layers];
-        let mut sums = vec![0.0; layers * experts];
         for (view, report) in self.ranks.iter().zip(reports) {
-            let state = &view.as_ref()?.state;
-            let (version, lists) = state.lists.as_ref()?;
+            let (version, lists) = view.as_ref()?.state.lists.as_ref()?;
             if *version != report.map || lists.len() != layers {
                 return None;
             }
             for (held, list) in held.iter_mut().zip(lists) {
                 held.push(list.clone());
             }
-            if let Some(recent) = &state.recent {
-                for (sum, load) in sums.iter_mut().zip(recent.loads()) {
-                    *sum += load;
-                }
-            }
         }
-        let maps: Option<Vec<_>> = held
-            .iter()
-            .map(|ranks| EvenMap::from_ranks(self.shape.experts, ranks))
-            .collect();
-        let loads = sums.chunks(experts).map(<[f64]>::to_vec).collect();
-        Some((maps?, loads))
+        Some(held)
     }
 
     pub(super) fn prepare(
@@ -115,6 +129,7 @@
     ) {
         if reports.iter().all(|r| r.prepared == Some(version)) {
             let pass = self.next_pass(reports);
+            self.switched_to = Some((version, Rc::clone(&map.layers)));
             self.enter(Phase::Holding { version, pass }, out);
             return self.wake(now, out);
         }
