Repeat orders to companions after 80 ms, and copy two experts a rank and wave

And with copies of 76 ms, most of a wave's 240 ms is orders and reports, not copies.

Change: an order to a companion is repeated after 80 ms (an engine's report lags, so orders straight to one still wait 250 ms); a rank may copy for 160 ms a wave, which is two experts on the grown sites and still one on the first ones.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -23,8 +23,13 @@
     /// Time after a takeover in which the predecessor may still give orders to
     /// engines whose companions are silent, and their reports lag.
     pub settle: Duration,
-    /// Time after which an order without an answer is given again.
+    /// Time after which an order to an engine, without an answer, is given
+    /// again: its report lags behind.
     pub order_timeout: Duration,
+    /// Time after which an order to a companion, without an answer, is given
+    /// again: several round trips between availability zones and the engine's
+    /// own answer. The group may be held meanwhile.
+    pub companion_timeout: Duration,
     /// Time beyond that of the copies after which they are given up.
     pub prepare_slack: Duration,
     /// Passes between the last one known and the one that is held.
@@ -47,10 +52,11 @@
             fresh: Duration::from_millis(500),
             settle: Duration::from_millis(500),
             order_timeout: Duration::from_millis(250),
+            companion_timeout: Duration::from_millis(80),
             prepare_slack: Duration::from_secs(1),
             lead: 1,
             plan_interval: Duration::from_millis(50),
-            copy_span: Duration::from_millis(100),
+            copy_span: Duration::from_millis(160),
             min_copy_gain: 0.04,
             min_skew_gain: 0.2,
         }
@@ -485,11 +491,17 @@
         rank: u16,
         effect: OrderEffect,
     ) -> Option<(Way, u64, &RankView)> {
-        let (timeout, fresh) = (self.limits.order_timeout, self.limits.fresh);
+        let fresh = self.limits.fresh;
         let view = self.ranks.get_mut(usize::from(rank))?.as_mut()?;
-        let is_young = |order: &InFlight| now.saturating_duration_since(order.since) < timeout;
-        if view.in_flight.as_ref().is_some_and(is_young) {
-            return None;
+        if let Some(order) = &view.in_flight {
+            let timeout = if order.direct {
+                self.limits.order_timeout
+            } else {
+                self.limits.companion_timeout
+            };
+            if now.saturating_duration_since(order.since) < timeout {
+                return None;
+            }
         }
         self.orders += 1;
         let heard = view.companion_heard;
