Bound streams for 0.82 of the longest pause; let those that came back go first

A group that runs fewer streams steps faster, so it starts nearly as many: with 440 instead of 540 the rate falls by 4 in 100, the pause by 15. Calls that came back as told waited behind new ones and were refused for good.

--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -24,7 +24,7 @@
 
 /// Share of the longest allowed pause for which the bound is made: the rest is
 /// for the way to the caller and for prompts that are read meanwhile.
-const TARGET_SHARE: f32 = 0.88;
+const TARGET_SHARE: f32 = 0.82;
 
 /// Multiple of the longest allowed pause above which a single pause tells of a
 /// stalled group, not of the cost of its streams.
--- a/crates/egretstage_dispatch/src/waiting.rs
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -1,9 +1,10 @@
 //! In which order calls wait, and when waiting is hopeless.
 //!
-//! Load pattern: for seconds more calls arrive than places come free. A call
-//! that still can be in time goes before one that can't; among equals the more
-//! urgent goes first, then the one that arrived first. Calls that are late
-//! already fill the places that nobody else could use.
+//! Load pattern: for seconds more calls arrive than places come free. The more
+//! urgent goes first. Among equals, one that was refused and came back as told
+//! goes before new ones: it has no third try. A call that still can be in time
+//! goes before one that can't, which fills the places that nobody else could
+//! use; then the one that arrived first.
 
 use crate::CallKey;
 use std::collections::{BTreeMap, HashMap};
@@ -13,10 +14,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Freshness {
-    /// It can still be answered in time.
-    InTime,
     /// It came back after a refusal, as it was told.
     Returned,
+    /// It can still be answered in time.
+    InTime,
     /// It waited until it could no longer be in time.
     Overdue,
 }
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -67,6 +67,31 @@
     assert!(told.iter().all(|t| *t <= Duration::from_millis(8_000 / 3)));
 }
 
+/// Load pattern: the group is full when a refused caller comes back as it was
+/// told, and new calls wait already.
+#[test]
+fn a_caller_that_came_back_goes_before_new_ones() {
+    let mut bench = Bench::ready();
+    let mut running = Vec::new();
+    let mut new = None;
+    while new.is_none() {
+        let (call, effects) = bench.call("/draft/1", 8_000);
+        if sent(&effects, call).is_some() {
+            running.push(call);
+        } else {
+            new = Some(call);
+        }
+    }
+    let (returned, effects) = bench.call("/draft/1", 5_500);
+    assert!(sent(&effects, returned).is_none(), "the group is full");
+    for next in [returned, new.expect("a call that waits")] {
+        let call = running.pop().expect("a stream that runs");
+        let whole = true;
+        let effects = bench.run.event(DispatchEvent::Ended { call, whole });
+        assert_eq!(sends(&effects), [next]);
+    }
+}
+
 /// Load pattern: pauses grow as other experts come into demand.
 #[test]
 fn fewer_streams_run_while_pauses_are_long() {
