--- a/crates/egretstage_control/src/args.rs
+++ b/crates/egretstage_control/src/args.rs
@@ -3,7 +3,7 @@
 use crate::Selection;
 use crate::settings::Places;
 use egretstage_config::suggest;
-use egretstage_wire::{OrganisationName, ServiceName};
+use egretstage_wire::{OrganisationName, RequestId, ServiceName};
 use miette::Diagnostic;
 use pico_args::Arguments;
 use std::ffi::OsString;
@@ -25,6 +25,8 @@
                                          dropped records and has no checkpoint
   egretctl status                        shows instances, runners and offsets
   egretctl explain ORGANISATION SERVICE  shows which rule and runners apply
+  egretctl story REQUEST [FILE...]       shows one request's log lines in order,
+                                         from files or standard input
 
 Options:
   --log URL        base URL of the platform's log service
@@ -46,8 +48,8 @@
   6  status: a node does not answer, lags, or can't read all objects";
 
 /// The names of the commands.
-const COMMANDS: [&str; 9] = [
-    "check", "apply", "get", "history", "diff", "upgrade", "reset", "status", "explain",
+const COMMANDS: [&str; 10] = [
+    "check", "apply", "get", "history", "diff", "upgrade", "reset", "status", "explain", "story",
 ];
 
 /// What the operator asks for.
@@ -78,6 +80,8 @@
     Status,
     /// Shows which rule and runners a request would meet.
     Explain(OrganisationName, ServiceName),
+    /// Shows the log lines of a request, from files or standard input.
+    Story(RequestId, Vec<PathBuf>),
 }
 
 /// A command with its options.
@@ -175,6 +179,12 @@
             checked(&free::<String>(args, "ORGANISATION")?)?,
             checked(&free::<String>(args, "SERVICE")?)?,
         ),
+        "story" => Command::Story(
+            checked(&free::<String>(args, "REQUEST")?)?,
+            std::iter::from_fn(|| args.opt_free_from_str().transpose())
+                .collect::<Result<_, pico_args::Error>>()
+                .map_err(|e| UsageError::new(&e))?,
+        ),
         other => {
             let allowed = suggest::allowed(other, COMMANDS.into_iter());
             let message = format!("unknown command {other:?}, allowed are {allowed}");
--- a/crates/egretstage_control/src/lib.rs
+++ b/crates/egretstage_control/src/lib.rs
@@ -12,6 +12,7 @@
 mod records;
 mod reset;
 mod settings;
+mod story;
 mod table;
 
 pub use apply::{Applied, ApplyError, Fate, RetryPolicy, publish};
@@ -23,14 +24,17 @@
 pub use records::{InvalidFile, Problem, RecordFile, parse_records, read_records};
 pub use reset::{ResetError, reset};
 pub use settings::{Places, SETTINGS_VARIABLE};
+pub use story::{Story, StoryLine, StoryReader};
 
 use egretstage_platform::{AppendLog, HttpAppendLog};
-use egretstage_wire::{OrganisationName, ServiceName};
-use miette::IntoDiagnostic;
+use egretstage_wire::{OrganisationName, RequestId, ServiceName};
+use miette::{Context, IntoDiagnostic};
 use serde::Serialize;
 use std::collections::BTreeSet;
-use std::ffi::OsString;
-use std::path::Path;
+use std::ffi::{OsStr, OsString};
+use std::fs::File;
+use std::io::BufReader;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use strum::FromRepr;
 
@@ -90,7 +94,7 @@
 fn try_run(args: Vec<OsString>) -> miette::Result<Exit> {
     let invocation = args::parse(args)?;
     let places = match invocation.command {
-        Command::Help | Command::Version => invocation.places,
+        Command::Help | Command::Version | Command::Story(..) => invocation.places,
         _ => invocation.places.complete(invocation.settings)?,
     };
     let tool = Tool {
@@ -112,6 +116,7 @@
         Command::Reset => tool.reset()?,
         Command::Status => return tool.status(),
         Command::Explain(organisation, service) => tool.explain(organisation, service)?,
+        Command::Story(request, files) => return tool.story(request, &files),
     }
     Ok(Exit::Done)
 }
@@ -258,6 +263,31 @@
         }
     }
 
+    fn story(&self, request: RequestId, files: &[PathBuf]) -> miette::Result<Exit> {
+        let mut reader = StoryReader::new(request);
+        if files.is_empty() {
+            reader
+                .read("-", std::io::stdin().lock())
+                .into_diagnostic()?;
+        }
+        for path in files {
+            let shown = path.display().to_string();
+            let name = path
+                .file_stem()
+                .map_or_else(|| shown.clone().into(), OsStr::to_string_lossy);
+            let file = File::open(path).into_diagnostic().wrap_err(shown.clone())?;
+            let read = reader.read(&name, BufReader::new(file));
+            read.into_diagnostic().wrap_err(shown)?;
+        }
+        let story = reader.finish();
+        self.print(&story, story::print_story);
+        if story.lines.is_empty() {
+            eprintln!("no line is about the request");
+            return Ok(Exit::Failed);
+        }
+        Ok(Exit::Done)
+    }
+
     fn explain(&self, organisation: OrganisationName, service: ServiceName) -> miette::Result<()> {
         let log = self.log()?;
         let view = LogView::open(&log).into_diagnostic()?;
--- a/tests/egretctl.rs
+++ b/tests/egretctl.rs
@@ -32,9 +32,10 @@
     let bad = fleet.write_file("bad.json", &bad.to_string());
     let stale = json!([{"kind": "service", "name": "booking", "schema": 2, "base": 0, "body": {}}]);
     let stale = fleet.write_file("stale.json", &stale.to_string());
-    let cases: [(&[&str], i32, &str); 10] = [
+    let cases: [(&[&str], i32, &str); 11] = [
         (&["--help"], 0, "Exit codes:"),
         (&["--version"], 0, "egretctl "),
+        (&["story", "r1", "/nowhere.log"], 1, "/nowhere.log"),
         (&["appply", &stale], 2, "did you mean apply?"),
         (&["apply", &stale], 2, "use --log URL"),
         (&["reset", "--log", &log], 2, "reset needs --yes"),
