--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -234,6 +234,7 @@
         self.expire(now, fx);
         if now >= self.tick_at {
             self.tick_at = now + self.limits.tick;
+            self.upstreams.forget_disowned(now);
             if self.peers.forget_silent(now) {
                 self.count_peer_calls();
             }
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -63,6 +63,15 @@
         if full && let Some(upstream) = upstream {
             self.group_refused(now, upstream, fx);
         }
+        let disowned = matches!(
+            end,
+            AttemptEnd::NotRun {
+                cause: NotRunCause::OtherUpstream
+            }
+        );
+        if disowned && let Some(upstream) = upstream {
+            self.upstreams.disowned(now, upstream);
+        }
         let step = match step {
             NextStep::Retry if out_of_tries => self.give_up(key),
             NextStep::Retry if !self.may_retry(key, end) => self.without_retry(key, end),
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -86,7 +86,7 @@
         } else {
             self.limits.plain_queue
         };
-        loads.iter().find_map(|load| {
+        let of_group = |load: &GroupLoad| {
             placement::choose(
                 &self.upstreams,
                 service,
@@ -102,7 +102,13 @@
                 },
                 self.incarnation ^ key.0,
             )
-        })
+        };
+        // The least used group may offer only what the call was sent to already.
+        let mut upstreams = loads.iter().filter_map(of_group);
+        let first = upstreams.next()?;
+        let is_new = |upstream: &UpstreamKey| !call.tried.contains(upstream);
+        let new = std::iter::once(first).chain(upstreams).find(is_new);
+        Some(new.unwrap_or(first))
     }
 
     pub(super) fn send(
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -6,7 +6,7 @@
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 new_key_type! {
     /// Identifies an upstream within an entry.
@@ -73,8 +73,15 @@
     pub failures: Ewma,
     /// Time to its recent answers in milliseconds.
     pub answer_ms: Ewma,
+    /// Until when no call is sent to it, since it said that it isn't the
+    /// upstream that its record names, or doesn't belong to the service.
+    disowned_until: Option<Instant>,
 }
 
+/// Time for which an upstream that disowns its record isn't called: one call
+/// an entry finds out whether it still does.
+const DISOWNED_FOR: Duration = Duration::from_secs(1);
+
 impl Upstream {
     fn new(listed: ListedUpstream) -> Self {
         Self {
@@ -83,6 +90,7 @@
             peer_calls: 0,
             failures: Ewma::new(FAILURE_WEIGHT),
             answer_ms: Ewma::new(ANSWER_TIME_WEIGHT),
+            disowned_until: None,
         }
     }
 
@@ -95,7 +103,7 @@
     /// Tells whether it takes new work.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.listed.state == UpstreamState::Ready
+        self.listed.state == UpstreamState::Ready && self.disowned_until.is_none()
     }
 
     /// Returns the name of its model group, empty if it is in none.
@@ -175,6 +183,22 @@
         self.arena.iter().filter(move |(_, u)| of_service(u))
     }
 
+    /// Notes that an upstream disowned its record when it was called.
+    pub fn disowned(&mut self, now: Instant, key: UpstreamKey) {
+        if let Some(upstream) = self.arena.get_mut(key) {
+            upstream.disowned_until = Some(now + DISOWNED_FOR);
+        }
+    }
+
+    /// Lets upstreams be called again that disowned their records a while ago.
+    pub fn forget_disowned(&mut self, now: Instant) {
+        for upstream in self.arena.values_mut() {
+            if upstream.disowned_until.is_some_and(|until| until <= now) {
+                upstream.disowned_until = None;
+            }
+        }
+    }
+
     /// Notes the end of an answer.
     pub fn answered(&mut self, key: UpstreamKey, after: Duration, failed: bool) {
         if let Some(upstream) = self.arena.get_mut(key) {
--- a/crates/egretstage_dispatch/tests/dispatch/broken_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/broken_groups.rs
@@ -131,6 +131,39 @@
     }
 }
 
+/// Load pattern: an address goes to another service, whose record is listed
+/// without a group; what answers there refuses each call as not meant for it.
+/// Having no calls, it is the least used of all.
+#[test]
+fn an_upstream_that_disowns_its_record_gets_one_call_a_second() {
+    let mut bench = Bench::ready();
+    for _ in 0..4 {
+        bench.call("/draft/1", BUDGET_MS);
+    }
+    bench.list(upstream("stray", "drafting", None));
+    let mut strays = 0;
+    for _ in 0..100 {
+        bench.run.advance(Duration::from_millis(20));
+        let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+        let mut attempt = sent(&effects, call).expect("an attempt");
+        if attempt.instance.as_str() == "stray" {
+            strays += 1;
+            let cause = NotRunCause::OtherUpstream;
+            let end = AttemptEnd::NotRun { cause };
+            let effects = bench.run.event(DispatchEvent::AttemptEnded { call, end });
+            attempt = sent(&effects, call).expect("a second attempt");
+        }
+        assert!(
+            attempt.instance.as_str().starts_with("rank"),
+            "it runs at a rank"
+        );
+        bench.run.event(DispatchEvent::FirstByte { call });
+        let whole = true;
+        bench.run.event(DispatchEvent::Ended { call, whole });
+    }
+    assert!((1..=3).contains(&strays), "{strays} calls in two seconds");
+}
+
 /// Load pattern: plain upstreams are full one after the other; each answers
 /// for itself alone.
 #[test]
