Bind listeners, read feeds and build outage cases in one place each

Listeners with a large backlog were bound by three copies of one function; the three feeds of an entry passed the same five arguments around; benches and tests built the outage case twice each. No behaviour changes.

--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -5,8 +5,8 @@
 //! `cache`, `faults`, `storm`, and `own` for the product's own policy alone.
 
 use egretstage_standins::queueing::{
-    CallerHabit, Fault, FaultAt, Figures, Mechanisms, PolicyKind, Scenario, Site, booking_site,
-    drafting_site, simulate, target_site,
+    Fault, Figures, Mechanisms, OUTAGE, PolicyKind, Scenario, Site, booking_site, drafting_site,
+    simulate, target_site,
 };
 use std::time::Duration;
 
@@ -149,13 +149,7 @@
         ("a zone is lost", Fault::ZoneLost { zone: 1 }),
     ];
     for (name, fault) in cases {
-        let scenario = Scenario {
-            faults: vec![FaultAt {
-                at: FAULT_AT,
-                fault,
-            }],
-            ..Scenario::steady(site.clone(), 0.6, SEED)
-        };
+        let scenario = Scenario::steady(site.clone(), 0.6, SEED).with_fault(FAULT_AT, fault);
         table(
             &format!("{}: load 0.6, {name} after 30 s", site.name),
             &scenario,
@@ -164,22 +158,8 @@
 }
 
 fn storm(site: &Site) {
-    let end = FAULT_AT + Duration::from_secs(10);
-    let scenario = Scenario {
-        faults: vec![
-            FaultAt {
-                at: FAULT_AT,
-                fault: Fault::AllLost,
-            },
-            FaultAt {
-                at: end,
-                fault: Fault::AllBack,
-            },
-        ],
-        habit: CallerHabit::AskAgain(8),
-        duration: Duration::from_mins(2),
-        ..Scenario::steady(site.clone(), 0.8, SEED)
-    };
+    let end = FAULT_AT + OUTAGE;
+    let scenario = Scenario::steady(site.clone(), 0.8, SEED).with_outage(FAULT_AT);
     println!(
         "\n{}: load 0.8, 10 s outage, callers ask again up to 8 times",
         site.name
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -20,6 +20,22 @@
 /// Longest budget that settings may allow, in milliseconds: a day.
 const MAX_BUDGET_MS: u64 = 86_400_000;
 
+/// Where the other instances of a role reach this one.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeersSettings {
+    /// Address for datagrams (UDP).
+    pub listen: SocketAddr,
+}
+
+/// The platform's store, for daemons that use it alone.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
 /// Settings that every daemon has.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! The entry as a process.
 
-use crate::http::{Answers, CallerServer, bind};
+use crate::http::{Answers, CallerServer};
 use crate::meters::EntryMeters;
 use crate::owners_append::{self, OwnersAppend};
 use crate::{DecisionLine, EntryEffect, EntryEvent, EntryLimits, EntryReducer, feeds};
@@ -14,12 +14,13 @@
 use egretstage_platform::{HttpAppendLog, HttpInstanceList};
 use egretstage_relay::{Relay, RelayNews};
 use egretstage_routing::{PredictedFirstToken, PredictionLimits};
-use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
+use egretstage_runtime::{EventLoop, EventSender, bind_listener, on_stop_signal};
 use egretstage_wire::{Frame, Hello, Incarnation, InstanceId, PROTOCOL_VERSION, Role};
 use miette::{IntoDiagnostic, WrapErr};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 
@@ -93,7 +94,8 @@
     let server = CallerServer::new(events, answers, incarnation, &settings.callers);
     runtime.block_on(async move {
         let address = settings.callers.listen;
-        let listener = bind(address)
+        let listener = bind_listener(address)
+            .and_then(TcpListener::from_std)
             .into_diagnostic()
             .wrap_err_with(|| format!("callers' address {address} can't be used"))?;
         log::info!(address:display = address; "entry started");
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -16,7 +16,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -25,9 +24,6 @@
 use tokio::sync::{Semaphore, watch};
 use tokio::time::timeout;
 
-/// Connections that wait to be accepted; the default of 128 drops bursts.
-const LISTEN_BACKLOG: i32 = 4096;
-
 /// Longest wait for the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -327,25 +323,6 @@
     let _ = stop.wait_for(|stop| *stop).await.is_ok();
 }
 
-/// Binds a listener whose backlog holds a burst of connections.
-///
-/// # Errors
-///
-/// Returns the system's error when the address can't be used.
-pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    use socket2::{Domain, Protocol, Socket, Type};
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
-    TcpListener::from_std(socket.into())
-}
-
 fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     let value = headers.get(name)?;
     Some(String::from_utf8_lossy(value.as_bytes()).into_owned())
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -3,7 +3,7 @@
 use crate::dialect::Platform;
 use crate::driver::{Driver, LoggedDecision, Outlets};
 use crate::exchange::Gateway;
-use crate::feeds::{self, FeedNews};
+use crate::feeds::{Feed, FeedNews};
 use crate::meters::GatewayMeters;
 use crate::peers::{self, PeerAddresses};
 use crate::record_relay::{self, RecordBoard};
@@ -13,13 +13,13 @@
 use egretstage_dispatch::{DispatchEvent, DispatchLimits, Dispatcher};
 use egretstage_observe::{AdminServer, DecisionLog, Health, Metrics};
 use egretstage_platform::KeyedStore;
-use egretstage_runtime::on_stop_signal;
+use egretstage_runtime::{bind_listener, on_stop_signal};
 use egretstage_wire::InstanceId;
 use miette::{IntoDiagnostic, WrapErr};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -81,7 +81,8 @@
         closing: closing_rx,
     });
     let address = settings.callers.listen;
-    let listener = server::bind(address)
+    let listener = bind_listener(address)
+        .and_then(TcpListener::from_std)
         .into_diagnostic()
         .wrap_err_with(|| format!("callers' address {address} can't be used"))?;
     let admin = settings.callers.admin_listen;
@@ -100,7 +101,8 @@
         addresses_rx,
     ));
     spawn_local(peers::receive_reports(socket, Rc::clone(&driver)));
-    let records = server::bind(settings.peers.listen).into_diagnostic()?;
+    let records = bind_listener(settings.peers.listen).and_then(TcpListener::from_std);
+    let records = records.into_diagnostic()?;
     spawn_local(record_relay::show(records, board.clone()));
     spawn_local(take_news(news_rx, Rc::clone(&driver), addresses, board));
     spawn_local(close_idle_connections(close_idle_rx, pool));
@@ -128,22 +130,20 @@
     board: &RecordBoard,
     news: &UnboundedSender<FeedNews>,
 ) -> miette::Result<()> {
-    let (own, address) = (settings.instance.clone(), settings.peers.listen);
-    let (client, tx, decode) = (store(), news.clone(), Arc::clone(decoder));
-    let shown = board.clone();
+    let feed = || Feed {
+        store: store(),
+        board: board.clone(),
+        tx: news.clone(),
+    };
+    let (reader, decode) = (feed(), Arc::clone(decoder));
     spawn("configuration", move || {
-        feeds::follow_configuration(&*client, &*decode, &shown, &tx);
-    })?;
-    let (client, tx, decode) = (store(), news.clone(), Arc::clone(decoder));
-    let shown = board.clone();
-    spawn("upstreams", move || {
-        feeds::follow_upstreams(&*client, &*decode, &shown, &tx);
+        reader.follow_configuration(&*decode);
     })?;
-    let (client, tx) = (store(), news.clone());
-    let shown = board.clone();
-    spawn("entries", move || {
-        feeds::follow_entries(&*client, &own, address, &shown, &tx);
-    })
+    let (reader, decode) = (feed(), Arc::clone(decoder));
+    spawn("upstreams", move || reader.follow_upstreams(&*decode))?;
+    let (own, address) = (settings.instance.clone(), settings.peers.listen);
+    let reader = feed();
+    spawn("entries", move || reader.follow_entries(&own, address))
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> miette::Result<()> {
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -36,76 +36,84 @@
     Entry(CompactString, SocketAddr),
 }
 
-/// Follows a topic for as long as somebody listens.
-fn follow(
-    topic: KeyedTopic,
-    store: &dyn KeyedStore,
+/// A reader of the store, with where it passes on what it reads.
+pub(crate) struct Feed {
+    pub(crate) store: Box<dyn KeyedStore>,
+    pub(crate) board: RecordBoard,
+    pub(crate) tx: UnboundedSender<FeedNews>,
+}
+
+/// When a topic is read again.
+#[derive(Clone, Copy)]
+struct Pace {
+    /// How long the store may wait for a change.
     wait: Duration,
+    /// Time between two reads.
     pause: Duration,
-    board: &RecordBoard,
-    tx: &UnboundedSender<FeedNews>,
-    mut news: impl FnMut(KeyedChange) -> Option<FeedNews>,
-) {
-    let mut follower = KeyedFollower::new(topic);
-    let mut peers = PeerRecords::new(board.clone(), topic);
-    let mut reachable = true;
-    let name: &'static str = topic.into();
-    loop {
-        let was_caught_up = follower.is_caught_up();
-        let (changes, pause) = match follower.poll(Instant::now(), store, wait) {
-            Ok(changes) => {
-                if !reachable {
-                    log::info!(dependency = "store", topic = name; "regained");
-                    reachable = true;
+}
+
+impl Feed {
+    /// Follows a topic for as long as somebody listens.
+    fn follow(
+        &self,
+        topic: KeyedTopic,
+        pace: Pace,
+        mut news: impl FnMut(KeyedChange) -> Option<FeedNews>,
+    ) {
+        let mut follower = KeyedFollower::new(topic);
+        let mut peers = PeerRecords::new(self.board.clone(), topic);
+        let mut reachable = true;
+        let name: &'static str = topic.into();
+        loop {
+            let was_caught_up = follower.is_caught_up();
+            let (changes, pause) = match follower.poll(Instant::now(), &*self.store, pace.wait) {
+                Ok(changes) => {
+                    if !reachable {
+                        log::info!(dependency = "store", topic = name; "regained");
+                        reachable = true;
+                    }
+                    self.board.read(topic, &changes);
+                    (
+                        changes,
+                        if was_caught_up {
+                            pace.pause
+                        } else {
+                            Duration::ZERO
+                        },
+                    )
                 }
-                board.read(topic, &changes);
-                (changes, if was_caught_up { pause } else { Duration::ZERO })
-            }
-            Err(e) => {
-                if reachable {
-                    log_lost(name, &e);
-                    reachable = false;
+                Err(e) => {
+                    if reachable {
+                        log_lost(name, &e);
+                        reachable = false;
+                    }
+                    let told = peers.ask();
+                    if !told.is_empty() {
+                        follower.served_elsewhere();
+                    }
+                    (told, RETRY_DELAY)
                 }
-                let told = peers.ask();
-                if !told.is_empty() {
-                    follower.served_elsewhere();
+            };
+            for change in changes {
+                if let Some(news) = news(change)
+                    && self.tx.send(news).is_err()
+                {
+                    return;
                 }
-                (told, RETRY_DELAY)
             }
-        };
-        for change in changes {
-            if let Some(news) = news(change)
-                && tx.send(news).is_err()
-            {
-                return;
+            if !pause.is_zero() {
+                std::thread::sleep(pause);
             }
         }
-        if !pause.is_zero() {
-            std::thread::sleep(pause);
-        }
     }
-}
 
-fn log_lost(topic: &str, e: &PlatformError) {
-    log::warn!(dependency = "store", topic = topic, error:display = e; "lost");
-}
-
-/// Follows the configuration.
-pub(crate) fn follow_configuration(
-    store: &dyn KeyedStore,
-    decoder: &dyn RecordDecoder,
-    board: &RecordBoard,
-    tx: &UnboundedSender<FeedNews>,
-) {
-    let topic = KeyedTopic::Configuration;
-    follow(
-        topic,
-        store,
-        CONFIGURATION_WAIT,
-        Duration::ZERO,
-        board,
-        tx,
-        |change| {
+    /// Follows the configuration.
+    pub(crate) fn follow_configuration(&self, decoder: &dyn RecordDecoder) {
+        let pace = Pace {
+            wait: CONFIGURATION_WAIT,
+            pause: Duration::ZERO,
+        };
+        self.follow(KeyedTopic::Configuration, pace, |change| {
             let KeyedChange::Put { key, value, .. } = change else {
                 return None;
             };
@@ -116,33 +124,51 @@
                     None
                 }
             }
-        },
-    );
-}
+        });
+    }
 
-/// Follows the upstreams.
-pub(crate) fn follow_upstreams(
-    store: &dyn KeyedStore,
-    decoder: &dyn RecordDecoder,
-    board: &RecordBoard,
-    tx: &UnboundedSender<FeedNews>,
-) {
-    let topic = KeyedTopic::Upstreams;
-    follow(
-        topic,
-        store,
-        Duration::ZERO,
-        UPSTREAMS_INTERVAL,
-        board,
-        tx,
-        |change| {
+    /// Follows the upstreams.
+    pub(crate) fn follow_upstreams(&self, decoder: &dyn RecordDecoder) {
+        let pace = Pace {
+            wait: Duration::ZERO,
+            pause: UPSTREAMS_INTERVAL,
+        };
+        self.follow(KeyedTopic::Upstreams, pace, |change| {
             let event = match change {
                 KeyedChange::Put { key, value, .. } => listed(decoder, &key, &value)?,
                 KeyedChange::Removed(key) => unlisted(&key)?,
             };
             Some(FeedNews::Event(event))
-        },
-    );
+        });
+    }
+
+    /// Tells the others where this entry is, then follows where they are.
+    pub(crate) fn follow_entries(&self, own: &InstanceId, address: SocketAddr) {
+        let record = KeyedRecord {
+            key: own.as_str().into(),
+            value: Some(address.to_string().into_bytes()),
+            offset: 0,
+        };
+        while let Err(e) = self.store.put(KeyedTopic::Entries, &record) {
+            log::warn!(error:display = e; "this entry isn't announced yet");
+            std::thread::sleep(RETRY_DELAY);
+        }
+        let pace = Pace {
+            wait: ENTRIES_WAIT,
+            pause: Duration::ZERO,
+        };
+        self.follow(KeyedTopic::Entries, pace, |change| {
+            let KeyedChange::Put { key, value, .. } = change else {
+                return None;
+            };
+            let address = std::str::from_utf8(&value).ok()?.parse().ok()?;
+            (key != own.as_str()).then_some(FeedNews::Entry(key, address))
+        });
+    }
+}
+
+fn log_lost(topic: &str, e: &PlatformError) {
+    log::warn!(dependency = "store", topic = topic, error:display = e; "lost");
 }
 
 /// Reads an upstream's record; one that can't be read names no upstream.
@@ -159,38 +185,3 @@
 fn unlisted(key: &str) -> Option<DispatchEvent> {
     InstanceId::try_from(key).ok().map(DispatchEvent::Unlisted)
 }
-
-/// Tells the others where this entry is, then follows where they are.
-pub(crate) fn follow_entries(
-    store: &dyn KeyedStore,
-    own: &InstanceId,
-    address: SocketAddr,
-    board: &RecordBoard,
-    tx: &UnboundedSender<FeedNews>,
-) {
-    let record = KeyedRecord {
-        key: own.as_str().into(),
-        value: Some(address.to_string().into_bytes()),
-        offset: 0,
-    };
-    while let Err(e) = store.put(KeyedTopic::Entries, &record) {
-        log::warn!(error:display = e; "this entry isn't announced yet");
-        std::thread::sleep(RETRY_DELAY);
-    }
-    let topic = KeyedTopic::Entries;
-    follow(
-        topic,
-        store,
-        ENTRIES_WAIT,
-        Duration::ZERO,
-        board,
-        tx,
-        |change| {
-            let KeyedChange::Put { key, value, .. } = change else {
-                return None;
-            };
-            let address = std::str::from_utf8(&value).ok()?.parse().ok()?;
-            (key != own.as_str()).then_some(FeedNews::Entry(key, address))
-        },
-    );
-}
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -3,16 +3,11 @@
 use crate::exchange::Gateway;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Protocol, Socket, Type};
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Connections that wait to be accepted; the usual 128 drops bursts.
-const LISTEN_BACKLOG: i32 = 4096;
-
 /// Pause after a connection that couldn't be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -27,21 +22,6 @@
 /// otherwise; also the least that the HTTP library takes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
-/// Binds a listener whose backlog holds a burst of connections.
-///
-/// # Errors
-///
-/// Returns the system's error when the address can't be used.
-pub(crate) fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let domain = Domain::for_address(address);
-    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
-    TcpListener::from_std(socket.into())
-}
-
 /// Accepts callers' connections for as long as the process runs.
 pub(crate) async fn accept(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
--- a/crates/egretstage_gateway/src/settings.rs
+++ b/crates/egretstage_gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of an entry that calls upstreams itself.
 
 use compact_str::format_compact;
-use egretstage_config::settings::{Bounded, Clash, SettingsFile};
+use egretstage_config::settings::{Bounded, Clash, PeersSettings, SettingsFile, StoreSettings};
 use egretstage_wire::{InstanceId, ZoneName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -34,22 +34,6 @@
     pub admin_listen: SocketAddr,
 }
 
-/// Where the other entries reach this one.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PeersSettings {
-    /// Address for load reports (UDP).
-    pub listen: SocketAddr,
-}
-
-/// The platform's store.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct StoreSettings {
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 /// Time that the platform gives to a planned stop, in milliseconds: at least
 /// a second, at most an hour.
 type GraceMillis = Bounded<1_000, 3_600_000>;
--- a/crates/egretstage_rank_companion/src/settings.rs
+++ b/crates/egretstage_rank_companion/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a companion beside a rank.
 
 use compact_str::format_compact;
-use egretstage_config::settings::{Clash, SettingsFile};
+use egretstage_config::settings::{Clash, PeersSettings, SettingsFile, StoreSettings};
 use egretstage_wire::{InstanceId, ServiceName};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -32,22 +32,6 @@
     pub address: SocketAddr,
 }
 
-/// Where the other companions reach this one.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PeersSettings {
-    /// Address for datagrams (UDP).
-    pub listen: SocketAddr,
-}
-
-/// The platform's store.
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct StoreSettings {
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 impl SettingsFile for RankCompanionSettings {
     fn check(&self) -> Result<(), Clash> {
         if self.admin_listen == self.peers.listen {
--- a/crates/egretstage_runtime/src/lib.rs
+++ b/crates/egretstage_runtime/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod actor;
 mod event_loop;
+mod listener;
 mod local_loop;
 mod reducer;
 mod signals;
 mod virtual_loop;
 
 pub use event_loop::{EventLoop, EventSender};
+pub use listener::bind_listener;
 pub use local_loop::LocalLoop;
 pub use reducer::{EffectSink, Reducer};
 pub use signals::{on_settings_signal, on_stop_signal};
--- a/crates/egretstage_standins/src/queueing.rs
+++ b/crates/egretstage_standins/src/queueing.rs
@@ -20,7 +20,7 @@
 
 pub use figures::Figures;
 pub use options::{
-    CallerHabit, Fault, FaultAt, Mechanisms, OrganisationShape, PolicyKind, Scenario, Site,
+    CallerHabit, Fault, FaultAt, Mechanisms, OUTAGE, OrganisationShape, PolicyKind, Scenario, Site,
 };
 pub use scenario::{booking_site, drafting_site, target_site};
 pub use world::simulate;
--- a/crates/egretstage_standins/src/queueing/options.rs
+++ b/crates/egretstage_standins/src/queueing/options.rs
@@ -221,6 +221,9 @@
     pub seed: u64,
 }
 
+/// How long all runners are lost in an outage.
+pub const OUTAGE: Duration = Duration::from_secs(10);
+
 impl Scenario {
     /// Returns an undisturbed run at a load, with entries that learn of caches
     /// from their own calls alone, as the product's do.
@@ -239,4 +242,24 @@
             seed,
         }
     }
+
+    /// Adds a fault at a time of the run.
+    #[must_use]
+    pub fn with_fault(mut self, at: Duration, fault: Fault) -> Self {
+        self.faults.push(FaultAt { at, fault });
+        self
+    }
+
+    /// Loses all runners for [`OUTAGE`], while callers ask again up to eight
+    /// times, and runs long enough to see the load come back.
+    #[must_use]
+    pub fn with_outage(self, at: Duration) -> Self {
+        Self {
+            habit: CallerHabit::AskAgain(8),
+            duration: Duration::from_mins(2),
+            ..self
+                .with_fault(at, Fault::AllLost)
+                .with_fault(at + OUTAGE, Fault::AllBack)
+        }
+    }
 }
--- a/crates/egretstage_standins/src/server.rs
+++ b/crates/egretstage_standins/src/server.rs
@@ -1,5 +1,6 @@
 //! The HTTP server that the stand-ins share.
 
+use egretstage_runtime::bind_listener;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -18,9 +19,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::Receiver;
 
-/// Connections that wait to be accepted.
-const LISTEN_BACKLOG: i32 = 4096;
-
 /// A request that has arrived whole.
 #[derive(Debug)]
 pub struct Call {
@@ -112,7 +110,7 @@
 ///
 /// Returns the system's error when the address can't be used.
 pub fn serve<H: StandInHandler>(address: SocketAddr, handler: Arc<H>) -> io::Result<SocketAddr> {
-    let listener = bind(address)?;
+    let listener = TcpListener::from_std(bind_listener(address)?)?;
     let address = listener.local_addr()?;
     tokio::spawn(async move {
         loop {
@@ -132,20 +130,6 @@
     Ok(address)
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    use socket2::{Domain, Protocol, Socket, Type};
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
-    TcpListener::from_std(socket.into())
-}
-
 /// The client gets no answer: its connection is closed.
 #[derive(Debug, thiserror::Error)]
 #[error("the stand-in closed the connection")]
--- a/tests/policy_bounds.rs
+++ b/tests/policy_bounds.rs
@@ -4,8 +4,7 @@
 //! 95 in 100, small organisations not starved, back within seconds.
 
 use egretstage_standins::queueing::{
-    CallerHabit, Fault, FaultAt, Mechanisms, PolicyKind, Scenario, booking_site, drafting_site,
-    simulate,
+    Fault, Mechanisms, OUTAGE, PolicyKind, Scenario, booking_site, drafting_site, simulate,
 };
 use std::time::Duration;
 
@@ -90,13 +89,8 @@
     ];
     for seed in SEEDS {
         for fault in faults {
-            let scenario = Scenario {
-                faults: vec![FaultAt {
-                    at: FAULT_AT,
-                    fault,
-                }],
-                ..short(Scenario::steady(drafting_site(), 0.6, seed))
-            };
+            let scenario = Scenario::steady(drafting_site(), 0.6, seed);
+            let scenario = short(scenario).with_fault(FAULT_AT, fault);
             let figures = simulate(&scenario, Mechanisms::own());
             assert!(figures.on_time() >= MOST, "seed {seed}, {fault:?}");
         }
@@ -105,23 +99,10 @@
 
 #[test]
 fn after_an_outage_the_share_on_time_is_back_within_seconds() {
-    let end = FAULT_AT + Duration::from_secs(10);
+    let end = FAULT_AT + OUTAGE;
     for seed in SEEDS {
-        let scenario = Scenario {
-            faults: vec![
-                FaultAt {
-                    at: FAULT_AT,
-                    fault: Fault::AllLost,
-                },
-                FaultAt {
-                    at: end,
-                    fault: Fault::AllBack,
-                },
-            ],
-            habit: CallerHabit::AskAgain(8),
-            duration: Duration::from_mins(2),
-            ..short(Scenario::steady(drafting_site(), 0.8, seed))
-        };
+        let scenario = Scenario::steady(drafting_site(), 0.8, seed);
+        let scenario = short(scenario).with_outage(FAULT_AT);
         let figures = simulate(&scenario, Mechanisms::own());
         let back = figures.recovery(end, MOST);
         let limit = Duration::from_secs(30);
