Let authority and counts of a model group fit narrow links at 64 ranks

Cause: heartbeats held the addresses of all ranks and went to all of them ten times a second (2 MB/s at 63 ranks on a link of 1 MB/s); whole maps to all ranks followed at one moment, and each rank told its whole state and all counts twenty times a second.

Change: a heartbeat is a few bytes and names two ranks' addresses in turn; a state that still holds is told by its number, the more ranks the more seldom; counts take half a byte an expert and a fixed share of the link, some layers at a time; maps and their changes are packed and paced to half of the link, and are repeated only when all had their time; an order that was accepted is answered without the rank's state. A companion that hears nothing asks three others before it takes over, follows the delays that it sees, and takes its own stalls for what they are; a decider that hears nobody stands down.

Ruled out: suspicion alone.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -1,15 +1,17 @@
 //! Decides when a group changes to which expert map.
 
 mod orders;
+mod pacing;
 mod phases;
 mod rank_view;
 mod survey;
 
 use crate::{
-    EngineReport, ExpertsByRank, FencedChanges, FencedOrder, GroupShape, MapChanges, OrderEnd,
-    PassLine, RankAddress, RankState,
+    EngineReport, ExpertsByRank, FencedChanges, FencedOrder, GroupDemand, GroupShape, MapChanges,
+    OrderEnd, PassLine, RankAddress, RankState, RecentLoads, Seats,
 };
 use egretstage_wire::InstanceId;
+use pacing::Pacer;
 use rank_view::RankView;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,10 +35,15 @@
     pub companion_timeout: Duration,
     /// Time beyond that of the copies after which they are given up.
     pub prepare_slack: Duration,
+    /// What the maps that are sent to companions may take of the decider's
+    /// link: what lives and what is held must not wait behind them.
+    pub map_bytes_per_s: u32,
     /// Passes between the last one known and the one that is held.
     pub lead: u64,
-    /// Time between two looks at the demand.
+    /// Least time between two looks at the demand.
     pub plan_interval: Duration,
+    /// Least age up to which what a rank told of its demand counts.
+    pub demand_age: Duration,
     /// Time that a rank copies for one map: a fraction of the time for which
     /// a demand lasts. A rank makes at least one copy.
     pub copy_span: Duration,
@@ -55,8 +62,10 @@
             order_timeout: Duration::from_millis(250),
             companion_timeout: Duration::from_millis(80),
             prepare_slack: Duration::from_secs(1),
+            map_bytes_per_s: 400_000,
             lead: 1,
             plan_interval: Duration::from_millis(50),
+            demand_age: Duration::from_millis(400),
             copy_span: Duration::from_millis(160),
             min_copy_gain: 0.04,
             min_skew_gain: 0.2,
@@ -104,6 +113,8 @@
 #[derive(Clone, Debug)]
 struct NextMap {
     layers: Rc<ExpertsByRank>,
+    /// Bytes of the whole map in an order.
+    whole_bytes: usize,
     /// What it changes of the map in use.
     changes: Option<Rc<MapChanges>>,
 }
@@ -132,6 +143,19 @@
     Releasing,
 }
 
+/// What a companion tells while nothing but the pass changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StillState {
+    /// The start of the companion.
+    pub incarnation: u64,
+    /// Counts on from the states of this start.
+    pub number: u64,
+    /// Number of the state that still holds.
+    pub state: u64,
+    /// The last pass that was begun.
+    pub pass: u64,
+}
+
 /// Decides when a group changes to which expert map.
 #[derive(Debug)]
 pub struct MapDecider {
@@ -145,6 +169,12 @@
     ranks: Vec<Option<RankView>>,
     /// Where the ranks are reached, as far as known.
     seats: Vec<Option<RankAddress>>,
+    /// The rank whose seat is told next.
+    next_seat: usize,
+    demand: GroupDemand,
+    pacer: Pacer,
+    /// When another companion was last heard; at first the takeover.
+    heard_others: Instant,
     /// When a report that was read from another instance tells what an earlier
     /// decider left.
     settled_at: Instant,
@@ -187,6 +217,10 @@
             instance,
             own_rank: own.rank,
             ranks: vec![None; ranks],
+            next_seat: 0,
+            demand: GroupDemand::new(own.ranks, shape.layers, shape.experts),
+            pacer: Pacer::new(now, limits.map_bytes_per_s),
+            heard_others: now,
             phase: Phase::Surveying,
             switched_to: None,
             versions: 0,
@@ -209,15 +243,36 @@
         self.superseded
     }
 
-    /// Returns where the companions of the ranks are reached.
-    pub fn companions(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.seats.iter().flatten().map(|seat| seat.companion)
+    /// Returns where the companions of the ranks are reached, and whether each
+    /// is known to follow this decider.
+    pub fn companions(&self) -> impl Iterator<Item = (SocketAddr, bool)> + '_ {
+        let seats = self.seats.iter().zip(&self.ranks);
+        seats.filter_map(|(seat, view)| {
+            let follows = view.as_ref().map_or(0, |view| view.state.follows);
+            Some((seat.as_ref()?.companion, follows == self.fence))
+        })
+    }
+
+    /// Returns where the next few ranks are reached: all are told in turn.
+    pub fn next_seats(&mut self) -> Seats {
+        let mut seats = Seats::new();
+        for _ in 0..self.seats.len() {
+            let rank = self.next_seat;
+            self.next_seat = (rank + 1) % self.seats.len();
+            if let (Some(seat), Ok(rank)) = (self.seats[rank], u16::try_from(rank)) {
+                seats.push((rank, seat));
+            }
+            if seats.len() == seats.inline_size() {
+                break;
+            }
+        }
+        seats
     }
 
-    /// Returns where the ranks are reached, as far as known.
+    /// Returns when another companion was last heard; at first the takeover.
     #[must_use]
-    pub fn seats(&self) -> &[Option<RankAddress>] {
-        &self.seats
+    pub fn heard_others(&self) -> Instant {
+        self.heard_others
     }
 
     /// Takes in the state that a companion tells of its rank.
@@ -234,10 +289,43 @@
                 engine: state.engine,
             });
         }
+        let number = state.number;
         self.take(now, state, false);
+        if let Some(Some(view)) = self.ranks.get_mut(rank) {
+            view.told = (view.state.number == number).then_some(number);
+        }
+        self.heard(now, rank);
+    }
+
+    /// Notes that a companion tells that an earlier state of its rank holds.
+    pub fn still(&mut self, now: Instant, rank: u16, still: StillState) {
+        let rank = usize::from(rank);
+        let Some(Some(view)) = self.ranks.get_mut(rank) else {
+            return;
+        };
+        if view.state.incarnation != still.incarnation || view.state.number >= still.number {
+            return;
+        }
+        if view.told == Some(still.state) {
+            view.state.number = still.number;
+            view.state.report.pass = view.state.report.pass.max(still.pass);
+            view.received = now;
+        }
+        self.heard(now, rank);
+    }
+
+    /// Takes in what the requests of a rank chose of late.
+    pub fn counted(&mut self, now: Instant, rank: u16, loads: &RecentLoads) {
+        self.demand.take(now, rank, loads);
+    }
+
+    fn heard(&mut self, now: Instant, rank: usize) {
         if let Some(Some(view)) = self.ranks.get_mut(rank) {
             view.companion_heard = Some(now);
         }
+        if rank != usize::from(self.own_rank) {
+            self.heard_others = now;
+        }
     }
 
     /// Takes in the report of an engine whose companion is silent.
@@ -261,9 +349,13 @@
             report,
             follows: 0,
             lists: None,
-            recent: None,
         };
+        let rank = usize::from(state.report.rank);
         self.take(now, state, true);
+        if let Some(Some(view)) = self.ranks.get_mut(rank) {
+            // What the companion told no longer is what is known.
+            view.told = None;
+        }
     }
 
     /// Takes in a report; from another instance it lags behind the engine.
@@ -280,13 +372,8 @@
                     view.copying = None;
                     view.refused = 0;
                 }
-                let recent = state.recent.clone().or_else(|| view.state.recent.take());
                 let lists = state.lists.clone().or_else(|| view.state.lists.take());
-                view.state = RankState {
-                    lists,
-                    recent,
-                    ..state
-                };
+                view.state = RankState { lists, ..state };
                 view.received = now;
                 view.settled |= settled;
             }
@@ -301,11 +388,23 @@
                     copying: None,
                     refused: 0,
                     lacks_base: false,
+                    told: None,
+                    map_sent: None,
                 });
             }
         }
     }
 
+    /// Takes in a companion's answer to an order, given after so many states:
+    /// those are older than the order's effect, whenever they arrive.
+    pub fn order_answered(&mut self, now: Instant, number: u64, end: OrderEnd, states: u64) {
+        let ended = |view: &&mut RankView| view.in_flight.is_some_and(|o| o.number == number);
+        if let Some(view) = self.ranks.iter_mut().flatten().find(ended) {
+            view.state.number = view.state.number.max(states);
+        }
+        self.order_done(now, number, end, None);
+    }
+
     /// Takes in the end of an order, with the engine's report afterwards.
     pub fn order_done(
         &mut self,
--- a/crates/egretstage_passes/src/decider/orders.rs
+++ b/crates/egretstage_passes/src/decider/orders.rs
@@ -33,6 +33,9 @@
 
     /// Orders a rank to prepare a map: by its changes, if its companion knows
     /// the map in use.
+    ///
+    /// An order without an answer is repeated only when the orders of all
+    /// ranks have had their time on the link.
     pub(super) fn order_map(
         &mut self,
         now: Instant,
@@ -41,43 +44,62 @@
         map: &NextMap,
         out: &mut Vec<RankOutput>,
     ) {
+        if !self.pacer.is_free(now) || self.is_map_on_its_way(now, rank, version, map) {
+            return;
+        }
         let (fence, own) = (self.fence, self.own_rank);
         let effect = OrderEffect::Copies(version);
         let Some((way, number, view)) = self.begin_order(now, rank, effect) else {
             return;
         };
+        view.map_sent = Some(version);
         let report = &view.state.report;
         let (epoch, accepted) = (report.epoch, report.accepted);
         let changes = map.changes.as_ref().filter(|_| !view.lacks_base);
-        out.push(match (way, changes) {
+        let (output, bytes) = match (way, changes) {
             (Way::Companion(to), Some(changes)) if rank != own => {
                 let changes = MapChanges::clone(changes);
-                RankOutput::Changes {
-                    to,
-                    number,
-                    order: Box::new(FencedChanges {
-                        fence,
-                        epoch,
-                        accepted,
-                        version,
-                        changes,
-                    }),
-                }
+                let bytes = changes.bytes();
+                let order = Box::new(FencedChanges {
+                    fence,
+                    epoch,
+                    accepted,
+                    version,
+                    changes,
+                });
+                (RankOutput::Changes { to, number, order }, bytes)
             }
             _ => {
                 let layers = ExpertsByRank::clone(&map.layers);
-                RankOutput::Order {
-                    way,
-                    number,
-                    order: Box::new(FencedOrder {
-                        fence,
-                        epoch,
-                        accepted,
-                        order: PassOrder::Prepare { version, layers },
-                    }),
-                }
+                let order = Box::new(FencedOrder {
+                    fence,
+                    epoch,
+                    accepted,
+                    order: PassOrder::Prepare { version, layers },
+                });
+                let bytes = if rank == own { 0 } else { map.whole_bytes };
+                (RankOutput::Order { way, number, order }, bytes)
             }
-        });
+        };
+        out.push(output);
+        if bytes > 0 {
+            self.pacer.sent(now, bytes);
+        }
+    }
+
+    /// Tells whether a map was sent to a rank and its answer may still come.
+    fn is_map_on_its_way(&self, now: Instant, rank: u16, version: u64, map: &NextMap) -> bool {
+        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
+        let Some((view, order)) = view.and_then(|view| Some((view, view.in_flight?))) else {
+            return false;
+        };
+        let to_all = self.pacer.time_for(map.bytes(), self.rank_count());
+        view.map_sent == Some(version)
+            && now.saturating_duration_since(order.since) < self.limits.companion_timeout + to_all
+    }
+
+    pub(super) fn rank_count(&self) -> u32 {
+        u32::try_from(self.ranks.len()).unwrap_or(u32::MAX)
     }
 
     /// Notes that an order is given to a rank, unless one is under way there.
@@ -86,7 +108,7 @@
         now: Instant,
         rank: u16,
         effect: OrderEffect,
-    ) -> Option<(Way, u64, &RankView)> {
+    ) -> Option<(Way, u64, &mut RankView)> {
         let fresh = self.limits.fresh;
         let view = self.ranks.get_mut(usize::from(rank))?.as_mut()?;
         if let Some(order) = &view.in_flight {
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -4,7 +4,19 @@
 use crate::{EngineReport, ExpertsByRank, MapChanges, PassLine, PassOrder};
 use egretstage_balance::{EvenMap, WaveLimits, plan_wave};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time between two looks at the demand for each rank: a plan takes time that
+/// grows with them, of an instance's small share of a core.
+const PLAN_TIME_PER_RANK: Duration = Duration::from_millis(2);
+
+impl NextMap {
+    /// Returns the bytes that most ranks are sent.
+    pub(super) fn bytes(&self) -> usize {
+        let changes = self.changes.as_ref().map(|changes| changes.bytes());
+        changes.unwrap_or(self.whole_bytes)
+    }
+}
 
 impl MapDecider {
     pub(super) fn idle(
@@ -23,8 +35,9 @@
         if now < self.plan_at {
             return;
         }
-        self.plan_at = now + self.limits.plan_interval;
-        let Some((maps, loads)) = self.maps_and_loads(reports) else {
+        let time_for_ranks = PLAN_TIME_PER_RANK * self.rank_count();
+        self.plan_at = now + self.limits.plan_interval.max(time_for_ranks);
+        let Some((maps, loads)) = self.maps_and_loads(now, reports) else {
             return;
         };
         let limits = WaveLimits {
@@ -55,6 +68,7 @@
         let layers: ExpertsByRank = by_rank(&wave.layers);
         let map = NextMap {
             changes: MapChanges::between(&by_rank(&maps), &layers).map(Rc::new),
+            whole_bytes: crate::packed::pack(&layers).map_or(0, |packed| packed.len()),
             layers: Rc::new(layers),
         };
         let since = now;
@@ -76,22 +90,17 @@
     }
 
     /// Returns the map in use and the demand, by layer, once they are known.
-    fn maps_and_loads(&self, reports: &[EngineReport]) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
+    fn maps_and_loads(
+        &self,
+        now: Instant,
+        reports: &[EngineReport],
+    ) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
         let layers = self.own_map(reports).or_else(|| self.listed_map(reports))?;
         let maps: Option<Vec<_>> = layers
             .iter()
             .map(|ranks| EvenMap::from_ranks(self.shape.experts, ranks))
             .collect();
-        let experts = usize::from(self.shape.experts);
-        let mut sums = vec![0.0; layers.len() * experts];
-        for recent in self.ranks.iter().flatten() {
-            if let Some(recent) = &recent.state.recent {
-                for (sum, load) in sums.iter_mut().zip(recent.loads()) {
-                    *sum += load;
-                }
-            }
-        }
-        let loads = sums.chunks(experts).map(<[f64]>::to_vec).collect();
+        let loads = self.demand.loads(now, self.limits.demand_age);
         Some((maps?, loads))
     }
 
@@ -134,18 +143,27 @@
             return self.wake(now, out);
         }
         let copies = self.shape.copy_time * u32::from(self.copies_per_rank());
-        let limit = self.limits.prepare_slack + copies;
+        let on_the_way = self.pacer.time_for(map.bytes(), self.rank_count());
+        let limit = self.limits.prepare_slack + copies + on_the_way;
         if now.saturating_duration_since(since) > limit {
             // Copies that nobody switches to change nothing.
             return self.enter(Phase::Idle, out);
         }
-        for report in reports.iter().filter(|r| r.prepared != Some(version)) {
-            if !self.is_copying(report.rank, version) {
-                self.order_map(now, report.rank, version, map, out);
-            }
+        let missing = reports.iter().filter(|r| r.prepared != Some(version));
+        let missing = missing.map(|report| report.rank);
+        let mut missing: Vec<u16> = missing.filter(|r| !self.is_copying(*r, version)).collect();
+        // Those that were sent the map already wait behind those that weren't.
+        missing.sort_by_key(|rank| self.was_sent(*rank, version));
+        for rank in missing {
+            self.order_map(now, rank, version, map, out);
         }
     }
 
+    fn was_sent(&self, rank: u16, version: u64) -> bool {
+        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
+        view.is_some_and(|view| view.map_sent == Some(version))
+    }
+
     /// Tells whether a rank has begun the copies of a version.
     fn is_copying(&self, rank: u16, version: u64) -> bool {
         let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
--- a/crates/egretstage_passes/src/decider/rank_view.rs
+++ b/crates/egretstage_passes/src/decider/rank_view.rs
@@ -52,6 +52,11 @@
     pub(super) refused: u32,
     /// Whether the companion lacks the map that the next one changes.
     pub(super) lacks_base: bool,
+    /// Number of the state that the companion told, as long as nothing else
+    /// was learnt of the rank.
+    pub(super) told: Option<u64>,
+    /// The version that the companion was last ordered to prepare.
+    pub(super) map_sent: Option<u64>,
 }
 
 /// Longest time by which a report read from another instance lags behind.
@@ -61,6 +66,7 @@
     /// Takes over the end of an order, before a report shows its effect.
     pub(super) fn ended(&mut self, now: Instant, order: &InFlight, end: OrderEnd) {
         if end == OrderEnd::Accepted {
+            self.told = None;
             self.outdated_until = now + REPORT_LAG;
             match order.effect {
                 OrderEffect::Copies(_) => {}
--- a/crates/egretstage_passes/src/demand.rs
+++ b/crates/egretstage_passes/src/demand.rs
@@ -5,43 +5,78 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// Largest value of a scaled load.
-const FULL_SCALE: f64 = 255.0;
+/// Largest value of a scaled load: one half of a byte.
+const FULL_SCALE: f32 = 15.0;
 
-/// How often a rank's requests chose each expert of late, in one byte each.
+/// Every so manieth layer, beginning with one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LayerSlice {
+    /// The first layer.
+    pub first: u16,
+    /// Layers from one to the next.
+    pub stride: u16,
+}
+
+impl LayerSlice {
+    /// All layers.
+    pub const WHOLE: Self = Self {
+        first: 0,
+        stride: 1,
+    };
+
+    fn layers(self) -> impl Iterator<Item = usize> {
+        (usize::from(self.first)..).step_by(usize::from(self.stride.max(1)))
+    }
+}
+
+/// How often a rank's requests chose each expert of some layers of late.
+///
+/// Half a byte an expert holds the square root of its share of the largest
+/// count: the plan needs the hot experts well and the others roughly.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RecentLoads {
-    /// Choices for each step of the scale.
-    pub scale: f32,
-    /// Layer by layer, expert by expert.
+    slice: LayerSlice,
+    /// The largest count.
+    most: f32,
+    /// Layer by layer, expert by expert, the lower half of a byte first.
     #[serde(with = "serde_bytes")]
-    pub scaled: Vec<u8>,
+    scaled: Vec<u8>,
 }
 
 impl RecentLoads {
-    /// Scales counts to bytes.
+    /// Scales the counts of some of the layers, each of so many experts.
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
-        reason = "the values are scaled to a byte"
+        reason = "the values are scaled to half a byte"
     )]
-    pub fn new(counts: &[u64]) -> Self {
-        let most = counts.iter().copied().max().unwrap_or(0).max(1) as f64;
-        let scale = most / FULL_SCALE;
+    pub fn new(counts: &[u64], experts: u16, slice: LayerSlice) -> Self {
+        let layers: Vec<&[u64]> = counts.chunks(usize::from(experts.max(1))).collect();
+        let told = slice.layers().map_while(|layer| layers.get(layer));
+        let told: Vec<u64> = told.flat_map(|counts| counts.iter().copied()).collect();
+        let most = told.iter().copied().max().unwrap_or(0).max(1) as f32;
+        let scale = |count: &u64| (FULL_SCALE * (*count as f32 / most).sqrt()).round() as u8;
+        let halves = told.chunks(2);
+        let byte = |pair: &[u64]| scale(&pair[0]) | pair.get(1).map_or(0, scale) << 4;
         Self {
-            scale: scale as f32,
-            scaled: counts.iter().map(|c| (*c as f64 / scale) as u8).collect(),
+            slice,
+            most,
+            scaled: halves.map(byte).collect(),
         }
     }
 
-    /// Returns the load of each expert.
-    pub fn loads(&self) -> impl Iterator<Item = f64> + '_ {
-        let scale = f64::from(self.scale);
-        self.scaled
-            .iter()
-            .map(move |value| f64::from(*value) * scale)
+    /// Returns the loads of each layer that is told, with the layer's number.
+    pub fn by_layer(&self, experts: usize) -> impl Iterator<Item = (usize, Vec<f32>)> {
+        let halves = self.scaled.iter().flat_map(|byte| [byte & 0xf, byte >> 4]);
+        let share = |half: u8| f32::from(half) / FULL_SCALE;
+        let loads: Vec<f32> = halves.map(|half| share(half).powi(2) * self.most).collect();
+        let whole: Vec<Vec<f32>> = loads
+            .chunks_exact(experts.max(1))
+            .map(<[f32]>::to_vec)
+            .collect();
+        self.slice.layers().zip(whole)
     }
 }
 
@@ -83,9 +118,10 @@
         }
     }
 
-    /// Returns what was chosen in the window, if anything was.
+    /// Returns what was chosen in the window in some layers, each of so many
+    /// experts, if anything was.
     #[must_use]
-    pub fn recent(&self) -> Option<RecentLoads> {
+    pub fn recent(&self, experts: u16, slice: LayerSlice) -> Option<RecentLoads> {
         let (_, first) = self.samples.front()?;
         let (_, last) = self.samples.back()?;
         let pairs = last.counts.iter().zip(&first.counts);
@@ -93,6 +129,6 @@
         counts
             .iter()
             .any(|count| *count > 0)
-            .then(|| RecentLoads::new(&counts))
+            .then(|| RecentLoads::new(&counts, experts, slice))
     }
 }
--- a/crates/egretstage_passes/src/lib.rs
+++ b/crates/egretstage_passes/src/lib.rs
@@ -28,21 +28,25 @@
 mod decider;
 mod demand;
 mod engine;
+mod group_demand;
 mod map_changes;
 mod member;
 mod message;
 mod packed;
+mod silence;
 
 pub use claim::DeciderClaim;
-pub use decider::{DeciderLimits, MapDecider, RankOutput, Way};
-pub use demand::{CountWindow, RecentLoads};
+pub use decider::{DeciderLimits, MapDecider, RankOutput, StillState, Way};
+pub use demand::{CountWindow, LayerSlice, RecentLoads};
 pub use engine::{
     EngineCounts, EngineReport, ExpertLists, FencedChanges, FencedOrder, GroupShape, OrderEnd,
     PassOrder,
 };
 pub use map_changes::{ExpertsByRank, KnownMaps, MapChanges};
 pub use member::{MemberEffect, MemberEvent, MemberLimits, MemberSettings, PassLine, PassMember};
-pub use message::{PassMessage, RankAddress, RankState};
+pub use group_demand::GroupDemand;
+pub use message::{PassMessage, RankAddress, RankState, Seats};
+pub use silence::SilenceLimit;
 
 /// The items that most users of this crate need.
 pub mod prelude {
--- a/crates/egretstage_passes/src/map_changes.rs
+++ b/crates/egretstage_passes/src/map_changes.rs
@@ -6,6 +6,7 @@
 //! change waits until they are sent again. A wave changes a few lists only, so
 //! the ranks are told these.
 
+use crate::packed;
 use egretstage_balance::ExpertId;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -34,8 +35,9 @@
     base: u64,
     /// Hash of the map that they make.
     result: u64,
-    /// The lists that are new, with their layers and ranks.
-    lists: Vec<(u16, u16, Vec<ExpertId>)>,
+    /// The lists that are new, with their layers and ranks, packed.
+    #[serde(with = "serde_bytes")]
+    lists: Vec<u8>,
 }
 
 impl MapChanges {
@@ -46,10 +48,12 @@
             return None;
         }
         let mut lists = Vec::new();
-        for (layer, (old, new)) in (0..).zip(old.iter().zip(new)) {
-            for (rank, (old, new)) in (0..).zip(old.iter().zip(new)) {
+        for (layer, (old, new)) in old.iter().zip(new).enumerate() {
+            for (rank, (old, new)) in old.iter().zip(new).enumerate() {
                 if old != new {
-                    lists.push((layer, rank, new.clone()));
+                    packed::put(&mut lists, layer).ok()?;
+                    packed::put(&mut lists, rank).ok()?;
+                    packed::put_experts(&mut lists, new).ok()?;
                 }
             }
         }
@@ -59,6 +63,12 @@
             lists,
         })
     }
+
+    /// Returns the size of the lists that they hold.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.lists.len()
+    }
 }
 
 fn shape(map: &ExpertsByRank) -> impl PartialEq + '_ {
@@ -66,7 +76,7 @@
 }
 
 fn content_hash(map: &ExpertsByRank) -> u64 {
-    rapidhash::v3::rapidhash_v3(&crate::packed::pack(map).unwrap_or_default())
+    rapidhash::v3::rapidhash_v3(&packed::pack(map).unwrap_or_default())
 }
 
 /// Maps that a companion remembers: the one in use, the one before it, and the
@@ -93,9 +103,12 @@
     pub fn apply(&self, changes: &MapChanges) -> Option<ExpertsByRank> {
         let (_, base) = self.0.iter().find(|(hash, _)| *hash == changes.base)?;
         let mut map = base.clone();
-        for (layer, rank, list) in &changes.lists {
-            let ranks = map.get_mut(usize::from(*layer))?;
-            ranks.get_mut(usize::from(*rank))?.clone_from(list);
+        let mut rest = changes.lists.as_slice();
+        while !rest.is_empty() {
+            let (layer, rank) = (packed::take(&mut rest)?, packed::take(&mut rest)?);
+            let experts = packed::experts(&mut rest)?;
+            let ranks = map.get_mut(usize::from(layer))?;
+            *ranks.get_mut(usize::from(rank))? = experts;
         }
         (content_hash(&map) == changes.result).then_some(map)
     }
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -2,31 +2,23 @@
 
 mod claims;
 mod event;
+mod liveness;
+mod telling;
 
 pub use event::{MemberEffect, MemberEvent, PassLine};
+use telling::Telling;
 
 use crate::decider::Way;
 use crate::{
     CountWindow, DeciderClaim, DeciderLimits, EngineReport, ExpertLists, FencedOrder, GroupShape,
-    KnownMaps, MapDecider, OrderEnd, PassMessage, PassOrder, RankAddress, RankOutput, RankState,
-    RecentLoads,
+    KnownMaps, MapDecider, OrderEnd, PassMessage, PassOrder, RankAddress, RankOutput, SilenceLimit,
+    StillState,
 };
 use egretstage_runtime::Reducer;
 use egretstage_wire::InstanceId;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// States that tell the rank's experts after they have changed: a datagram may
-/// be lost.
-const LISTS_AT_FIRST: u64 = 4;
-
-/// One in so many later states tells them again.
-const LISTS_EVERY: u64 = 10;
-
-/// Time that a byte of the ranks' counts takes of the decider's link: a small
-/// part of the slowest links, of one megabyte a second.
-const COUNTS_TIME_PER_BYTE: Duration = Duration::from_micros(6);
-
 /// Times of a member.
 #[derive(Clone, Copy, Debug)]
 pub struct MemberLimits {
@@ -34,14 +26,25 @@
     pub report_interval: Duration,
     /// Time between two looks at the own engine's counts.
     pub counts_interval: Duration,
+    /// What the instance's link carries.
+    pub link_bytes_per_s: u32,
     /// Span of the counts from which maps are planned.
     pub counts_window: Duration,
     /// Time between two heartbeats of a decider.
     pub heartbeat: Duration,
-    /// Silence of the decider after which another claims to decide.
+    /// Silence of the decider after which another claims to decide, unless
+    /// its heartbeats are late anyway.
     pub suspect_after: Duration,
-    /// Time that each rank waits longer than the one before it.
+    /// Time before that at which others are asked whether they hear it.
+    pub ask_ahead: Duration,
+    /// Time that a new decider has beyond the others' before it is suspected.
+    pub new_holder_grace: Duration,
+    /// Time after which a decider that hears no other companion stands down.
+    pub deaf_after: Duration,
+    /// Most time that each rank waits longer than the one before it.
     pub stagger: Duration,
+    /// Most time that the last rank waits longer than the first.
+    pub longest_stagger: Duration,
     /// Time between two reads of the claims while there is no decider.
     pub claims_interval: Duration,
     /// Limits of a decider.
@@ -54,9 +57,14 @@
             report_interval: Duration::from_millis(50),
             counts_interval: Duration::from_millis(50),
             counts_window: Duration::from_millis(200),
+            link_bytes_per_s: 1_000_000,
             heartbeat: Duration::from_millis(100),
             suspect_after: Duration::from_millis(600),
+            ask_ahead: Duration::from_millis(150),
+            new_holder_grace: Duration::from_millis(300),
+            deaf_after: Duration::from_millis(1_500),
             stagger: Duration::from_millis(60),
+            longest_stagger: Duration::from_millis(800),
             claims_interval: Duration::from_millis(400),
             decider: DeciderLimits::default(),
         }
@@ -84,24 +92,25 @@
     settings: MemberSettings,
     shape: Option<GroupShape>,
     report: Option<EngineReport>,
-    /// States that were told.
-    states: u64,
     /// Fencing number of the decider followed when the report was asked for.
     follows: u64,
     lists: Option<(u64, ExpertLists)>,
     /// Maps that the decider told.
     maps: KnownMaps,
-    /// States that tell the lists, since they have changed.
-    lists_until: u64,
     counts: CountWindow,
-    /// When the recent counts are told next.
-    recent_at: Instant,
+    telling: Telling,
     /// The newest claim with its fencing number.
     holder: Option<(DeciderClaim, u64)>,
     heard: Instant,
+    silence: SilenceLimit,
+    /// Whether others were asked if they hear the decider.
+    asked: bool,
+    polled: Instant,
     seats: Vec<Option<RankAddress>>,
     reading_claim: bool,
     decider: Option<MapDecider>,
+    /// Fencing number of an own claim that was given up.
+    retired: Option<u64>,
     report_at: Instant,
     counts_at: Instant,
     claim_at: Instant,
@@ -114,20 +123,22 @@
     pub fn new(now: Instant, settings: MemberSettings) -> Self {
         Self {
             counts: CountWindow::new(settings.limits.counts_window),
+            silence: SilenceLimit::new(settings.limits.suspect_after),
             settings,
             shape: None,
             report: None,
-            states: 0,
             follows: 0,
             lists: None,
             maps: KnownMaps::default(),
-            lists_until: 0,
-            recent_at: now,
+            telling: Telling::new(now),
             holder: None,
             heard: now,
+            asked: false,
+            polled: now,
             seats: Vec::new(),
             reading_claim: false,
             decider: None,
+            retired: None,
             report_at: now,
             counts_at: now,
             claim_at: now,
@@ -141,38 +152,6 @@
         self.decider.is_some()
     }
 
-    fn state(&mut self, now: Instant) -> Option<RankState> {
-        let report = self.report.clone()?;
-        self.states += 1;
-        let tells_lists = self.states < self.lists_until || self.states.is_multiple_of(LISTS_EVERY);
-        let lists = self.lists.clone().filter(|_| tells_lists);
-        let recent = self.recent(now, report.ranks);
-        Some(RankState {
-            instance: self.settings.instance.clone(),
-            incarnation: self.settings.incarnation,
-            number: self.states,
-            address: self.settings.address,
-            engine: self.settings.engine,
-            lists: lists.filter(|(version, _)| *version == report.map),
-            recent,
-            follows: self.follows,
-            report,
-        })
-    }
-
-    /// Returns the recent counts when they are due: those of all ranks together
-    /// stay within what the decider's link carries.
-    fn recent(&mut self, now: Instant, ranks: u16) -> Option<RecentLoads> {
-        if now < self.recent_at {
-            return None;
-        }
-        let recent = self.counts.recent()?;
-        let bytes = u32::try_from(recent.scaled.len()).unwrap_or(u32::MAX);
-        let interval = COUNTS_TIME_PER_BYTE * bytes.saturating_mul(u32::from(ranks));
-        self.recent_at = now + interval;
-        Some(recent)
-    }
-
     fn reported(
         &mut self,
         now: Instant,
@@ -193,7 +172,7 @@
         }
         self.report = Some(report);
         self.follows = follows;
-        self.tell_state(now, fx);
+        self.tell(now, fx);
     }
 
     /// Returns the fencing number of the decider that is followed.
@@ -201,19 +180,6 @@
         self.holder.as_ref().map_or(0, |(_, fence)| *fence)
     }
 
-    /// Tells the decider the state of the rank.
-    fn tell_state(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
-        let Some(state) = self.state(now) else {
-            return;
-        };
-        if let Some(decider) = &mut self.decider {
-            decider.state(now, state);
-        } else if let Some((holder, _)) = &self.holder {
-            let message = PassMessage::State(Box::new(state));
-            fx.push(MemberEffect::Send(holder.address, Box::new(message)));
-        }
-    }
-
     fn received(
         &mut self,
         now: Instant,
@@ -227,11 +193,36 @@
                     decider.state(now, *state);
                 }
             }
+            PassMessage::Still {
+                rank,
+                incarnation,
+                number,
+                state,
+                pass,
+            } => {
+                let still = StillState {
+                    incarnation,
+                    number,
+                    state,
+                    pass,
+                };
+                if let Some(decider) = &mut self.decider {
+                    decider.still(now, rank, still);
+                }
+            }
+            PassMessage::Counts { rank, loads } => {
+                if let Some(decider) = &mut self.decider {
+                    decider.counted(now, rank, &loads);
+                }
+            }
             PassMessage::Heartbeat {
                 claim,
                 fence,
                 seats,
-            } => self.heartbeat(now, *claim, fence, seats, fx),
+            } => self.heartbeat(now, *claim, fence, &seats, fx),
+            PassMessage::Alive { fence, seats } => self.alive(now, fence, &seats),
+            PassMessage::Hear { fence } => self.asked_for(now, from, fence, fx),
+            PassMessage::Heard { fence, age_ms } => self.heard_elsewhere(now, fence, age_ms),
             PassMessage::Order { number, order } => {
                 self.ordered(now, from, number, order, fx);
             }
@@ -252,9 +243,14 @@
                 };
                 self.ordered(now, from, number, Box::new(whole), fx);
             }
-            PassMessage::OrderDone { number, end, state } => {
+            PassMessage::OrderDone {
+                number,
+                end,
+                states,
+                state,
+            } => {
                 if let Some(decider) = &mut self.decider {
-                    decider.order_done(now, number, end, None);
+                    decider.order_answered(now, number, end, states);
                     if let Some(state) = state {
                         decider.state(now, *state);
                     }
@@ -276,7 +272,7 @@
             fx.push(not_carried_out(giver, number, OrderEnd::Fenced));
             return;
         }
-        self.heard = now;
+        self.hear(now);
         if let PassOrder::Prepare { layers, .. } = &order.order {
             self.maps.remember(layers.clone());
         }
@@ -288,27 +284,6 @@
         });
     }
 
-    /// Hears of the decider, perhaps of a new one before its claim is read.
-    fn heartbeat(
-        &mut self,
-        now: Instant,
-        claim: DeciderClaim,
-        fence: u64,
-        seats: Vec<Option<RankAddress>>,
-        fx: &mut Vec<MemberEffect>,
-    ) {
-        let known = self.fence();
-        let own_group = self.report.as_ref().is_some_and(|r| r.group == claim.group);
-        if fence < known || !own_group {
-            return;
-        }
-        self.heard = now;
-        self.seats = seats;
-        if fence > known {
-            self.follow(now, claim, fence, fx);
-        }
-    }
-
     fn order_ended(
         &mut self,
         now: Instant,
@@ -327,16 +302,21 @@
         if let Some(report) = report {
             self.report = Some(report);
         }
+        let states = self.telling.states();
+        let accepted = end == OrderEnd::Accepted;
+        let state = if accepted { None } else { self.state() };
         let done = PassMessage::OrderDone {
             number,
             end,
-            state: self.state(now).map(Box::new),
+            states,
+            state: state.map(Box::new),
         };
         fx.push(MemberEffect::Send(giver, Box::new(done)));
     }
 
     fn poll(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
         let limits = self.settings.limits;
+        self.notice_own_stall(now);
         if now >= self.report_at {
             self.report_at = now + limits.report_interval;
             fx.push(MemberEffect::ReadReport(self.fence()));
@@ -345,6 +325,7 @@
             self.counts_at = now + limits.counts_interval;
             fx.push(MemberEffect::ReadCounts);
         }
+        self.ask_others(now, fx);
         if let Some(report) = &self.report
             && self.claim_due_at().is_some_and(|at| at <= now)
         {
@@ -361,19 +342,7 @@
         decider.wake(now, &mut out);
         let superseded = decider.is_superseded();
         if now >= self.heartbeat_at {
-            self.heartbeat_at = now + self.settings.limits.heartbeat;
-            self.heard = now;
-            let claim = self.holder.as_ref().map(|(claim, _)| claim.clone());
-            let heartbeat = claim.map(|claim| PassMessage::Heartbeat {
-                claim: Box::new(claim),
-                fence: decider.fence(),
-                seats: decider.seats().to_vec(),
-            });
-            let own = self.settings.address;
-            let others = decider.companions().filter(|address| *address != own);
-            for (to, heartbeat) in others.zip(std::iter::repeat(heartbeat).flatten()) {
-                fx.push(MemberEffect::Send(to, Box::new(heartbeat)));
-            }
+            self.beat(now, fx);
         }
         for output in out {
             fx.push(self.carry_out(output));
@@ -381,6 +350,8 @@
         if superseded {
             self.forget_holder(fx);
             self.claim_at = now;
+        } else {
+            self.stand_down_if_deaf(now, fx);
         }
     }
 
@@ -416,8 +387,12 @@
 
 /// Tells the decider that an order wasn't passed to the engine.
 fn not_carried_out(giver: SocketAddr, number: u64, end: OrderEnd) -> MemberEffect {
-    let state = None;
-    let done = PassMessage::OrderDone { number, end, state };
+    let done = PassMessage::OrderDone {
+        number,
+        end,
+        states: 0,
+        state: None,
+    };
     MemberEffect::Send(giver, Box::new(done))
 }
 
@@ -431,10 +406,12 @@
             MemberEvent::Reported(report, follows) => self.reported(now, *report, follows, fx),
             MemberEvent::Listed(version, lists) => {
                 self.lists = Some((version, lists));
-                self.lists_until = self.states + LISTS_AT_FIRST;
-                self.tell_state(now, fx);
+                self.tell(now, fx);
+            }
+            MemberEvent::Counted(counts) => {
+                self.counts.add(now, counts);
+                self.tell_counts(now, fx);
             }
-            MemberEvent::Counted(counts) => self.counts.add(now, counts),
             MemberEvent::OrderEnded {
                 giver,
                 number,
--- a/crates/egretstage_passes/src/member/claims.rs
+++ b/crates/egretstage_passes/src/member/claims.rs
@@ -17,6 +17,7 @@
         let known = self.holder.as_ref().map(|(_, fence)| *fence);
         if let Some((claim, fence)) = claim
             && known.is_none_or(|known| fence > known)
+            && self.retired != Some(fence)
         {
             return self.follow(now, claim, fence, fx);
         }
@@ -54,7 +55,9 @@
             fence,
         }));
         let own = claim.incarnation == self.settings.incarnation;
-        self.heard = now;
+        self.heard = now + self.settings.limits.new_holder_grace;
+        self.asked = false;
+        self.silence.reset();
         self.holder = Some((claim, fence));
         if let (true, Some(report), Some(shape)) = (own, &self.report, self.shape) {
             let instance = self.settings.instance.clone();
@@ -64,7 +67,7 @@
             self.decider = Some(decider);
             self.heartbeat_at = now;
         }
-        self.tell_state(now, fx);
+        self.tell_whole(now, fx);
     }
 
     pub(super) fn stand_down(&mut self, fx: &mut Vec<MemberEffect>) {
@@ -84,11 +87,13 @@
         let rank = self.report.as_ref().map_or(0, |report| report.rank);
         let limits = &self.settings.limits;
         let silence = if self.holder.is_some() {
-            limits.suspect_after
+            self.silence.get()
         } else {
             Duration::ZERO
         };
-        self.heard + silence + limits.stagger * u32::from(rank)
+        let ranks = self.report.as_ref().map_or(1, |report| report.ranks.max(1));
+        let stagger = limits.stagger.min(limits.longest_stagger / u32::from(ranks));
+        self.heard + silence + stagger * u32::from(rank)
     }
 
     pub(super) fn suspects(&self, now: Instant) -> bool {
--- a/crates/egretstage_passes/src/member/event.rs
+++ b/crates/egretstage_passes/src/member/event.rs
@@ -101,6 +101,13 @@
         /// The group.
         group: CompactString,
     },
+    /// The decider is silent; others are asked whether they hear it.
+    Silent {
+        /// The decider's fencing number.
+        fence: u64,
+        /// For how long, in milliseconds.
+        silent_ms: u64,
+    },
     /// This companion decides no longer.
     StandDown {
         /// Its fencing number.
--- a/crates/egretstage_passes/src/message.rs
+++ b/crates/egretstage_passes/src/message.rs
@@ -6,6 +6,7 @@
 use crate::{
     DeciderClaim, EngineReport, ExpertLists, FencedChanges, FencedOrder, OrderEnd, RecentLoads,
 };
+use smallvec::SmallVec;
 use egretstage_wire::InstanceId;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -30,10 +31,11 @@
     pub follows: u64,
     /// The experts that the rank holds in the map in use.
     pub lists: Option<(u64, ExpertLists)>,
-    /// What the rank's requests chose of late.
-    pub recent: Option<RecentLoads>,
 }
 
+/// Where some ranks are reached, by their positions.
+pub type Seats = SmallVec<[(u16, RankAddress); 2]>;
+
 /// Where a rank is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RankAddress {
@@ -49,15 +51,54 @@
 pub enum PassMessage {
     /// Companion to decider: the state of its rank.
     State(Box<RankState>),
-    /// Decider to companion: the decider lives.
+    /// Companion to decider: nothing but the pass has changed since a state.
+    Still {
+        /// The rank.
+        rank: u16,
+        /// The start of the companion.
+        incarnation: u64,
+        /// Counts on from the states of this start.
+        number: u64,
+        /// Number of the state that still holds.
+        state: u64,
+        /// The last pass that was begun.
+        pass: u64,
+    },
+    /// Companion to decider: what the rank's requests chose of late.
+    Counts {
+        /// The rank.
+        rank: u16,
+        /// The choices.
+        loads: RecentLoads,
+    },
+    /// Decider to a companion that doesn't follow it yet: the decider lives.
     Heartbeat {
         /// The decider's claim.
         claim: Box<DeciderClaim>,
         /// The decider's fencing number.
         fence: u64,
-        /// Where the ranks are reached, as far as known: a successor needs
-        /// them before it has heard of the ranks itself.
-        seats: Vec<Option<RankAddress>>,
+        /// Where some ranks are reached: a successor needs them before it has
+        /// heard of the ranks itself.
+        seats: Seats,
+    },
+    /// Decider to a companion that follows it: the decider lives.
+    Alive {
+        /// The decider's fencing number.
+        fence: u64,
+        /// Where some ranks are reached.
+        seats: Seats,
+    },
+    /// Companion to another: is the decider heard that is silent here?
+    Hear {
+        /// The decider's fencing number.
+        fence: u64,
+    },
+    /// The answer of a companion that hears it.
+    Heard {
+        /// The decider's fencing number.
+        fence: u64,
+        /// Time since it was heard, in milliseconds.
+        age_ms: u32,
     },
     /// Decider to companion: an order for its engine.
     Order {
@@ -79,7 +120,10 @@
         number: u64,
         /// How it ended.
         end: OrderEnd,
-        /// The state of the rank afterwards.
+        /// States told before the end: those that arrive later are older.
+        states: u64,
+        /// The state of the rank, unless the order was accepted: then its
+        /// effect is known, and the group may be held until all have answered.
         state: Option<Box<RankState>>,
     },
 }
--- a/crates/egretstage_passes/src/packed.rs
+++ b/crates/egretstage_passes/src/packed.rs
@@ -26,15 +26,28 @@
     for ranks in map {
         put(&mut bytes, ranks.len())?;
         for experts in ranks {
-            put(&mut bytes, experts.len())?;
-            for expert in experts {
-                put(&mut bytes, usize::from(expert.0))?;
-            }
+            put_experts(&mut bytes, experts)?;
         }
     }
     Ok(bytes)
 }
 
+/// Packs the experts of a rank.
+///
+/// # Errors
+///
+/// Returns an error for more than 65,535 experts.
+pub(crate) fn put_experts(
+    bytes: &mut Vec<u8>,
+    experts: &[ExpertId],
+) -> Result<(), std::num::TryFromIntError> {
+    put(bytes, experts.len())?;
+    for expert in experts {
+        put(bytes, usize::from(expert.0))?;
+    }
+    Ok(())
+}
+
 /// Deserializes a map from one byte string.
 ///
 /// # Errors
@@ -50,7 +63,12 @@
 /// Marks a number of two bytes; smaller ones than it take one byte.
 const LONG: u8 = 0xff;
 
-fn put(bytes: &mut Vec<u8>, number: usize) -> Result<(), std::num::TryFromIntError> {
+/// Packs a number.
+///
+/// # Errors
+///
+/// Returns an error for a number over 65,535.
+pub(crate) fn put(bytes: &mut Vec<u8>, number: usize) -> Result<(), std::num::TryFromIntError> {
     match u8::try_from(number) {
         Ok(short) if short < LONG => bytes.push(short),
         _ => {
@@ -61,7 +79,8 @@
     Ok(())
 }
 
-fn take(rest: &mut &[u8]) -> Option<u16> {
+/// Takes a number off the front; none if the bytes end too early.
+pub(crate) fn take(rest: &mut &[u8]) -> Option<u16> {
     let (first, tail) = rest.split_first()?;
     *rest = tail;
     if *first < LONG {
@@ -82,7 +101,8 @@
         .collect()
 }
 
-fn experts(rest: &mut &[u8]) -> Option<Vec<ExpertId>> {
+/// Takes the experts of a rank off the front.
+pub(crate) fn experts(rest: &mut &[u8]) -> Option<Vec<ExpertId>> {
     let count = take(rest)?;
     (0..count).map(|_| take(rest).map(ExpertId)).collect()
 }
--- a/crates/egretstage_rank_companion/src/daemon.rs
+++ b/crates/egretstage_rank_companion/src/daemon.rs
@@ -2,9 +2,11 @@
 
 use crate::claims::{ClaimCall, ClaimCalls};
 use crate::engine::{EngineCall, EngineCalls};
-use crate::{RankCompanionSettings, RankPlatform, datagrams};
+use crate::{LinkRate, RankCompanionSettings, RankPlatform, datagrams};
 use egretstage_observe::{AdminServer, DECISION_TARGET, Health, Metrics};
-use egretstage_passes::{MemberEffect, MemberEvent, MemberLimits, MemberSettings, PassMember};
+use egretstage_passes::{
+    DeciderLimits, MemberEffect, MemberEvent, MemberLimits, MemberSettings, PassMember,
+};
 use egretstage_runtime::{EventLoop, EventSender, on_stop_signal};
 use miette::IntoDiagnostic;
 use rustix::time::{ClockId, clock_gettime};
@@ -48,7 +50,7 @@
         incarnation: rand::random(),
         address: settings.peers.listen,
         engine,
-        limits: MemberLimits::default(),
+        limits: limits(settings.link.mbps),
     };
     EventLoop::spawn("member", rx, move || {
         let member = PassMember::new(Instant::now(), member);
@@ -77,6 +79,22 @@
     Ok(())
 }
 
+/// Part of the instance's link that maps may take, one in so many: the rest is for what they
+/// must not hold up.
+const MAP_LINK_PART: u32 = 2;
+
+fn limits(link: LinkRate) -> MemberLimits {
+    let defaults = MemberLimits::default();
+    MemberLimits {
+        link_bytes_per_s: link.bytes_per_s(),
+        decider: DeciderLimits {
+            map_bytes_per_s: link.bytes_per_s() / MAP_LINK_PART,
+            ..defaults.decider
+        },
+        ..defaults
+    }
+}
+
 /// Tells the member when the process stood still, until it is told to stop.
 fn watch_clocks(events: &EventSender<MemberEvent>, stopped: &crossbeam_channel::Receiver<()>) {
     let mut lag = suspended_time();
--- a/crates/egretstage_rank_companion/src/engine.rs
+++ b/crates/egretstage_rank_companion/src/engine.rs
@@ -113,7 +113,13 @@
                 order,
             } => {
                 let end = client.order(engine, &order);
-                let report = client.report(engine).ok().map(Box::new);
+                // The giver waits, and knows what an accepted order does.
+                let known = giver.is_some() && end == OrderEnd::Accepted;
+                let report = if known {
+                    None
+                } else {
+                    client.report(engine).ok().map(Box::new)
+                };
                 Ok(MemberEvent::OrderEnded {
                     giver,
                     number,
--- a/crates/egretstage_rank_companion/src/lib.rs
+++ b/crates/egretstage_rank_companion/src/lib.rs
@@ -12,7 +12,7 @@
 mod settings;
 
 pub use engine::PassEngine;
-pub use settings::RankCompanionSettings;
+pub use settings::{LinkRate, LinkRateError, RankCompanionSettings};
 
 use egretstage_gateway::RecordDecoder;
 use egretstage_platform::KeyedStore;
--- a/crates/egretstage_rank_companion/src/settings.rs
+++ b/crates/egretstage_rank_companion/src/settings.rs
@@ -20,6 +20,8 @@
     pub peers: PeersSettings,
     /// The platform's store.
     pub store: StoreSettings,
+    /// The instance's link.
+    pub link: LinkSettings,
 }
 
 /// The engine beside a companion.
@@ -32,6 +34,51 @@
     pub address: SocketAddr,
 }
 
+/// The instance's link.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    /// What it carries, in megabits a second.
+    pub mbps: LinkRate,
+}
+
+/// What a link carries.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(try_from = "f64")]
+pub struct LinkRate {
+    bytes_per_s: u32,
+}
+
+/// A link's rate is out of range.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+#[error("a link carries 0.1 to 30000 megabits a second, not {0}")]
+pub struct LinkRateError(f64);
+
+impl TryFrom<f64> for LinkRate {
+    type Error = LinkRateError;
+
+    fn try_from(mbps: f64) -> Result<Self, LinkRateError> {
+        if !(0.1..=30_000.0).contains(&mbps) {
+            return Err(LinkRateError(mbps));
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the range is checked above"
+        )]
+        let bytes_per_s = (mbps * 125_000.0) as u32;
+        Ok(Self { bytes_per_s })
+    }
+}
+
+impl LinkRate {
+    /// Returns the rate in bytes a second.
+    #[must_use]
+    pub fn bytes_per_s(self) -> u32 {
+        self.bytes_per_s
+    }
+}
+
 impl SettingsFile for RankCompanionSettings {
     fn check(&self) -> Result<(), Clash> {
         if self.admin_listen == self.peers.listen {
