Spread what 64 and 128 ranks tell at once; know the maps that a group may start with

Cause: with 128 ranks on links of 6 Mbit/s, played in virtual time, the same ranks lost each state, count and heartbeat, since all were sent at the same moments and overflowed the queue: a second claim after 1.4 s, then 0 changes of map. Whole maps went to all ranks after each start of a group, 0.6 MB at 128 ranks.

Change: heartbeats go to 32 ranks at a time; repeats of states, and counts, come in turn by rank; companions work out the maps that groups may start with, checked by the hash of the map that changes are based on.

Tests with 64 and 128 ranks behind links with a queue, loss and jitter: one claim without a fault at the decider, maps change, bytes a second, and a successor for a killed, frozen, mute or deaf decider.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -243,11 +243,15 @@
         self.superseded
     }
 
-    /// Returns where the companions of the ranks are reached, and whether each
-    /// is known to follow this decider.
-    pub fn companions(&self) -> impl Iterator<Item = (SocketAddr, bool)> + '_ {
+    /// Returns where the companions of every so manieth rank are reached,
+    /// beginning with one, and whether each is known to follow this decider.
+    pub fn companions(
+        &self,
+        first: usize,
+        step: usize,
+    ) -> impl Iterator<Item = (SocketAddr, bool)> + '_ {
         let seats = self.seats.iter().zip(&self.ranks);
-        seats.filter_map(|(seat, view)| {
+        seats.skip(first).step_by(step).filter_map(|(seat, view)| {
             let follows = view.as_ref().map_or(0, |view| view.state.follows);
             Some((seat.as_ref()?.companion, follows == self.fence))
         })
--- a/crates/egretstage_passes/src/decider/orders.rs
+++ b/crates/egretstage_passes/src/decider/orders.rs
@@ -3,7 +3,7 @@
 use super::rank_view::{InFlight, OrderEffect, RankView};
 use super::{MapDecider, NextMap, RankOutput, Way};
 use crate::{ExpertsByRank, FencedChanges, FencedOrder, MapChanges, PassOrder};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 impl MapDecider {
     /// Gives an order to a rank, unless one is under way there.
@@ -93,11 +93,20 @@
         let Some((view, order)) = view.and_then(|view| Some((view, view.in_flight?))) else {
             return false;
         };
-        let to_all = self.pacer.time_for(map.bytes(), self.rank_count());
+        let to_all = self.time_on_the_way(map);
         view.map_sent == Some(version)
             && now.saturating_duration_since(order.since) < self.limits.companion_timeout + to_all
     }
 
+    /// Returns the time that the orders of a map take to all ranks.
+    pub(super) fn time_on_the_way(&self, map: &NextMap) -> Duration {
+        let views = self.ranks.iter().flatten();
+        let lacking = views.filter(|view| view.lacks_base).count();
+        let lacking = u32::try_from(lacking).unwrap_or(u32::MAX);
+        let whole = self.pacer.time_for(map.whole_bytes, lacking);
+        self.pacer.time_for(map.bytes(), self.rank_count()) + whole
+    }
+
     pub(super) fn rank_count(&self) -> u32 {
         u32::try_from(self.ranks.len()).unwrap_or(u32::MAX)
     }
--- a/crates/egretstage_passes/src/decider/pacing.rs
+++ b/crates/egretstage_passes/src/decider/pacing.rs
@@ -7,9 +7,9 @@
 
 use std::time::{Duration, Instant};
 
-/// Bytes that may be sent at one moment: half of what the queue of a narrow
+/// Bytes that may be sent at one moment: a third of what the queue of a narrow
 /// link holds.
-const BURST_BYTES: u32 = 12 * 1024;
+const BURST_BYTES: u32 = 8 * 1024;
 
 /// Bytes of a datagram beside the map: the headers and the rest of the order.
 const ORDER_BYTES: usize = 160;
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -143,7 +143,7 @@
             return self.wake(now, out);
         }
         let copies = self.shape.copy_time * u32::from(self.copies_per_rank());
-        let on_the_way = self.pacer.time_for(map.bytes(), self.rank_count());
+        let on_the_way = self.time_on_the_way(map);
         let limit = self.limits.prepare_slack + copies + on_the_way;
         if now.saturating_duration_since(since) > limit {
             // Copies that nobody switches to change nothing.
--- a/crates/egretstage_passes/src/lib.rs
+++ b/crates/egretstage_passes/src/lib.rs
@@ -42,9 +42,9 @@
     EngineCounts, EngineReport, ExpertLists, FencedChanges, FencedOrder, GroupShape, OrderEnd,
     PassOrder,
 };
+pub use group_demand::GroupDemand;
 pub use map_changes::{ExpertsByRank, KnownMaps, MapChanges};
 pub use member::{MemberEffect, MemberEvent, MemberLimits, MemberSettings, PassLine, PassMember};
-pub use group_demand::GroupDemand;
 pub use message::{PassMessage, RankAddress, RankState, Seats};
 pub use silence::SilenceLimit;
 
--- a/crates/egretstage_passes/src/map_changes.rs
+++ b/crates/egretstage_passes/src/map_changes.rs
@@ -7,7 +7,7 @@
 //! the ranks are told these.
 
 use crate::packed;
-use egretstage_balance::ExpertId;
+use egretstage_balance::{EvenMap, ExpertId};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -83,25 +83,49 @@
 /// one that is prepared.
 const REMEMBERED: usize = 3;
 
-/// The maps that a companion was told last.
+/// The maps that a companion knows.
 #[derive(Clone, Debug, Default)]
-pub struct KnownMaps(SmallVec<[(u64, ExpertsByRank); REMEMBERED]>);
+pub struct KnownMaps {
+    /// Those that a group may start with.
+    starts: SmallVec<[(u64, ExpertsByRank); 2]>,
+    /// Those that it was told last.
+    told: SmallVec<[(u64, ExpertsByRank); REMEMBERED]>,
+}
 
 impl KnownMaps {
+    /// Works out the maps that a group of such a shape may start with, so that
+    /// nobody has to send them after each time that it is formed anew.
+    ///
+    /// The experts go to the ranks in turn, one by one or block by block.
+    pub fn expect_starts(&mut self, ranks: u16, layers: u16, experts: u16) {
+        if ranks == 0 || ranks > experts {
+            return;
+        }
+        let mut one_by_one = vec![Vec::new(); usize::from(ranks)];
+        for expert in 0..experts {
+            one_by_one[usize::from(expert % ranks)].push(ExpertId(expert));
+        }
+        let blocks = EvenMap::blocks(ranks, experts).by_rank();
+        let of_all_layers = |layer: Vec<Vec<ExpertId>>| vec![layer; usize::from(layers)];
+        let starts = [one_by_one, blocks].map(of_all_layers);
+        self.starts = starts.map(|map| (content_hash(&map), map)).into();
+    }
+
     /// Remembers a map, and forgets the oldest.
     pub fn remember(&mut self, map: ExpertsByRank) {
         let hash = content_hash(&map);
-        self.0.retain(|(known, _)| *known != hash);
-        if self.0.len() == REMEMBERED {
-            self.0.remove(0);
+        self.told.retain(|(known, _)| *known != hash);
+        if self.told.len() == REMEMBERED {
+            self.told.remove(0);
         }
-        self.0.push((hash, map));
+        self.told.push((hash, map));
     }
 
     /// Returns the map that changes make, if the one that they change is known.
     #[must_use]
     pub fn apply(&self, changes: &MapChanges) -> Option<ExpertsByRank> {
-        let (_, base) = self.0.iter().find(|(hash, _)| *hash == changes.base)?;
+        let mut known = self.told.iter().chain(&self.starts);
+        let (_, base) = known.find(|(hash, _)| *hash == changes.base)?;
         let mut map = base.clone();
         let mut rest = changes.lists.as_slice();
         while !rest.is_empty() {
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -115,6 +115,8 @@
     counts_at: Instant,
     claim_at: Instant,
     heartbeat_at: Instant,
+    /// The ranks that the next heartbeats go to.
+    beats: usize,
 }
 
 impl PassMember {
@@ -143,6 +145,7 @@
             counts_at: now,
             claim_at: now,
             heartbeat_at: now,
+            beats: 0,
         }
     }
 
@@ -170,11 +173,24 @@
         if other_group {
             self.forget_holder(fx);
         }
+        let ranks = report.ranks;
+        let known = self.report.as_ref().map(|report| report.ranks);
         self.report = Some(report);
         self.follows = follows;
+        if known != Some(ranks) {
+            self.expect_starts();
+        }
         self.tell(now, fx);
     }
 
+    /// Works out the maps that the group may start with.
+    fn expect_starts(&mut self) {
+        if let (Some(shape), Some(report)) = (self.shape, &self.report) {
+            let maps = &mut self.maps;
+            maps.expect_starts(report.ranks, shape.layers, shape.experts);
+        }
+    }
+
     /// Returns the fencing number of the decider that is followed.
     fn fence(&self) -> u64 {
         self.holder.as_ref().map_or(0, |(_, fence)| *fence)
@@ -402,7 +418,10 @@
 
     fn reduce(&mut self, now: Instant, event: MemberEvent, fx: &mut Vec<MemberEffect>) {
         match event {
-            MemberEvent::Shaped(shape) => self.shape = Some(shape),
+            MemberEvent::Shaped(shape) => {
+                self.shape = Some(shape);
+                self.expect_starts();
+            }
             MemberEvent::Reported(report, follows) => self.reported(now, *report, follows, fx),
             MemberEvent::Listed(version, lists) => {
                 self.lists = Some((version, lists));
--- a/crates/egretstage_passes/src/member/claims.rs
+++ b/crates/egretstage_passes/src/member/claims.rs
@@ -67,7 +67,7 @@
             self.decider = Some(decider);
             self.heartbeat_at = now;
         }
-        self.tell_whole(now, fx);
+        self.tell_change(now, fx);
     }
 
     pub(super) fn stand_down(&mut self, fx: &mut Vec<MemberEffect>) {
@@ -92,7 +92,9 @@
             Duration::ZERO
         };
         let ranks = self.report.as_ref().map_or(1, |report| report.ranks.max(1));
-        let stagger = limits.stagger.min(limits.longest_stagger / u32::from(ranks));
+        let stagger = limits
+            .stagger
+            .min(limits.longest_stagger / u32::from(ranks));
         self.heard + silence + stagger * u32::from(rank)
     }
 
--- a/crates/egretstage_passes/src/member/liveness.rs
+++ b/crates/egretstage_passes/src/member/liveness.rs
@@ -15,21 +15,32 @@
 /// Companions that are asked whether they hear the decider.
 const ASKED: usize = 3;
 
+/// Heartbeats that are sent at one moment: with more they and what goes out
+/// beside them overflow the queue of a narrow link.
+const BEATS_AT_ONCE: usize = 32;
+
 /// Time without any wake-up after which a member has stood still itself: its
 /// timers run each fifty milliseconds.
 const OWN_STALL: Duration = Duration::from_millis(300);
 
 impl PassMember {
-    /// Sends the heartbeats of the own decider.
+    /// Sends the heartbeats of the own decider, to some ranks at a time.
     pub(super) fn beat(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
-        self.heartbeat_at = now + self.settings.limits.heartbeat;
+        let ranks = self.report.as_ref().map_or(1, |r| usize::from(r.ranks));
+        let slices = ranks.div_ceil(BEATS_AT_ONCE).max(1);
         self.heard = now;
+        self.beats = (self.beats + 1) % slices;
+        let pause = self.settings.limits.heartbeat / u32::try_from(slices).unwrap_or(1);
+        self.heartbeat_at = now + pause;
         let (Some(decider), Some((claim, fence))) = (&mut self.decider, &self.holder) else {
             return;
         };
         let own = self.settings.address;
         let seats = decider.next_seats();
-        for (to, follows) in decider.companions().filter(|(to, _)| *to != own) {
+        for (to, follows) in decider
+            .companions(self.beats, slices)
+            .filter(|(to, _)| *to != own)
+        {
             let seats = seats.clone();
             let fence = *fence;
             let message = if follows {
--- a/crates/egretstage_passes/src/member/telling.rs
+++ b/crates/egretstage_passes/src/member/telling.rs
@@ -88,10 +88,18 @@
         let telling = &mut self.telling;
         telling.states += 1;
         let number = telling.states;
-        if telling.whole.as_ref().is_none_or(|(_, whole)| *whole != told) {
+        if telling
+            .whole
+            .as_ref()
+            .is_none_or(|(_, whole)| *whole != told)
+        {
             telling.whole_until = number + WHOLE_AT_FIRST;
         }
-        if telling.whole.as_ref().is_none_or(|(_, whole)| whole.to != told.to) {
+        if telling
+            .whole
+            .as_ref()
+            .is_none_or(|(_, whole)| whole.to != told.to)
+        {
             telling.lists_until = number + WHOLE_AT_FIRST;
         }
         let tells_lists = number <= telling.lists_until || number.is_multiple_of(WHOLE_EVERY);
@@ -127,20 +135,24 @@
             return;
         };
         let told = self.told(report);
-        let interval = STATE_TIME_PER_RANK * u32::from(report.ranks);
         let (rank, pass) = (report.rank, report.pass);
+        let interval = STATE_TIME_PER_RANK * u32::from(report.ranks);
         let telling = &mut self.telling;
         let still = telling.whole.as_ref().filter(|(_, whole)| *whole == told);
         let state = still.map(|(number, _)| *number);
         if state.is_some() && now < telling.state_at {
             return;
         }
-        telling.state_at = now + interval;
+        let Some(state) = state else {
+            return self.tell_change(now, fx);
+        };
+        // Ranks that tell at different moments go on doing so.
+        telling.state_at = now.max(telling.state_at + interval);
         let next = telling.states + 1;
         let whole = next <= telling.whole_until || next.is_multiple_of(WHOLE_EVERY);
-        let Some(state) = state.filter(|_| !whole && self.decider.is_none()) else {
+        if whole || self.decider.is_some() {
             return self.tell_whole(now, fx);
-        };
+        }
         telling.states = next;
         let message = PassMessage::Still {
             rank,
@@ -154,8 +166,18 @@
         }
     }
 
+    /// Tells the decider what has changed.
+    ///
+    /// What changes at all ranks at once is told at once, and overflows the
+    /// decider's link if they are many: the repeats come one after the other.
+    pub(super) fn tell_change(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
+        let rank = self.report.as_ref().map_or(0, |report| report.rank);
+        self.telling.state_at = now + STATE_TIME_PER_RANK * (u32::from(rank) + 1);
+        self.tell_whole(now, fx);
+    }
+
     /// Tells the decider the whole state of the rank.
-    pub(super) fn tell_whole(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
+    fn tell_whole(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
         let Some(state) = self.state() else {
             return;
         };
@@ -186,8 +208,13 @@
         let Some(loads) = self.counts.recent(shape.experts, slice) else {
             return;
         };
-        self.telling.rounds = self.telling.rounds.wrapping_add(1);
-        self.telling.counts_at = now + pace.interval;
+        let due = if self.telling.rounds == 0 {
+            now + pace.interval * u32::from(rank) / u32::from(report.ranks.max(1))
+        } else {
+            self.telling.counts_at
+        };
+        self.telling.rounds = self.telling.rounds.wrapping_add(1).max(1);
+        self.telling.counts_at = now.max(due + pace.interval);
         if let Some(decider) = &mut self.decider {
             decider.counted(now, rank, &loads);
         } else if let Some((holder, _)) = &self.holder {
--- a/crates/egretstage_passes/src/message.rs
+++ b/crates/egretstage_passes/src/message.rs
@@ -6,9 +6,9 @@
 use crate::{
     DeciderClaim, EngineReport, ExpertLists, FencedChanges, FencedOrder, OrderEnd, RecentLoads,
 };
-use smallvec::SmallVec;
 use egretstage_wire::InstanceId;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::net::SocketAddr;
 
 /// What a companion tells the decider of its rank.
--- a/crates/egretstage_passes/tests/switches/engine.rs
+++ b/crates/egretstage_passes/tests/switches/engine.rs
@@ -5,12 +5,25 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-pub(crate) const RANKS: u16 = 4;
-pub(crate) const EXPERTS: u16 = 16;
-pub(crate) const LAYERS: u16 = 2;
+/// The sizes of a group.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Size {
+    pub(crate) ranks: u16,
+    pub(crate) layers: u16,
+    pub(crate) experts: u16,
+    /// Time of a copy of one expert.
+    pub(crate) copy_time: Duration,
+}
 
-/// Time of a copy of one expert.
-pub(crate) const COPY_TIME: Duration = Duration::from_millis(300);
+impl Size {
+    /// A group that is played quickly.
+    pub(crate) const SMALL: Self = Self {
+        ranks: 4,
+        layers: 2,
+        experts: 16,
+        copy_time: Duration::from_millis(300),
+    };
+}
 
 /// Time of a pass.
 pub(crate) const PASS_TIME: Duration = Duration::from_millis(50);
@@ -40,6 +53,7 @@
 /// A lock-step group.
 #[derive(Debug)]
 pub(crate) struct Group {
+    pub(crate) size: Size,
     pub(crate) epoch: u64,
     pub(crate) pass: u64,
     pub(crate) switches: u32,
@@ -62,17 +76,18 @@
 const REPORT_LAG: Duration = Duration::from_millis(200);
 
 impl Group {
-    pub(crate) fn new(checks_fences: bool, counts_orders: bool) -> Self {
-        let map0 = EvenMap::blocks(RANKS, EXPERTS).by_rank();
-        let map0 = (0..LAYERS).map(|_| map0.clone()).collect();
+    pub(crate) fn new(size: Size, checks_fences: bool, counts_orders: bool) -> Self {
+        let map0 = EvenMap::blocks(size.ranks, size.experts).by_rank();
+        let map0 = (0..size.layers).map(|_| map0.clone()).collect();
         Self {
+            size,
             epoch: 1,
             pass: 0,
             switches: 0,
             longest_hold: Duration::ZERO,
             checks_fences,
             counts_orders,
-            ranks: vec![fresh_rank(); usize::from(RANKS)],
+            ranks: vec![fresh_rank(size); usize::from(size.ranks)],
             maps: [(0, map0)].into(),
             late: Vec::new(),
             next_pass: Duration::ZERO,
@@ -83,18 +98,19 @@
 
     /// Another expert comes into demand.
     pub(crate) fn shift(&mut self, hot: u16) {
-        self.hot = hot % EXPERTS;
+        self.hot = hot % self.size.experts;
     }
 
     /// A rank crashes: the group forms again with nothing prepared or armed.
     pub(crate) fn reform(&mut self) {
         self.epoch += 1;
+        let size = self.size;
         for rank in &mut self.ranks {
             *rank = Rank {
                 accepted: rank.accepted,
                 fence: rank.fence,
                 highest: rank.highest,
-                ..fresh_rank()
+                ..fresh_rank(size)
             };
         }
     }
@@ -164,7 +180,7 @@
         let hot = usize::from(self.hot);
         for rank in &mut self.ranks {
             for (index, count) in rank.counts.iter_mut().enumerate() {
-                let expert = index % usize::from(EXPERTS);
+                let expert = index % usize::from(self.size.experts);
                 *count += if expert == hot { 60 } else { 5 };
             }
         }
@@ -176,7 +192,7 @@
             group: "g".into(),
             epoch: self.epoch,
             rank: u16::try_from(rank).expect("few ranks"),
-            ranks: RANKS,
+            ranks: self.size.ranks,
             open: true,
             accepted: state.accepted,
             pass: self.pass,
@@ -219,6 +235,7 @@
     fn apply(&mut self, now: Duration, rank: usize, order: &FencedOrder) -> OrderEnd {
         let next = self.pass + 1;
         let epoch = self.epoch;
+        let copy_time = self.size.copy_time;
         let state = &mut self.ranks[rank];
         if self.checks_fences && order.fence < state.fence {
             return OrderEnd::Fenced;
@@ -233,7 +250,7 @@
                 if fits {
                     state.highest = *version;
                     state.prepared = None;
-                    state.copying = Some((*version, now + COPY_TIME));
+                    state.copying = Some((*version, now + copy_time));
                     self.maps.insert(*version, layers.clone());
                 }
                 fits
@@ -276,9 +293,9 @@
     }
 }
 
-fn fresh_rank() -> Rank {
+fn fresh_rank(size: Size) -> Rank {
     Rank {
-        counts: vec![0; usize::from(LAYERS * EXPERTS)],
+        counts: vec![0; usize::from(size.layers) * usize::from(size.experts)],
         ..Rank::default()
     }
 }
--- /dev/null
+++ b/crates/egretstage_passes/tests/switches/link.rs
@@ -0,0 +1,48 @@
+//! Links of instances: so many bytes a second, and a queue that overflows.
+
+use std::time::Duration;
+
+/// What a link carries.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Link {
+    pub(crate) bytes_per_s: u32,
+    /// Datagrams that find more before them are lost.
+    pub(crate) queue_bytes: u32,
+}
+
+impl Link {
+    /// The narrowest link of a companion.
+    pub(crate) const NARROW: Self = Self {
+        bytes_per_s: 750_000,
+        queue_bytes: 25_000,
+    };
+}
+
+/// Bytes of the headers of a datagram.
+const HEADER_BYTES: usize = 28;
+
+/// One direction of a link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LinkQueue {
+    free_at: Duration,
+    /// Bytes that were passed on.
+    pub(crate) bytes: usize,
+    /// Whether everything is lost.
+    pub(crate) cut: bool,
+}
+
+impl LinkQueue {
+    /// Passes a datagram on and returns when it is through; none if it is lost.
+    pub(crate) fn pass(&mut self, now: Duration, bytes: usize, link: Link) -> Option<Duration> {
+        let waits = self.free_at.saturating_sub(now);
+        let queue = Duration::from_secs(1) * link.queue_bytes / link.bytes_per_s;
+        if self.cut || waits > queue {
+            return None;
+        }
+        let bytes = bytes + HEADER_BYTES;
+        self.bytes += bytes;
+        let size = u32::try_from(bytes).expect("a datagram");
+        self.free_at = now + waits + Duration::from_secs(1) * size / link.bytes_per_s;
+        Some(self.free_at)
+    }
+}
--- a/crates/egretstage_passes/tests/switches/main.rs
+++ b/crates/egretstage_passes/tests/switches/main.rs
@@ -4,6 +4,8 @@
 //! maps; each test also asks that the group goes on and still changes maps.
 
 mod engine;
+mod link;
+mod many_ranks;
 mod world;
 
 use egretstage_balance::{EvenMap, WaveLimits, plan_wave};
@@ -78,7 +80,7 @@
     }
     // A companion that has just started knows no map: it needs a whole one.
     let decider = world.decider().expect("a decider");
-    world.restart((decider + 1) % usize::from(engine::RANKS));
+    world.restart((decider + 1) % usize::from(engine::Size::SMALL.ranks));
     world.run_for(SECOND);
     world.faults = Faults::default();
     let switches = world.group.switches;
@@ -170,6 +172,7 @@
             late_orders: [0.0, 0.35, 0.7][rng.random_range(0..3)],
             store_down: rng.random_bool(0.2),
             lost_whole_maps: rng.random_bool(0.2),
+            unheard: None,
         };
         world.group.shift(rng.random_range(0..16));
         let rank = rng.random_range(0..4);
--- a/crates/egretstage_passes/tests/switches/world.rs
+++ b/crates/egretstage_passes/tests/switches/world.rs
@@ -1,6 +1,7 @@
 //! Companions around a group, in virtual time, with faults between them.
 
-use crate::engine::{EXPERTS, Group, LAYERS, RANKS};
+use crate::engine::{Group, Size};
+use crate::link::{Link, LinkQueue};
 use egretstage_passes::{
     DeciderClaim, GroupShape, MemberEffect, MemberEvent, MemberLimits, MemberSettings, OrderEnd,
     PassMember, PassMessage, PassOrder,
@@ -24,6 +25,8 @@
     pub(crate) late_orders: f64,
     /// Whether the store can't be reached.
     pub(crate) store_down: bool,
+    /// A companion whose datagrams to another one are lost.
+    pub(crate) unheard: Option<(usize, usize)>,
     /// Whether datagrams with a whole map are lost: the queue of a narrow link
     /// holds few of them.
     pub(crate) lost_whole_maps: bool,
@@ -41,6 +44,8 @@
 
 struct Companion {
     run: VirtualLoop<PassMember>,
+    sends: LinkQueue,
+    receives: LinkQueue,
     process: Process,
     inbox: VecDeque<MemberEvent>,
     starts: u64,
@@ -51,8 +56,10 @@
     pub(crate) now: Duration,
     pub(crate) group: Group,
     pub(crate) faults: Faults,
+    /// The links of the instances; without, datagrams take no room.
+    pub(crate) link: Option<Link>,
     companions: Vec<Companion>,
-    claims: Vec<DeciderClaim>,
+    pub(crate) claims: Vec<DeciderClaim>,
     /// Datagrams on their way.
     sent: Vec<Sent>,
     rng: ChaCha8Rng,
@@ -71,18 +78,24 @@
 
 impl World {
     pub(crate) fn new(seed: u64, checks_fences: bool, counts_orders: bool) -> Self {
+        Self::of(Size::SMALL, seed, checks_fences, counts_orders)
+    }
+
+    /// Starts the companions of a group of some size.
+    pub(crate) fn of(size: Size, seed: u64, checks_fences: bool, counts_orders: bool) -> Self {
         let start = Instant::now();
         let mut world = Self {
             start,
             now: Duration::ZERO,
-            group: Group::new(checks_fences, counts_orders),
+            group: Group::new(size, checks_fences, counts_orders),
+            link: None,
             faults: Faults::default(),
             companions: Vec::new(),
             claims: Vec::new(),
             sent: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
-        for rank in 0..RANKS {
+        for rank in 0..size.ranks {
             let companion = world.companion(rank, 0);
             world.companions.push(companion);
         }
@@ -100,17 +113,20 @@
             engine: address(rank, 2),
             limits: MemberLimits::default(),
         };
+        let size = self.group.size;
         let now = self.start + self.now;
         let mut run = VirtualLoop::starting_at(now, PassMember::new(now, settings));
         run.event(MemberEvent::Shaped(GroupShape {
-            layers: LAYERS,
-            experts: EXPERTS,
+            layers: size.layers,
+            experts: size.experts,
             slots_per_rank: 6,
             copies_per_layer: 2,
-            copy_time: crate::engine::COPY_TIME,
+            copy_time: size.copy_time,
         }));
         Companion {
             run,
+            sends: LinkQueue::default(),
+            receives: LinkQueue::default(),
             process: Process::Runs,
             inbox: VecDeque::new(),
             starts,
@@ -120,10 +136,8 @@
     /// Returns the rank whose claim is the newest.
     pub(crate) fn decider(&self) -> Option<usize> {
         let claim = self.claims.last()?;
-        let ranks = 0..usize::from(RANKS);
-        ranks
-            .into_iter()
-            .find(|rank| claim.address == address_of(*rank, 1))
+        let mut ranks = 0..self.companions.len();
+        ranks.find(|rank| claim.address == address_of(*rank, 1))
     }
 
     pub(crate) fn kill(&mut self, rank: usize) {
@@ -131,6 +145,17 @@
         self.companions[rank].inbox.clear();
     }
 
+    /// Silences what a companion sends, or what it receives.
+    pub(crate) fn cut(&mut self, rank: usize, sends: bool) {
+        let companion = &mut self.companions[rank];
+        let queue = if sends {
+            &mut companion.sends
+        } else {
+            &mut companion.receives
+        };
+        queue.cut = true;
+    }
+
     pub(crate) fn restart(&mut self, rank: usize) {
         let starts = self.companions[rank].starts + 1;
         let number = u16::try_from(rank).expect("few ranks");
@@ -154,6 +179,12 @@
         self.companions[rank].process = Process::InstanceFrozen;
     }
 
+    /// Returns the bytes that a companion has sent and received.
+    pub(crate) fn bytes(&self, rank: usize) -> (usize, usize) {
+        let companion = &self.companions[rank];
+        (companion.sends.bytes, companion.receives.bytes)
+    }
+
     fn is_reached(&self, rank: usize) -> bool {
         self.companions[rank].process != Process::InstanceFrozen
     }
@@ -265,15 +296,31 @@
             &*message,
             PassMessage::Order { order, .. } if matches!(order.order, PassOrder::Prepare { .. })
         );
-        if (self.faults.lost_whole_maps && is_whole_map)
+        if self.faults.unheard == Some((from, rank_at(to)))
+            || (self.faults.lost_whole_maps && is_whole_map)
             || self.rng.random_bool(self.faults.lost_datagrams)
         {
             return;
         }
+        let to = rank_at(to);
         let delay = self.rng.random_range(Duration::ZERO..MAX_DELAY);
+        let mut at = self.now + delay;
+        if let Some(link) = self.link {
+            let mut bytes = Vec::new();
+            ciborium::into_writer(&message, &mut bytes).expect("it can be encoded");
+            let sends = &mut self.companions[from].sends;
+            let Some(sent) = sends.pass(self.now, bytes.len(), link) else {
+                return;
+            };
+            let receives = &mut self.companions[to].receives;
+            let Some(arrived) = receives.pass(sent + delay, bytes.len(), link) else {
+                return;
+            };
+            at = arrived;
+        }
         self.sent.push(Sent {
-            at: self.now + delay,
-            to: rank_at(to),
+            at,
+            to,
             event: MemberEvent::Received(address_of(from, 1), message),
         });
     }
