Read the store as often as the platform's bounds ask for

Cause: each companion asked for the configuration twice a second until the operator had written it, and entries read the upstreams each 0.6 s and the configuration each 1.5 s, whatever time the platform allows.

Change: companions wait at the store for the configuration; entries read the upstreams after three tenths of the time until a leaving upstream gets no calls, and wait for a configuration for three quarters of the time until it is in force: both are settings, filled in by the platform.

--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -135,12 +135,15 @@
         board: board.clone(),
         tx: news.clone(),
     };
+    let freshness = settings.freshness;
     let (reader, decode) = (feed(), Arc::clone(decoder));
     spawn("configuration", move || {
-        reader.follow_configuration(&*decode);
+        reader.follow_configuration(&*decode, freshness.configuration());
     })?;
     let (reader, decode) = (feed(), Arc::clone(decoder));
-    spawn("upstreams", move || reader.follow_upstreams(&*decode))?;
+    spawn("upstreams", move || {
+        reader.follow_upstreams(&*decode, freshness.leaving());
+    })?;
     let (own, address) = (settings.instance.clone(), settings.peers.listen);
     let reader = feed();
     spawn("entries", move || reader.follow_entries(&own, address))
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -13,13 +13,14 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
 
-/// How long the store may wait for a change of the configuration: short, so
-/// that a connection that went silent is noticed within seconds.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_500);
+/// Share of the time until a configuration is in force for which the store may
+/// wait for a change: a connection that went silent is noticed within it.
+const CONFIGURATION_WAIT_SHARE: f32 = 0.75;
 
-/// Time between two reads of the upstreams. A reader that waited would be
-/// woken by each of their heartbeats, and each call has its price.
-const UPSTREAMS_INTERVAL: Duration = Duration::from_millis(600);
+/// Share of the time until a leaving upstream gets no calls that passes between
+/// two reads of the upstreams. A reader that waited would be woken by each of
+/// their heartbeats, and each call has its price.
+const UPSTREAMS_PAUSE_SHARE: f32 = 0.3;
 
 /// How long the store may wait for a change among the entries.
 const ENTRIES_WAIT: Duration = Duration::from_secs(10);
@@ -108,9 +109,9 @@
     }
 
     /// Follows the configuration.
-    pub(crate) fn follow_configuration(&self, decoder: &dyn RecordDecoder) {
+    pub(crate) fn follow_configuration(&self, decoder: &dyn RecordDecoder, in_force: Duration) {
         let pace = Pace {
-            wait: CONFIGURATION_WAIT,
+            wait: in_force.mul_f32(CONFIGURATION_WAIT_SHARE),
             pause: Duration::ZERO,
         };
         self.follow(KeyedTopic::Configuration, pace, |change| {
@@ -128,10 +129,10 @@
     }
 
     /// Follows the upstreams.
-    pub(crate) fn follow_upstreams(&self, decoder: &dyn RecordDecoder) {
+    pub(crate) fn follow_upstreams(&self, decoder: &dyn RecordDecoder, leaving: Duration) {
         let pace = Pace {
             wait: Duration::ZERO,
-            pause: UPSTREAMS_INTERVAL,
+            pause: leaving.mul_f32(UPSTREAMS_PAUSE_SHARE),
         };
         self.follow(KeyedTopic::Upstreams, pace, |change| {
             let event = match change {
--- a/crates/egretstage_gateway/src/settings.rs
+++ b/crates/egretstage_gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use egretstage_wire::{InstanceId, ZoneName};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Settings of an entry that calls upstreams itself.
 #[derive(Clone, Debug, Deserialize)]
@@ -20,6 +21,8 @@
     pub peers: PeersSettings,
     /// The platform's store.
     pub store: StoreSettings,
+    /// How fresh what is read of the store must be.
+    pub freshness: FreshnessSettings,
     /// Planned stops.
     pub stop: StopSettings,
 }
@@ -46,6 +49,36 @@
     pub grace_ms: GraceMillis,
 }
 
+/// Time within which a change in the store takes effect, in milliseconds: at
+/// least half a second, at most ten minutes.
+type FreshnessMillis = Bounded<500, 600_000>;
+
+/// How fresh what is read of the store must be.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FreshnessSettings {
+    /// Longest time until a configuration is in force, in milliseconds.
+    pub configuration_ms: FreshnessMillis,
+    /// Longest time until an upstream that leaves gets no more calls, in
+    /// milliseconds.
+    pub leaving_ms: FreshnessMillis,
+}
+
+impl FreshnessSettings {
+    /// Returns the longest time until a configuration is in force.
+    #[must_use]
+    pub fn configuration(&self) -> Duration {
+        Duration::from_millis(self.configuration_ms.get())
+    }
+
+    /// Returns the longest time until an upstream that leaves gets no more
+    /// calls.
+    #[must_use]
+    pub fn leaving(&self) -> Duration {
+        Duration::from_millis(self.leaving_ms.get())
+    }
+}
+
 impl SettingsFile for GatewaySettings {
     fn check(&self) -> Result<(), Clash> {
         if self.callers.listen == self.callers.admin_listen {
--- a/crates/egretstage_passes/tests/switches/many_ranks.rs
+++ b/crates/egretstage_passes/tests/switches/many_ranks.rs
@@ -117,9 +117,12 @@
     assert_eq!(world.claims.len(), 1, "one link made another decider");
 }
 
+/// What becomes of a companion.
+type Loss = fn(&mut World, usize);
+
 #[test]
 fn a_lost_decider_is_replaced_before_requests_are_cut_off() {
-    let lose: [(&str, fn(&mut World, usize)); 4] = [
+    let lose: [(&str, Loss); 4] = [
         ("killed", World::kill),
         ("frozen", World::freeze),
         ("mute", |world, decider| world.cut(decider, true)),
--- a/crates/egretstage_rank_companion/src/claims.rs
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -4,15 +4,21 @@
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use egretstage_gateway::RecordDecoder;
 use egretstage_passes::{DeciderClaim, GroupShape, MemberEvent};
-use egretstage_platform::{KeyedRecord, KeyedStore, KeyedTopic, PlatformError, PutAt};
+use egretstage_platform::{
+    KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, PlatformError, PutAt,
+};
 use egretstage_runtime::EventSender;
 use egretstage_wire::ServiceName;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// Pause before the configuration is read again.
+/// Pause before the configuration is read again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// How long the store may wait for a configuration: companions start before
+/// the operator writes it, and each call has its price.
+const CONFIGURATION_WAIT: Duration = Duration::from_secs(5);
+
 /// A call to the store.
 #[derive(Debug)]
 pub(crate) enum ClaimCall {
@@ -55,49 +61,53 @@
     }
 }
 
+/// Follows the configuration until it describes the group's experts.
 fn await_shape(
     store: &dyn KeyedStore,
     decoder: &dyn RecordDecoder,
     service: &ServiceName,
 ) -> GroupShape {
+    let mut follower = KeyedFollower::new(KeyedTopic::Configuration);
     loop {
-        match shape(store, decoder, service) {
-            Ok(Some(shape)) => return shape,
-            Ok(None) => log::debug!(service:display = service; "no experts are configured"),
-            Err(e) => log::debug!(error:display = e; "the configuration can't be read"),
+        match follower.poll(Instant::now(), store, CONFIGURATION_WAIT) {
+            Ok(changes) => {
+                let puts = changes.into_iter().rev();
+                let mut shapes = puts.filter_map(|change| shape(change, decoder, service));
+                if let Some(shape) = shapes.next() {
+                    return shape;
+                }
+            }
+            Err(e) => {
+                log::debug!(error:display = e; "the configuration can't be read");
+                std::thread::sleep(RETRY_DELAY);
+            }
         }
-        std::thread::sleep(RETRY_DELAY);
     }
 }
 
 fn shape(
-    store: &dyn KeyedStore,
+    change: KeyedChange,
     decoder: &dyn RecordDecoder,
     service: &ServiceName,
-) -> Result<Option<GroupShape>, PlatformError> {
-    let page = store.newest(KeyedTopic::Configuration, None)?;
-    let values = page
-        .records
-        .iter()
-        .filter_map(|record| record.value.as_deref());
-    let tables = values.filter_map(|value| match decoder.routing_table(value) {
-        Ok(table) => Some(table),
+) -> Option<GroupShape> {
+    let KeyedChange::Put { value, .. } = change else {
+        return None;
+    };
+    let table = match decoder.routing_table(&value) {
+        Ok(table) => table,
         Err(e) => {
             log::error!(error:display = e; "a configuration is not readable");
-            None
+            return None;
         }
-    });
-    let newest = tables.max_by_key(egretstage_dispatch::RoutingTable::version);
-    Ok(newest.and_then(|table| {
-        let experts = table.service(service)?.engine?.experts?;
-        Some(GroupShape {
-            layers: experts.layers,
-            experts: experts.experts,
-            slots_per_rank: experts.slots_per_rank,
-            copies_per_layer: experts.copies_per_layer,
-            copy_time: experts.copy_time,
-        })
-    }))
+    };
+    let experts = table.service(service)?.engine?.experts?;
+    Some(GroupShape {
+        layers: experts.layers,
+        experts: experts.experts,
+        slots_per_rank: experts.slots_per_rank,
+        copies_per_layer: experts.copies_per_layer,
+        copy_time: experts.copy_time,
+    })
 }
 
 fn run(store: &dyn KeyedStore, rx: &Receiver<ClaimCall>, events: &EventSender<MemberEvent>) {
