Keep to what upstreams say in answers; bound bytes without an end

Cause: an answer that says that its upstream leaves, or a refusal that says for how long it wants no calls, was not read; the record alone counted, which may say 'ready' for seconds, or lapse and come back while the store is away. The rest of a refusal was read to its end before the call was tried elsewhere, so bytes that drip held it until its deadline; heads took up to 400 KB and answers 16 MB each, however many there were; a resumable stream that sent bytes but no event ended only at its deadline. After the last call of a planned stop, the process ended while the last answers were on their way.

Change: a reducer's module keeps what each start of an upstream said, over lapses of its record; a group whose ranks all say so is closed until the first of them takes calls, and callers are told that time. The process waits up to 300 ms for callers' connections.

Ruled out: trusting a 421's words, which another upstream at the address says.

--- a/crates/egretstage_dispatch/src/closure.rs
+++ b/crates/egretstage_dispatch/src/closure.rs
@@ -25,9 +25,9 @@
 /// # use std::time::{Duration, Instant};
 /// let now = Instant::now();
 /// let mut closure = Closure::default();
-/// closure.refused(now);
+/// closure.refused(now, None);
 /// assert!(!closure.is_closed());
-/// closure.refused(now);
+/// closure.refused(now, None);
 /// assert!(closure.is_closed() && !closure.may_try(now));
 /// assert!(closure.may_try(now + Duration::from_secs(1)));
 /// closure.answered();
@@ -37,17 +37,36 @@
 pub struct Closure {
     refusals: u32,
     next_trial: Option<Instant>,
+    /// Until when each refusal so far asked for no calls.
+    stated: Option<Instant>,
 }
 
 impl Closure {
-    /// Notes that a rank stated that it didn't run a call.
-    pub fn refused(&mut self, now: Instant) {
+    /// Notes that a rank stated that it didn't run a call, perhaps until when
+    /// it wants none.
+    ///
+    /// The group is tried again when the first of its ranks wants calls.
+    pub fn refused(&mut self, now: Instant, until: Option<Instant>) {
         self.refusals += 1;
+        self.stated = match (self.refusals, self.stated, until) {
+            (1, _, until) => until,
+            (_, Some(known), Some(until)) => Some(known.min(until)),
+            _ => None,
+        };
         if self.refusals >= REFUSALS_THAT_CLOSE {
             self.close(now);
+            if let (Some(next), Some(stated)) = (&mut self.next_trial, self.stated) {
+                *next = (*next).max(stated);
+            }
         }
     }
 
+    /// Returns until when a closed group said that it takes no calls.
+    #[must_use]
+    pub fn stated(&self) -> Option<Instant> {
+        self.stated.filter(|_| self.is_closed())
+    }
+
     /// Closes the group; the time of the next trial stays if it was closed.
     pub fn close(&mut self, now: Instant) {
         self.next_trial.get_or_insert(now + TRIAL_INTERVAL);
--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -45,6 +45,13 @@
         /// How.
         end: AttemptEnd,
     },
+    /// An upstream's answer said something of the upstream itself.
+    Said {
+        /// The upstream.
+        upstream: UpstreamKey,
+        /// What.
+        notice: UpstreamNotice,
+    },
     /// A configuration was read.
     Configured(Arc<RoutingTable>),
     /// An upstream was listed, for the first time or anew.
@@ -57,6 +64,15 @@
     Stop,
 }
 
+/// What an upstream says of itself in an answer to any call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamNotice {
+    /// It leaves, whatever its record says.
+    Leaving,
+    /// It wants no calls from this entry for so long.
+    Busy(Duration),
+}
+
 /// How an attempt ended that gave no answer to pass on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -78,9 +78,16 @@
         self.close_by(group, |closure| closure.close(now))
     }
 
-    /// Notes that a group refused a call; returns whether this closed it.
-    pub(crate) fn refused(&mut self, now: Instant, group: &str) -> bool {
-        self.close_by(group, |closure| closure.refused(now))
+    /// Notes that a group refused a call, perhaps until a stated time; returns
+    /// whether this closed it.
+    pub(crate) fn refused(&mut self, now: Instant, group: &str, until: Option<Instant>) -> bool {
+        self.close_by(group, |closure| closure.refused(now, until))
+    }
+
+    /// Returns the time until which a closed group has said that it takes no
+    /// calls.
+    pub(crate) fn closed_until(&self, group: &str) -> Option<Instant> {
+        self.closures.get(group).and_then(Closure::stated)
     }
 
     /// Notes that a call is sent to a group.
@@ -132,7 +139,7 @@
         service: &ServiceName,
     ) -> SmallVec<[GroupLoad; 4]> {
         let mut loads: SmallVec<[GroupLoad; 4]> = SmallVec::new();
-        for (_, upstream) in upstreams.ready(service) {
+        for (_, upstream) in upstreams.ready(now, service) {
             let group = upstream.group();
             let calls = upstream.calls();
             if let Some(load) = loads.iter_mut().find(|load| load.group == group) {
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 //! | which upstream runs a call | [`placement`] |
 //! | when a refused caller returns | [`returns`] |
 //! | whether a failed call is sent again | [`attempts`] |
+//! | what upstreams say of themselves in answers | `notices` |
 
 pub mod admission;
 pub mod attempts;
@@ -24,6 +25,7 @@
 mod event;
 mod groups;
 mod line;
+mod notices;
 mod peers;
 pub mod placement;
 mod reducer;
@@ -35,9 +37,10 @@
 pub use call::{CallHead, CallKey, Prompt};
 pub use event::{
     Attempt, AttemptEnd, DispatchEffect, DispatchEvent, NotRunCause, Refusal, RefusalKind,
-    UnknownCause,
+    UnknownCause, UpstreamNotice,
 };
 pub use line::DecisionLine;
+pub use notices::Notices;
 pub use peers::{LoadReport, PeerLoads, UpstreamLoad};
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
--- a/crates/egretstage_dispatch/src/placement.rs
+++ b/crates/egretstage_dispatch/src/placement.rs
@@ -9,6 +9,7 @@
 use crate::{UpstreamKey, Upstreams};
 use egretstage_routing::Ewma;
 use egretstage_wire::{ServiceName, ZoneName};
+use std::time::Instant;
 
 /// Calls that an upstream in another zone must have fewer to be preferred.
 const OTHER_ZONE_CALLS: f32 = 0.3;
@@ -26,20 +27,21 @@
 #[must_use]
 pub fn choose(
     upstreams: &Upstreams,
+    now: Instant,
     service: &ServiceName,
     zone: &ZoneName,
     avoid: &[UpstreamKey],
     most: impl Fn(&Upstream) -> u32,
     tie_break: u64,
 ) -> Option<UpstreamKey> {
-    let typical = typical_answer_ms(upstreams, service);
+    let typical = typical_answer_ms(upstreams, now, service);
     let score = |(key, upstream): (UpstreamKey, &Upstream)| {
         let avoided = avoid.contains(&key);
         let load = load(upstream, zone, typical);
         (avoided, load, tie(key, tie_break), key)
     };
     upstreams
-        .ready(service)
+        .ready(now, service)
         .filter(|(_, upstream)| upstream.calls() < most(upstream))
         .map(score)
         .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)))
@@ -62,8 +64,8 @@
 }
 
 /// Returns the median of the answer times of a service's upstreams.
-fn typical_answer_ms(upstreams: &Upstreams, service: &ServiceName) -> Option<f32> {
-    let times = upstreams.ready(service);
+fn typical_answer_ms(upstreams: &Upstreams, now: Instant, service: &ServiceName) -> Option<f32> {
+    let times = upstreams.ready(now, service);
     let mut times: Vec<f32> = times.filter_map(|(_, u)| Ewma::get(&u.answer_ms)).collect();
     times.sort_by(f32::total_cmp);
     times.get(times.len() / 2).copied()
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -8,7 +8,7 @@
 use crate::waiting::Budgets;
 use crate::{
     CallKey, DecisionLine, DispatchEffect, DispatchEvent, ListedUpstream, LoadReport, PeerLoads,
-    RoutingTable, UpstreamLoad, UpstreamState, Upstreams,
+    RoutingTable, UpstreamKey, UpstreamLoad, UpstreamNotice, UpstreamState, Upstreams,
 };
 use calls::Call;
 use egretstage_runtime::Reducer;
@@ -168,14 +168,39 @@
         fx.push(upstream_line(instance, state.into()));
     }
 
-    fn unlisted(&mut self, instance: &InstanceId, fx: &mut Vec<DispatchEffect>) {
+    fn unlisted(&mut self, now: Instant, instance: &InstanceId, fx: &mut Vec<DispatchEffect>) {
         if self.upstreams.find(instance).is_some() {
-            self.upstreams.remove(instance);
+            self.upstreams.remove(now, instance);
             fx.push(DispatchEffect::CloseIdle(instance.clone()));
             fx.push(upstream_line(instance.clone(), "gone"));
         }
     }
 
+    /// Takes in what an upstream says of itself in an answer.
+    fn said(
+        &mut self,
+        now: Instant,
+        upstream: UpstreamKey,
+        notice: UpstreamNotice,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        let Some(upstream) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        let instance = upstream.listed.instance.clone();
+        match notice {
+            UpstreamNotice::Leaving if upstream.notices.leaves() => {
+                fx.push(DispatchEffect::CloseIdle(instance.clone()));
+                fx.push(upstream_line(instance, "says-leaving"));
+            }
+            UpstreamNotice::Leaving => {}
+            UpstreamNotice::Busy(time) => {
+                upstream.notices.busy(now, time);
+                fx.push(upstream_line(instance, "says-busy"));
+            }
+        }
+    }
+
     fn peer_reported(&mut self, now: Instant, report: LoadReport) {
         if report.entry != self.entry && self.peers.reported(now, report) {
             self.count_peer_calls();
@@ -271,7 +296,8 @@
                 self.listed(now, *listed, fx);
                 self.pump_all(now, fx);
             }
-            DispatchEvent::Unlisted(instance) => self.unlisted(&instance, fx),
+            DispatchEvent::Unlisted(instance) => self.unlisted(now, &instance, fx),
+            DispatchEvent::Said { upstream, notice } => self.said(now, upstream, notice, fx),
             DispatchEvent::PeerReported(report) => {
                 self.peer_reported(now, *report);
                 self.pump_all(now, fx);
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -159,7 +159,7 @@
         if call.route.kind.is_stream() && self.is_too_late_for_streams(now) {
             return Some(RefusalKind::Stopping);
         }
-        if self.upstreams.ready(&call.service).next().is_none() {
+        if self.upstreams.ready(now, &call.service).next().is_none() {
             return Some(RefusalKind::NoUpstream);
         }
         // It may open at any moment, but a caller with time left does better to
@@ -292,18 +292,46 @@
             .filter(|(_, c)| matches!(c.phase, Phase::Waiting));
         let too_long = waits
             .filter(|(_, call)| now.saturating_duration_since(call.arrived) >= self.max_wait(call));
-        let mut keys: SmallVec<[CallKey; 8]> = too_long.map(|(key, _)| *key).collect();
+        let too_long: SmallVec<[CallKey; 8]> = too_long.map(|(key, _)| *key).collect();
+        self.refuse_waiting(now, too_long, RefusalKind::NoRoom, fx);
+        let hopeless = self.without_upstream_in_time(now);
+        self.refuse_waiting(now, hopeless, RefusalKind::NoUpstream, fx);
+        self.pump_all(now, fx);
+    }
+
+    /// Returns the waiting calls whose upstreams have all said that they take
+    /// none in the time that the calls have left.
+    fn without_upstream_in_time(&self, now: Instant) -> SmallVec<[CallKey; 8]> {
+        let waiting = self.services.iter().filter(|(_, s)| !s.waiting.is_empty());
+        let stated = waiting.filter_map(|(service, _)| {
+            let at = self.stated_return(now, service)?;
+            Some((service, at))
+        });
+        let stated: SmallVec<[(&ServiceName, Instant); 2]> = stated.collect();
+        let hopeless = |call: &Call| {
+            let of_service = stated.iter().find(|(service, _)| **service == call.service);
+            let waits = matches!(call.phase, Phase::Waiting);
+            waits && of_service.is_some_and(|(_, at)| *at >= call.arrived + self.max_wait(call))
+        };
+        let calls = self.calls.iter();
+        let hopeless = calls.filter(|(_, call)| hopeless(call));
+        hopeless.map(|(key, _)| *key).collect()
+    }
+
+    /// Refuses waiting calls, the first ones first.
+    fn refuse_waiting(
+        &mut self,
+        now: Instant,
+        mut keys: SmallVec<[CallKey; 8]>,
+        kind: RefusalKind,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
         keys.sort_unstable();
         for key in keys {
             let ran = self.calls.get(&key).is_some_and(|call| call.maybe_ran);
-            let kind = if ran {
-                RefusalKind::Unknown
-            } else {
-                RefusalKind::NoRoom
-            };
+            let kind = if ran { RefusalKind::Unknown } else { kind };
             self.refuse(now, key, kind, fx);
         }
-        self.pump_all(now, fx);
     }
 }
 
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -13,6 +13,9 @@
 /// come back: the others follow until the longest, not all at one moment.
 const EARLIEST_RETURN_SHARE: f32 = 0.75;
 
+/// Time over which callers return after upstreams want calls again.
+const RETURN_SPREAD: Duration = Duration::from_millis(400);
+
 /// Returns the share of the longest delay after which a caller comes back.
 fn spread(request: &RequestId) -> f32 {
     let drawn = rapidhash::v3::rapidhash_v3(request.as_str().as_bytes()) >> 48;
@@ -113,7 +116,7 @@
             return;
         };
         let service = call.service.clone();
-        if self.upstreams.ready(&service).next().is_none() {
+        if self.upstreams.ready(now, &service).next().is_none() {
             let kind = if call.maybe_ran {
                 RefusalKind::Unknown
             } else {
@@ -187,6 +190,12 @@
                 let interval = service.starts.time_for(now, 1);
                 Some(service.returns.assign(now, interval, longest))
             }
+            RefusalKind::NoUpstream if self.stated_return(now, &call.service).is_some() => {
+                // The true time, also when it is beyond the caller's reach.
+                let stated = self.stated_return(now, &call.service);
+                let wait = stated.map(|at| at.saturating_duration_since(now));
+                wait.map(|wait| wait + RETURN_SPREAD.mul_f32(spread(&call.head.request)))
+            }
             RefusalKind::NoUpstream if self.all_closed(now, &call.service) => {
                 Some(longest.mul_f32(spread(&call.head.request)))
             }
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -89,6 +89,7 @@
         let of_group = |load: &GroupLoad| {
             placement::choose(
                 &self.upstreams,
+                now,
                 service,
                 &self.zone,
                 &call.tried,
--- a/crates/egretstage_dispatch/src/reducer/closing.rs
+++ b/crates/egretstage_dispatch/src/reducer/closing.rs
@@ -72,9 +72,11 @@
         upstream: UpstreamKey,
         fx: &mut Vec<DispatchEffect>,
     ) {
-        if let Some(of) = self.upstreams.get(upstream).map(GroupOf::from)
-            && self.groups(&of).refused(now, &of.group)
-        {
+        let Some(called) = self.upstreams.get(upstream) else {
+            return;
+        };
+        let (of, until) = (GroupOf::from(called), called.notices.busy_until());
+        if self.groups(&of).refused(now, &of.group, until) {
             fx.push(of.line(ClosingReason::Refuses));
         }
     }
@@ -94,6 +96,22 @@
         !loads.is_empty() && loads.iter().all(|load| load.closed && load.bound == 0)
     }
 
+    /// Returns when upstreams of a service have said that they take calls
+    /// again, if none takes them now.
+    pub(super) fn stated_return(&self, now: Instant, service: &ServiceName) -> Option<Instant> {
+        if let Some(until) = self.upstreams.busy_until(now, service) {
+            return Some(until);
+        }
+        if !self.all_closed(now, service) {
+            return None;
+        }
+        let groups = &self.services.get(service)?.groups;
+        let loads = self.loads(now, service);
+        let until = loads.iter().map(|load| groups.closed_until(&load.group));
+        // One that doesn't say when may open at any moment.
+        until.collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
     fn groups(&mut self, of: &GroupOf) -> &mut Groups {
         &mut self.service(&of.service).groups
     }
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry may call.
 
+use crate::notices::{Notices, RememberedNotices};
 use compact_str::CompactString;
 use egretstage_routing::Ewma;
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
@@ -54,6 +55,17 @@
     pub seat: Option<GroupSeat>,
 }
 
+impl ListedUpstream {
+    /// Tells whether another record is of the same start of the upstream.
+    #[must_use]
+    pub fn is_same_start(&self, other: &Self) -> bool {
+        self.instance == other.instance
+            && self.started_ms == other.started_ms
+            && self.address == other.address
+            && self.service == other.service
+    }
+}
+
 /// Weight of the newest answer in an upstream's share of failures.
 const FAILURE_WEIGHT: f32 = 0.15;
 
@@ -76,6 +88,8 @@
     /// Until when no call is sent to it, since it said that it isn't the
     /// upstream that its record names, or doesn't belong to the service.
     disowned_until: Option<Instant>,
+    /// What it said of itself in answers.
+    pub notices: Notices,
 }
 
 /// Time for which an upstream that disowns its record isn't called: one call
@@ -91,6 +105,7 @@
             failures: Ewma::new(FAILURE_WEIGHT),
             answer_ms: Ewma::new(ANSWER_TIME_WEIGHT),
             disowned_until: None,
+            notices: Notices::default(),
         }
     }
 
@@ -102,8 +117,10 @@
 
     /// Tells whether it takes new work.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.listed.state == UpstreamState::Ready && self.disowned_until.is_none()
+    pub fn is_ready(&self, now: Instant) -> bool {
+        self.listed.state == UpstreamState::Ready
+            && self.disowned_until.is_none()
+            && self.notices.allow_calls(now)
     }
 
     /// Returns the name of its model group, empty if it is in none.
@@ -118,6 +135,7 @@
 pub struct Upstreams {
     arena: SlotMap<UpstreamKey, Upstream>,
     by_instance: HashMap<InstanceId, UpstreamKey>,
+    remembered: RememberedNotices,
 }
 
 impl Upstreams {
@@ -125,13 +143,15 @@
     pub fn list(&mut self, listed: ListedUpstream) -> UpstreamKey {
         if let Some(key) = self.by_instance.get(&listed.instance).copied()
             && let Some(known) = self.arena.get_mut(key)
-            && is_same_start(&known.listed, &listed)
+            && known.listed.is_same_start(&listed)
         {
             known.listed = listed;
             return key;
         }
         let instance = listed.instance.clone();
-        let key = self.arena.insert(Upstream::new(listed));
+        let mut upstream = Upstream::new(listed);
+        upstream.notices = self.remembered.recall(&upstream.listed);
+        let key = self.arena.insert(upstream);
         if let Some(old) = self.by_instance.insert(instance, key) {
             self.arena.remove(old);
         }
@@ -139,9 +159,13 @@
     }
 
     /// Removes an upstream by its name.
-    pub fn remove(&mut self, instance: &InstanceId) {
-        if let Some(key) = self.by_instance.remove(instance) {
-            self.arena.remove(key);
+    pub fn remove(&mut self, now: Instant, instance: &InstanceId) {
+        let key = self.by_instance.remove(instance);
+        if let Some(upstream) = key.and_then(|key| self.arena.remove(key)) {
+            let Upstream {
+                listed, notices, ..
+            } = upstream;
+            self.remembered.remember(now, listed, notices);
         }
     }
 
@@ -177,12 +201,28 @@
     /// Returns the upstreams of a service that take new work.
     pub fn ready<'a>(
         &'a self,
+        now: Instant,
         service: &'a ServiceName,
     ) -> impl Iterator<Item = (UpstreamKey, &'a Upstream)> {
-        let of_service = move |u: &Upstream| u.is_ready() && u.listed.service == *service;
+        let of_service = move |u: &Upstream| u.is_ready(now) && u.listed.service == *service;
         self.arena.iter().filter(move |(_, u)| of_service(u))
     }
 
+    /// Returns when the first upstream of a service wants calls again, if none
+    /// takes them now and some have said when they do.
+    #[must_use]
+    pub fn busy_until(&self, now: Instant, service: &ServiceName) -> Option<Instant> {
+        if self.ready(now, service).next().is_some() {
+            return None;
+        }
+        let of_service = |u: &&Upstream| {
+            let takes_work = u.listed.state == UpstreamState::Ready && !u.notices.is_leaving();
+            takes_work && u.listed.service == *service
+        };
+        let upstreams = self.arena.values().filter(of_service);
+        upstreams.filter_map(|u| u.notices.busy_until()).min()
+    }
+
     /// Notes that an upstream disowned its record when it was called.
     pub fn disowned(&mut self, now: Instant, key: UpstreamKey) {
         if let Some(upstream) = self.arena.get_mut(key) {
@@ -209,9 +249,3 @@
         }
     }
 }
-
-fn is_same_start(known: &ListedUpstream, listed: &ListedUpstream) -> bool {
-    known.started_ms == listed.started_ms
-        && known.address == listed.address
-        && known.service == listed.service
-}
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -3,5 +3,6 @@
 mod admission;
 mod at_most_once;
 mod broken_groups;
+mod notices;
 mod support;
 mod under_load;
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -20,13 +20,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, channel, unbounded_channel};
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 
 /// Time before the kill at which a stop ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time after the last call's end until callers' connections close:
+/// below the margin before the kill.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
 /// Runs an entry until it has stopped.
 ///
 /// # Errors
@@ -106,9 +111,15 @@
     spawn_local(record_relay::show(records, board.clone()));
     spawn_local(take_news(news_rx, Rc::clone(&driver), addresses, board));
     spawn_local(close_idle_connections(close_idle_rx, pool));
-    spawn_local(server::accept(listener, gateway));
+    let (open, mut all_closed) = channel(1);
+    let accepting = spawn_local(server::accept(listener, gateway, open));
     log::info!(address:display = address; "entry started");
     stopped.notified().await;
+    accepting.abort();
+    // The last answers are still on their way to callers' connections.
+    if timeout(LAST_ANSWERS, all_closed.recv()).await.is_err() {
+        log::warn!("callers' connections are open at the end of the stop");
+    }
     Ok(())
 }
 
--- a/crates/egretstage_gateway/src/dialect.rs
+++ b/crates/egretstage_gateway/src/dialect.rs
@@ -1,7 +1,7 @@
 //! What a platform has to translate.
 
 use compact_str::CompactString;
-use egretstage_dispatch::{CallHead, ListedUpstream, RoutingTable};
+use egretstage_dispatch::{CallHead, ListedUpstream, NotRunCause, RoutingTable};
 use egretstage_platform::KeyedStore;
 use egretstage_wire::{InstanceId, OrganisationName, RequestId};
 use hyper::HeaderMap;
@@ -42,10 +42,12 @@
     pub request: Option<RequestId>,
     /// Whether the upstream signed it.
     pub signed: bool,
-    /// Whether the upstream states that it didn't run the request.
-    pub not_run: bool,
-    /// Whether another upstream answered.
-    pub other_upstream: bool,
+    /// Why the upstream didn't run the request, if it states so.
+    pub not_run: Option<NotRunCause>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
+    /// For how long the upstream wants no calls from this entry.
+    pub busy_for: Option<Duration>,
 }
 
 /// Translates heads of HTTP messages.
--- a/crates/egretstage_gateway/src/events.rs
+++ b/crates/egretstage_gateway/src/events.rs
@@ -2,8 +2,9 @@
 
 use compact_str::CompactString;
 
-/// Largest event, in bytes: one that doesn't end by then isn't an event.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Largest event, in bytes: one that doesn't end by then isn't an event. An
+/// entry holds the rest of hundreds of streams.
+const MAX_EVENT_BYTES: usize = 128 * 1024;
 
 /// One whole event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +15,15 @@
     pub id: Option<CompactString>,
 }
 
+impl StreamEvent {
+    /// Tells whether it carries data: a comment only keeps a connection open.
+    #[must_use]
+    pub fn carries_data(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// An event is too large.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("an event has over {MAX_EVENT_BYTES} bytes")]
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -180,7 +180,7 @@
     }
 
     async fn attempt(&self, held: &HeldRequest, attempt: &Attempt) -> Finished {
-        let sent = send(&self.pool, &*self.dialect, held, attempt, None).await;
+        let sent = send(self, held, attempt, None).await;
         match sent {
             Attempted::Open(open) if attempt.streams => Finished::Streams(Box::new(open)),
             Attempted::Open(open) => match finish(&self.pool, attempt, open).await {
--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::answers::{AnswerBody, Cut, TaskBody};
 use crate::attempt::{Attempted, HeldRequest, OpenAnswer, send, strip_connection_headers};
 use crate::driver::Command;
-use crate::events::EventSplitter;
+use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{CallGuard, Gateway};
 use crate::upstream_pool::Connection;
 use compact_str::CompactString;
@@ -14,13 +14,19 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::header::CONTENT_LENGTH;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel};
 
 /// Events that wait for a caller who reads slowly, before the upstream is no
 /// longer read.
 const EVENTS_AHEAD: usize = 64;
 
+/// Time without a whole event after which a stream that another upstream may
+/// go on with is taken from its upstream: longer than groups stand before
+/// their engines cut streams off themselves, shorter than callers wait.
+/// Bytes that make no event, and events without data, don't count.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_900);
+
 /// How a stream from one upstream ended.
 enum StreamEnd {
     /// It was passed on to its end.
@@ -75,7 +81,7 @@
 impl Relay {
     async fn run(mut self, mut attempt: Attempt, mut body: Incoming, mut connection: Connection) {
         loop {
-            match self.pass_on(&mut body).await {
+            match self.pass_on(&mut body, attempt.repeatable).await {
                 StreamEnd::Whole => {
                     self.gateway.pool.keep(&attempt.instance, connection);
                     self.guard.completed();
@@ -96,14 +102,19 @@
     }
 
     /// Passes events on until the upstream ends or breaks off.
-    async fn pass_on(&mut self, body: &mut Incoming) -> StreamEnd {
+    async fn pass_on(&mut self, body: &mut Incoming, repeatable: bool) -> StreamEnd {
         let mut events = EventSplitter::default();
+        let silence = tokio::time::sleep(STREAM_SILENCE);
+        tokio::pin!(silence);
         loop {
             let frame = tokio::select! {
                 biased;
                 _ = self.rx.recv() => return self.stopped(),
                 () = self.tx.closed() => return StreamEnd::Stopped,
                 frame = body.frame() => frame,
+                () = silence.as_mut(), if repeatable => {
+                    return StreamEnd::Broken(UnknownCause::Silent);
+                }
             };
             let data = match frame {
                 None if events.has_rest() => {
@@ -119,6 +130,10 @@
             let Ok(whole) = events.push(&data) else {
                 return StreamEnd::Broken(UnknownCause::ForeignAnswer);
             };
+            if whole.iter().any(StreamEvent::carries_data) {
+                let again = tokio::time::Instant::now() + STREAM_SILENCE;
+                silence.as_mut().reset(again);
+            }
             for event in whole {
                 self.note_event();
                 self.last_id = event.id.or(self.last_id.take());
@@ -160,13 +175,7 @@
             };
             let gateway = Rc::clone(&self.gateway);
             let resume_after = self.last_id.clone();
-            let sending = send(
-                &gateway.pool,
-                &*gateway.dialect,
-                &self.held,
-                &attempt,
-                resume_after,
-            );
+            let sending = send(&gateway, &self.held, &attempt, resume_after);
             let sent = tokio::select! {
                 biased;
                 _ = self.rx.recv() => {
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::Sender;
 
 /// Pause after a connection that couldn't be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -22,12 +23,20 @@
 /// otherwise; also the least that the HTTP library takes.
 const DEFAULT_MAX_HEADER_BYTES: usize = 16 * 1024;
 
+/// Stands for an open connection of a caller: all are closed when the last one
+/// is dropped.
+pub(crate) type OpenConnection = Sender<()>;
+
 /// Accepts callers' connections for as long as the process runs.
-pub(crate) async fn accept(listener: TcpListener, gateway: Rc<Gateway>) {
+pub(crate) async fn accept(listener: TcpListener, gateway: Rc<Gateway>, open: OpenConnection) {
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
-                tokio::task::spawn_local(connection(tcp, Rc::clone(&gateway)));
+                let (gateway, open) = (Rc::clone(&gateway), open.clone());
+                tokio::task::spawn_local(async move {
+                    connection(tcp, gateway).await;
+                    drop(open);
+                });
             }
             Err(e) => {
                 log::warn!(error:display = e; "a connection can't be accepted");
--- a/crates/egretstage_gateway/src/upstream_pool.rs
+++ b/crates/egretstage_gateway/src/upstream_pool.rs
@@ -7,13 +7,14 @@
 use egretstage_wire::InstanceId;
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -37,6 +38,10 @@
 /// state none.
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 
+/// Largest head of an answer, and most that is read ahead of a body, in bytes:
+/// a head without an end takes no more memory than that.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// A connection to one upstream, between two requests.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -50,13 +55,45 @@
     since: Instant,
 }
 
-/// The idle connections to all upstreams.
+/// The idle connections to all upstreams, and what is read of their answers.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
     idle: RefCell<HashMap<InstanceId, Vec<Idle>>>,
+    /// Bytes of answers that are not passed on yet.
+    held: Rc<Cell<usize>>,
+}
+
+/// What one answer holds of the memory for all answers; returned at its drop.
+#[derive(Debug)]
+pub(crate) struct HeldBytes {
+    all: Rc<Cell<usize>>,
+    own: usize,
+}
+
+impl HeldBytes {
+    /// Takes more; returns whether all answers together stay within a limit.
+    pub(crate) fn add(&mut self, bytes: usize, limit: usize) -> bool {
+        self.own += bytes;
+        self.all.set(self.all.get() + bytes);
+        self.all.get() <= limit
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.own);
+    }
 }
 
 impl UpstreamPool {
+    /// Starts to count what one answer holds.
+    pub(crate) fn held_bytes(&self) -> HeldBytes {
+        HeldBytes {
+            all: Rc::clone(&self.held),
+            own: 0,
+        }
+    }
+
     /// Returns a connection, a kept one if there is any.
     pub(crate) async fn checkout(
         &self,
@@ -131,7 +168,9 @@
     if let Err(e) = set_options(&tcp) {
         log::warn!(address:display, error:display = e; "a connection keeps the system's defaults");
     }
-    let (sender, connection) = handshake(TokioIo::new(tcp))
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(tcp))
         .await
         .map_err(|_| NotRunCause::NoConnection)?;
     tokio::task::spawn_local(async move {
