Pack the reports between entries, and sum them as they come

Cause: a report named each upstream in use in some 35 bytes and went to all other entries twenty times a second; each one that arrived had all sums made anew, over all entries, their rows and all upstreams. With 34 entries that is 660 times a second at each, and up to 4 MB a second sent.

Change: six bytes a row; sums change by the difference to the entry's report before; the more entries, the more seldom they report.

Tests: sums against a plain model under reports that come late and stop; bytes a second of 34 entries against a twentieth of the narrowest link.

--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -41,7 +41,9 @@
 };
 pub use line::DecisionLine;
 pub use notices::Notices;
-pub use peers::{LoadReport, PeerLoads, UpstreamLoad};
+pub use peers::{
+    ChangedUpstreams, LoadReport, PeerLoads, UpstreamLoad, UpstreamLoads, UpstreamTag,
+};
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
     CallerLimits, EngineProfile, ExpertLayout, Organisation, Route, RouteKind, RoutingTable,
--- a/crates/egretstage_dispatch/src/peers.rs
+++ b/crates/egretstage_dispatch/src/peers.rs
@@ -14,15 +14,57 @@
 /// or the entry is gone and its callers with it.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
+/// Names an upstream between entries in four bytes: a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UpstreamTag(u32);
+
+impl From<&InstanceId> for UpstreamTag {
+    fn from(instance: &InstanceId) -> Self {
+        let hash = rapidhash::v3::rapidhash_v3(instance.as_str().as_bytes());
+        Self(u32::try_from(hash >> 32).unwrap_or(u32::MAX))
+    }
+}
+
 /// An entry's calls at one upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpstreamLoad {
     /// The upstream.
-    #[serde(rename = "u")]
-    pub upstream: InstanceId,
+    pub upstream: UpstreamTag,
     /// Calls that it runs for the entry.
-    #[serde(rename = "c")]
-    pub calls: u32,
+    pub calls: u16,
+}
+
+/// Bytes of one upstream in a report.
+const ROW_BYTES: usize = 6;
+
+/// An entry's calls at the upstreams that it uses, packed: a report goes to
+/// all other entries many times a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UpstreamLoads(#[serde(with = "serde_bytes")] Vec<u8>);
+
+impl FromIterator<UpstreamLoad> for UpstreamLoads {
+    fn from_iter<I: IntoIterator<Item = UpstreamLoad>>(loads: I) -> Self {
+        let mut bytes = Vec::new();
+        for UpstreamLoad { upstream, calls } in loads {
+            bytes.extend(upstream.0.to_be_bytes());
+            bytes.extend(calls.to_be_bytes());
+        }
+        Self(bytes)
+    }
+}
+
+impl UpstreamLoads {
+    /// Returns the loads.
+    pub fn iter(&self) -> impl Iterator<Item = UpstreamLoad> + '_ {
+        self.0.chunks_exact(ROW_BYTES).filter_map(|row| {
+            let (tag, calls) = row.split_first_chunk()?;
+            Some(UpstreamLoad {
+                upstream: UpstreamTag(u32::from_be_bytes(*tag)),
+                calls: u16::from_be_bytes(*calls.first_chunk()?),
+            })
+        })
+    }
 }
 
 /// An entry's load, as it tells it to the others.
@@ -42,7 +84,7 @@
     pub configuration: u64,
     /// Its calls at the upstreams that it uses.
     #[serde(rename = "l")]
-    pub loads: SmallVec<[UpstreamLoad; 16]>,
+    pub loads: UpstreamLoads,
 }
 
 #[derive(Clone, Debug)]
@@ -51,58 +93,95 @@
     received: Instant,
 }
 
-/// The newest report of each other entry.
+/// The newest report of each other entry, and what they add up to.
 #[derive(Clone, Debug, Default)]
-pub struct PeerLoads(HashMap<InstanceId, Held>);
+pub struct PeerLoads {
+    held: HashMap<InstanceId, Held>,
+    calls: HashMap<UpstreamTag, u32>,
+}
+
+/// The upstreams whose calls have changed.
+pub type ChangedUpstreams = SmallVec<[UpstreamTag; 32]>;
 
 impl PeerLoads {
-    /// Takes in a report; returns whether it is newer than what was held.
-    pub fn reported(&mut self, now: Instant, report: LoadReport) -> bool {
-        let older = self.0.get(&report.entry).is_some_and(|held| {
+    /// Takes in a report; returns the upstreams whose calls have changed by it.
+    ///
+    /// One that is older than what is held changes nothing.
+    pub fn reported(&mut self, now: Instant, report: LoadReport) -> ChangedUpstreams {
+        let older = self.held.get(&report.entry).is_some_and(|held| {
             held.report.incarnation == report.incarnation && held.report.number >= report.number
         });
-        if !older {
-            let entry = report.entry.clone();
-            let received = now;
-            self.0.insert(entry, Held { report, received });
+        if older {
+            return ChangedUpstreams::new();
         }
-        !older
+        let entry = report.entry.clone();
+        let loads = report.loads.clone();
+        let received = now;
+        let before = self.held.insert(entry, Held { report, received });
+        let before = before.map(|held| held.report.loads).unwrap_or_default();
+        self.replace(&before, &loads)
     }
 
-    /// Forgets the entries that are silent; returns whether there were any.
-    pub fn forget_silent(&mut self, now: Instant) -> bool {
-        let known = self.0.len();
-        self.0
-            .retain(|_, held| now.saturating_duration_since(held.received) < REPORT_LIFETIME);
-        self.0.len() < known
+    /// Forgets the entries that are silent; returns the upstreams whose calls
+    /// have changed.
+    pub fn forget_silent(&mut self, now: Instant) -> ChangedUpstreams {
+        let is_silent =
+            |held: &Held| now.saturating_duration_since(held.received) >= REPORT_LIFETIME;
+        let silent: Vec<Held> = self
+            .held
+            .extract_if(|_, held| is_silent(held))
+            .map(|(_, held)| held)
+            .collect();
+        let none = UpstreamLoads::default();
+        let gone = silent.iter();
+        gone.flat_map(|held| self.replace(&held.report.loads, &none))
+            .collect()
     }
 
-    /// Returns the calls of the other entries at each upstream.
-    #[must_use]
-    pub fn calls(&self) -> HashMap<&InstanceId, u32> {
-        let mut calls = HashMap::new();
-        for load in self.0.values().flat_map(|held| &held.report.loads) {
-            *calls.entry(&load.upstream).or_default() += load.calls;
+    /// Counts an entry's loads instead of those that it had before.
+    fn replace(&mut self, before: &UpstreamLoads, loads: &UpstreamLoads) -> ChangedUpstreams {
+        if before == loads {
+            return ChangedUpstreams::new();
         }
-        calls
+        let mut changed = ChangedUpstreams::new();
+        for UpstreamLoad { upstream, calls } in loads.iter() {
+            *self.calls.entry(upstream).or_default() += u32::from(calls);
+            changed.push(upstream);
+        }
+        for UpstreamLoad { upstream, calls } in before.iter() {
+            if let Some(sum) = self.calls.get_mut(&upstream) {
+                *sum = sum.saturating_sub(u32::from(calls));
+                if *sum == 0 {
+                    self.calls.remove(&upstream);
+                }
+            }
+            changed.push(upstream);
+        }
+        changed
+    }
+
+    /// Returns the calls of the other entries at an upstream.
+    #[must_use]
+    pub fn calls_at(&self, upstream: UpstreamTag) -> u32 {
+        self.calls.get(&upstream).copied().unwrap_or(0)
     }
 
     /// Returns how many other entries report.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.held.len()
     }
 
     /// Tells whether no other entry reports.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.held.is_empty()
     }
 
     /// Returns the age of the oldest report that counts.
     #[must_use]
     pub fn oldest(&self, now: Instant) -> Option<Duration> {
-        let ages = self.0.values();
+        let ages = self.held.values();
         ages.map(|held| now.saturating_duration_since(held.received))
             .max()
     }
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -8,7 +8,7 @@
 use crate::waiting::Budgets;
 use crate::{
     CallKey, DecisionLine, DispatchEffect, DispatchEvent, ListedUpstream, LoadReport, PeerLoads,
-    RoutingTable, UpstreamKey, UpstreamLoad, UpstreamNotice, UpstreamState, Upstreams,
+    RoutingTable, UpstreamKey, UpstreamLoad, UpstreamNotice, UpstreamState, UpstreamTag, Upstreams,
 };
 use calls::Call;
 use egretstage_runtime::Reducer;
@@ -21,8 +21,10 @@
 /// Limits of a dispatcher's decisions.
 #[derive(Clone, Copy, Debug)]
 pub struct DispatchLimits {
-    /// Time between two reports of the entry's load, if it has changed.
+    /// Least time between two reports of the entry's load, if it has changed.
     pub report_interval: Duration,
+    /// Time between two such reports for each other entry that they go to.
+    pub report_time_per_entry: Duration,
     /// Longest time between two reports.
     pub idle_report_interval: Duration,
     /// Time between two looks at the waiting calls.
@@ -54,6 +56,7 @@
     fn default() -> Self {
         Self {
             report_interval: Duration::from_millis(50),
+            report_time_per_entry: Duration::from_millis(3),
             idle_report_interval: Duration::from_millis(400),
             tick: Duration::from_millis(50),
             in_time_wait_share: 0.5,
@@ -157,6 +160,7 @@
         let before = self.upstreams.find(&instance).map(|u| u.listed.state);
         let said_open = self.says_open(&instance);
         self.upstreams.list(listed);
+        self.count_peer_calls(&[UpstreamTag::from(&instance)]);
         self.group_listed(now, &instance, said_open, fx);
         if before == Some(state) {
             return;
@@ -164,7 +168,6 @@
         if state == UpstreamState::Draining {
             fx.push(DispatchEffect::CloseIdle(instance.clone()));
         }
-        self.count_peer_calls();
         fx.push(upstream_line(instance, state.into()));
     }
 
@@ -202,19 +205,28 @@
     }
 
     fn peer_reported(&mut self, now: Instant, report: LoadReport) {
-        if report.entry != self.entry && self.peers.reported(now, report) {
-            self.count_peer_calls();
+        if report.entry != self.entry {
+            let changed = self.peers.reported(now, report);
+            self.count_peer_calls(&changed);
         }
     }
 
-    fn count_peer_calls(&mut self) {
-        let calls = self.peers.calls();
-        for (_, upstream) in self.upstreams.iter_mut() {
-            let counted = calls.get(&upstream.listed.instance);
-            upstream.peer_calls = counted.copied().unwrap_or(0);
+    fn count_peer_calls(&mut self, changed: &[UpstreamTag]) {
+        for tag in changed {
+            if let Some(upstream) = self.upstreams.tagged_mut(*tag) {
+                upstream.peer_calls = self.peers.calls_at(*tag);
+            }
         }
     }
 
+    /// Returns the time between two reports: each goes to all other entries.
+    fn report_interval(&self) -> Duration {
+        let entries = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        let for_all = self.limits.report_time_per_entry.saturating_mul(entries);
+        let longest = self.limits.idle_report_interval;
+        self.limits.report_interval.max(for_all).min(longest)
+    }
+
     /// Says whether the entry takes new work, when that has changed.
     fn tell_ready(&mut self, fx: &mut Vec<DispatchEffect>) {
         let knows_upstreams = self.upstreams.iter().next().is_some();
@@ -238,12 +250,12 @@
         }
         self.reports += 1;
         self.changed = false;
-        self.report_at = now + self.limits.report_interval;
+        self.report_at = now + self.report_interval();
         self.idle_report_at = now + self.limits.idle_report_interval;
         let used = self.upstreams.iter().filter(|(_, u)| u.own_calls > 0);
         let load = |(_, upstream): (_, &crate::upstream::Upstream)| UpstreamLoad {
-            upstream: upstream.listed.instance.clone(),
-            calls: upstream.own_calls,
+            upstream: UpstreamTag::from(&upstream.listed.instance),
+            calls: u16::try_from(upstream.own_calls).unwrap_or(u16::MAX),
         };
         fx.push(DispatchEffect::Report(Box::new(LoadReport {
             entry: self.entry.clone(),
@@ -260,9 +272,8 @@
         if now >= self.tick_at {
             self.tick_at = now + self.limits.tick;
             self.upstreams.forget_disowned(now);
-            if self.peers.forget_silent(now) {
-                self.count_peer_calls();
-            }
+            let changed = self.peers.forget_silent(now);
+            self.count_peer_calls(&changed);
             self.look_at_waiting(now, fx);
         }
         self.go_on_stopping(now, fx);
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry may call.
 
+use crate::UpstreamTag;
 use crate::notices::{Notices, RememberedNotices};
 use compact_str::CompactString;
 use egretstage_routing::Ewma;
@@ -135,6 +136,7 @@
 pub struct Upstreams {
     arena: SlotMap<UpstreamKey, Upstream>,
     by_instance: HashMap<InstanceId, UpstreamKey>,
+    by_tag: HashMap<UpstreamTag, UpstreamKey>,
     remembered: RememberedNotices,
 }
 
@@ -151,7 +153,9 @@
         let instance = listed.instance.clone();
         let mut upstream = Upstream::new(listed);
         upstream.notices = self.remembered.recall(&upstream.listed);
+        let tag = UpstreamTag::from(&instance);
         let key = self.arena.insert(upstream);
+        self.by_tag.insert(tag, key);
         if let Some(old) = self.by_instance.insert(instance, key) {
             self.arena.remove(old);
         }
@@ -161,6 +165,7 @@
     /// Removes an upstream by its name.
     pub fn remove(&mut self, now: Instant, instance: &InstanceId) {
         let key = self.by_instance.remove(instance);
+        self.by_tag.remove(&UpstreamTag::from(instance));
         if let Some(upstream) = key.and_then(|key| self.arena.remove(key)) {
             let Upstream {
                 listed, notices, ..
@@ -193,9 +198,10 @@
         self.arena.iter()
     }
 
-    /// Returns all upstreams to change.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (UpstreamKey, &mut Upstream)> {
-        self.arena.iter_mut()
+    /// Returns an upstream that other entries have named, to change.
+    pub fn tagged_mut(&mut self, tag: UpstreamTag) -> Option<&mut Upstream> {
+        let key = *self.by_tag.get(&tag)?;
+        self.arena.get_mut(key)
     }
 
     /// Returns the upstreams of a service that take new work.
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -4,5 +4,6 @@
 mod at_most_once;
 mod broken_groups;
 mod notices;
+mod peers;
 mod support;
 mod under_load;
--- /dev/null
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -0,0 +1,110 @@
+//! What entries tell each other, and what it adds up to.
+
+use crate::support::Bench;
+use egretstage_dispatch::{
+    DispatchEffect, DispatchEvent, LoadReport, PeerLoads, UpstreamLoad, UpstreamTag,
+};
+use egretstage_wire::InstanceId;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Share of the narrowest entry's link, of 40 Mbit/s, that reports may take.
+const MAX_BYTES_PER_S: usize = 5_000_000 / 20;
+
+/// A report's number, when it came, and its loads.
+type Held = (u64, Instant, Vec<(u32, u16)>);
+
+fn name(index: u32) -> InstanceId {
+    format!("i-{index:08x}")
+        .as_str()
+        .try_into()
+        .expect("a name")
+}
+
+fn report(entry: u32, number: u64, loads: &[(u32, u16)]) -> LoadReport {
+    let load = |(upstream, calls): &(u32, u16)| UpstreamLoad {
+        upstream: UpstreamTag::from(&name(*upstream)),
+        calls: *calls,
+    };
+    LoadReport {
+        entry: format!("entry-{entry}")
+            .as_str()
+            .try_into()
+            .expect("a name"),
+        incarnation: 1,
+        number,
+        configuration: 1,
+        loads: loads.iter().map(load).collect(),
+    }
+}
+
+/// Load pattern: entries report, overtake themselves, fall silent and come
+/// back. The sums are those of the reports that count.
+#[test]
+fn sums_follow_reports_that_come_late_and_stop() {
+    for seed in 0..50 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut peers = PeerLoads::default();
+        let mut now = Instant::now();
+        let mut held: HashMap<u32, Held> = HashMap::new();
+        for _ in 0..200 {
+            now += Duration::from_millis(rng.random_range(1..300));
+            let entry = rng.random_range(0..5);
+            let number = rng.random_range(1..400);
+            let rows = rng.random_range(0..4);
+            let loads: Vec<(u32, u16)> = (0..rows)
+                .map(|_| (rng.random_range(0..6), rng.random_range(0..9)))
+                .collect();
+            peers.reported(now, report(entry, number, &loads));
+            if held.get(&entry).is_none_or(|(known, ..)| *known < number) {
+                held.insert(entry, (number, now, loads));
+            }
+            peers.forget_silent(now);
+            held.retain(|_, (_, at, _)| now - *at < Duration::from_millis(1_500));
+            for upstream in 0..6 {
+                let rows = held.values().flat_map(|(_, _, loads)| loads);
+                let of_it = rows.filter(|(row, _)| *row == upstream);
+                let sum: u32 = of_it.map(|(_, calls)| u32::from(*calls)).sum();
+                let tag = UpstreamTag::from(&name(upstream));
+                assert_eq!(peers.calls_at(tag), sum, "seed {seed}");
+            }
+        }
+    }
+}
+
+/// Load pattern: 34 entries, each of which runs 30 calls at 30 of 192
+/// upstreams and tells all others each time that a call begins or ends.
+#[test]
+fn reports_of_many_entries_take_a_small_part_of_a_link() {
+    let mut bench = Bench::ready();
+    for entry in 0..33 {
+        let report = Box::new(report(entry, 1, &[]));
+        bench.run.event(DispatchEvent::PeerReported(report));
+    }
+    let mut reports = 0;
+    for step in 0..100 {
+        let (_, mut effects) = bench.call("/look/1", 3_000);
+        effects.extend(bench.run.advance(Duration::from_millis(10)));
+        if step % 30 == 0 {
+            for entry in 0..33 {
+                let report = Box::new(report(entry, 2 + step, &[]));
+                effects.extend(bench.run.event(DispatchEvent::PeerReported(report)));
+            }
+        }
+        let sent = effects.iter();
+        reports += sent
+            .filter(|effect| matches!(effect, DispatchEffect::Report(_)))
+            .count();
+    }
+    let loads: Vec<(u32, u16)> = (0..30).map(|upstream| (upstream, 1)).collect();
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&report(0, 1 << 20, &loads), &mut bytes).expect("it can be encoded");
+    let per_second = bytes.len() * 33 * reports;
+    assert!(
+        per_second <= MAX_BYTES_PER_S,
+        "{} bytes, {reports} times a second: {per_second}",
+        bytes.len()
+    );
+}
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -3,6 +3,7 @@
 use crate::support::{Bench, refused, sends, sent, upstream};
 use egretstage_dispatch::{
     CallKey, DispatchEffect, DispatchEvent, LoadReport, RefusalKind, UpstreamLoad, UpstreamState,
+    UpstreamTag,
 };
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -122,7 +123,7 @@
 fn calls_of_other_entries_count() {
     let mut bench = Bench::ready();
     let loads = ["rank-0", "rank-1"].map(|name| UpstreamLoad {
-        upstream: name.try_into().expect("a name"),
+        upstream: UpstreamTag::from(&name.try_into().expect("a name")),
         calls: 12,
     });
     let report = |number| {
@@ -131,7 +132,7 @@
             incarnation: 1,
             number,
             configuration: 1,
-            loads: loads.iter().cloned().collect(),
+            loads: loads.into_iter().collect(),
         }))
     };
     bench.run.event(report(2));
