Share what streams cost between entries; see groups that stand; move only stalled streams

Change: reports carry what a stream of each group costs, and the bound is made for the mean of all entries. A group of whose streams none shows an event for 0.7 s takes no calls until one does; callers are told at once when to return, or go to another group. The dispatcher decides whether a silent stream is moved: only if the others of its group go on, or another group has room.

Ruled out: holding a group at another rank than the decider's. The instance that is frozen is the one that ordered the hold, whichever that is.

--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -6,7 +6,7 @@
 //! a stream changes within seconds as other experts come into demand, so the
 //! bound follows the pauses that the entry sees now.
 
-use crate::EngineProfile;
+use crate::{EngineProfile, PeerSum};
 use std::time::{Duration, Instant};
 
 /// Time in which the dearest cost that was seen fades to a third: demand for
@@ -44,6 +44,11 @@
 
 /// Bounds the streams of a model group by the pauses between their events.
 ///
+/// An entry sees few of the streams and restarts without any knowledge, so the
+/// bound is made for the mean of what all entries say that a stream costs: they
+/// would otherwise fill the group up to the bound of the most generous one,
+/// while the others turn callers away.
+///
 /// A pause is taken as `base + cost * streams`: `base` is the time of the
 /// steps without any stream, `cost` is learnt from each pause with the number
 /// of streams at that time. The bound is made for the dearest cost of the last
@@ -79,6 +84,8 @@
     engine: EngineProfile,
     max_pause_ms: f32,
     costs: Option<Costs>,
+    /// What the other entries say that a stream costs.
+    others: PeerSum,
     /// When the last stall ended.
     stalled: Option<Instant>,
 }
@@ -99,6 +106,7 @@
             engine,
             max_pause_ms: max_pause.as_secs_f32() * 1000.0,
             costs: None,
+            others: PeerSum::default(),
             stalled: None,
         }
     }
@@ -116,6 +124,19 @@
         self.stalled = None;
     }
 
+    /// Takes over what the other entries say that a stream costs.
+    pub fn hear_others(&mut self, others: PeerSum) {
+        self.others = others;
+    }
+
+    /// Returns what a stream costs as seen here within a time, in milliseconds
+    /// for one event.
+    #[must_use]
+    pub fn cost(&self, now: Instant, within: Duration) -> Option<f32> {
+        let fresh = |costs: &Costs| now.saturating_duration_since(costs.seen_at) <= within;
+        self.costs.filter(fresh).map(|costs| costs.peak)
+    }
+
     /// Notes a pause between two events while so many streams ran on so many
     /// ranks.
     pub fn observe(&mut self, now: Instant, pause: Duration, streams: u32, ranks: u32) {
@@ -183,7 +204,8 @@
 
     fn peak_cost(&self) -> f32 {
         let first = FIRST_COST_MS * self.steps();
-        let peak = self.costs.map_or(first, |costs| costs.peak);
+        let own = self.costs.map(|costs| costs.peak);
+        let peak = self.others.mean_with(own).unwrap_or(first);
         peak.max(MIN_COST_MS * self.steps())
     }
 
--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -38,6 +38,11 @@
         /// How long.
         pause: Duration,
     },
+    /// A stream has shown no event for long.
+    Silent {
+        /// The call.
+        call: CallKey,
+    },
     /// An attempt ended without an answer that was passed on.
     AttemptEnded {
         /// The call.
@@ -174,6 +179,11 @@
         /// What the caller is told.
         refusal: Refusal,
     },
+    /// Takes a silent stream from its upstream.
+    Abandon {
+        /// The call.
+        call: CallKey,
+    },
     /// Passes on the error answer that the last attempt brought.
     PassOn {
         /// The call.
--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -6,13 +6,16 @@
 
 use crate::admission::PauseControl;
 use crate::closure::Closure;
-use crate::{EngineProfile, Upstreams};
+use crate::{EngineProfile, GroupCost, GroupTag, PeerLoads, Upstreams};
 use compact_str::CompactString;
 use egretstage_wire::ServiceName;
 use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+/// Age up to which what streams cost is told to the other entries.
+const TELL_COSTS_WITHIN: Duration = Duration::from_secs(2);
+
 /// What a group runs and may run, at all entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct GroupLoad {
@@ -26,6 +29,8 @@
     pub(crate) bound: u32,
     /// Whether it is closed.
     pub(crate) closed: bool,
+    /// Whether it stands.
+    pub(crate) stands: bool,
 }
 
 impl GroupLoad {
@@ -47,6 +52,8 @@
     engine: Option<(EngineProfile, Duration)>,
     pauses: HashMap<CompactString, PauseControl>,
     closures: HashMap<CompactString, Closure>,
+    /// The groups that stand.
+    standing: SmallVec<[CompactString; 2]>,
 }
 
 impl Groups {
@@ -72,6 +79,50 @@
         }
     }
 
+    /// Takes over what the other entries say that streams cost.
+    pub(crate) fn hear_others(
+        &mut self,
+        peers: &PeerLoads,
+        upstreams: &Upstreams,
+        now: Instant,
+        service: &ServiceName,
+    ) {
+        let Some((engine, max_pause)) = self.engine else {
+            return;
+        };
+        for load in self.loads(now, upstreams, service) {
+            let others = peers.cost_of(GroupTag::from(load.group.as_str()));
+            let pauses = self.pauses.entry(load.group);
+            let pauses = pauses.or_insert_with(|| PauseControl::new(engine, max_pause));
+            pauses.hear_others(others);
+        }
+    }
+
+    /// Returns what streams cost as seen here of late.
+    pub(crate) fn costs(&self, now: Instant) -> impl Iterator<Item = GroupCost> + '_ {
+        self.pauses.iter().filter_map(move |(group, pauses)| {
+            let cost = pauses.cost(now, TELL_COSTS_WITHIN)?;
+            Some(GroupCost(GroupTag::from(group.as_str()), cost))
+        })
+    }
+
+    /// Notes which groups stand; returns those that did not before.
+    pub(crate) fn stand(
+        &mut self,
+        standing: SmallVec<[CompactString; 2]>,
+    ) -> SmallVec<[CompactString; 2]> {
+        let before = std::mem::replace(&mut self.standing, standing);
+        let is_new = |group: &&CompactString| !before.contains(group);
+        self.standing.iter().filter(is_new).cloned().collect()
+    }
+
+    /// Notes that a group goes on; returns whether it stood.
+    pub(crate) fn goes_on(&mut self, group: &str) -> bool {
+        let stood = self.standing.len();
+        self.standing.retain(|standing| standing != group);
+        self.standing.len() < stood
+    }
+
     /// Closes a group whose records say that it is broken; returns whether it
     /// was open.
     pub(crate) fn close(&mut self, now: Instant, group: &str) -> bool {
@@ -152,6 +203,7 @@
                     ranks: 1,
                     bound: 0,
                     closed: false,
+                    stands: false,
                 });
             }
         }
@@ -159,7 +211,9 @@
             let closure = self.closures.get(&load.group).copied();
             let closure = closure.unwrap_or_default();
             load.closed = closure.is_closed();
+            load.stands = self.standing.contains(&load.group);
             load.bound = match (load.closed, closure.may_try(now)) {
+                (false, _) if load.stands => 0,
                 (false, _) => self.bound(&load.group, load.ranks),
                 (true, true) => load.running + 1,
                 (true, false) => 0,
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 //! | when a refused caller returns | [`returns`] |
 //! | whether a failed call is sent again | [`attempts`] |
 //! | what upstreams say of themselves in answers | `notices` |
+//! | whether a model group stands, and a stream with it | `standing` |
 
 pub mod admission;
 pub mod attempts;
@@ -31,6 +32,7 @@
 mod reducer;
 pub mod returns;
 mod routes;
+mod standing;
 mod upstream;
 pub mod waiting;
 
@@ -42,7 +44,8 @@
 pub use line::DecisionLine;
 pub use notices::Notices;
 pub use peers::{
-    ChangedUpstreams, LoadReport, PeerLoads, UpstreamLoad, UpstreamLoads, UpstreamTag,
+    ChangedUpstreams, GroupCost, GroupTag, LoadReport, PeerLoads, PeerSum, UpstreamLoad,
+    UpstreamLoads, UpstreamTag,
 };
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
--- a/crates/egretstage_dispatch/src/peers.rs
+++ b/crates/egretstage_dispatch/src/peers.rs
@@ -85,6 +85,46 @@
     /// Its calls at the upstreams that it uses.
     #[serde(rename = "l")]
     pub loads: UpstreamLoads,
+    /// What it learnt of the model groups that run its streams.
+    #[serde(rename = "g", default)]
+    pub costs: SmallVec<[GroupCost; 4]>,
+}
+
+/// Names a model group between entries: a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GroupTag(u32);
+
+impl From<&str> for GroupTag {
+    fn from(group: &str) -> Self {
+        let hash = rapidhash::v3::rapidhash_v3(group.as_bytes());
+        Self(u32::try_from(hash >> 32).unwrap_or(u32::MAX))
+    }
+}
+
+/// What a stream of a model group costs, as an entry has seen it of late.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GroupCost(pub GroupTag, pub f32);
+
+impl Eq for GroupCost {}
+
+/// The sum of what other entries say of one figure, and how many say it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PeerSum {
+    /// The sum.
+    pub sum: f32,
+    /// How many entries say something.
+    pub entries: u16,
+}
+
+impl PeerSum {
+    /// Returns the mean of what the others say and an own figure, if any of
+    /// them is known.
+    #[must_use]
+    pub fn mean_with(self, own: Option<f32>) -> Option<f32> {
+        let entries = self.entries + u16::from(own.is_some());
+        (entries > 0).then(|| (self.sum + own.unwrap_or(0.0)) / f32::from(entries))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -160,6 +200,17 @@
         changed
     }
 
+    /// Returns what the other entries say that a group's stream costs.
+    #[must_use]
+    pub fn cost_of(&self, group: GroupTag) -> PeerSum {
+        let costs = self.held.values().flat_map(|held| &held.report.costs);
+        let of_group = costs.filter(|GroupCost(tag, cost)| *tag == group && cost.is_finite());
+        of_group.fold(PeerSum::default(), |sum, GroupCost(_, cost)| PeerSum {
+            sum: sum.sum + cost,
+            entries: sum.entries.saturating_add(1),
+        })
+    }
+
     /// Returns the calls of the other entries at an upstream.
     #[must_use]
     pub fn calls_at(&self, upstream: UpstreamTag) -> u32 {
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -208,6 +208,10 @@
         if report.entry != self.entry {
             let changed = self.peers.reported(now, report);
             self.count_peer_calls(&changed);
+            for (service, state) in &mut self.services {
+                let groups = &mut state.groups;
+                groups.hear_others(&self.peers, &self.upstreams, now, service);
+            }
         }
     }
 
@@ -263,6 +267,11 @@
             number: self.reports,
             configuration: self.table.as_ref().map_or(0, |table| table.version()),
             loads: used.map(load).collect(),
+            costs: self
+                .services
+                .values()
+                .flat_map(|s| s.groups.costs(now))
+                .collect(),
         })));
     }
 
@@ -274,6 +283,7 @@
             self.upstreams.forget_disowned(now);
             let changed = self.peers.forget_silent(now);
             self.count_peer_calls(&changed);
+            self.look_at_groups(now, fx);
             self.look_at_waiting(now, fx);
         }
         self.go_on_stopping(now, fx);
@@ -300,7 +310,8 @@
             DispatchEvent::Arrived { call, head } => self.arrived(now, call, *head, fx),
             DispatchEvent::Ended { call, whole } => self.ended(now, call, whole, fx),
             DispatchEvent::FirstByte { call } => self.first_byte(now, call, fx),
-            DispatchEvent::Pause { call, pause } => self.pause(now, call, pause),
+            DispatchEvent::Pause { call, pause } => self.pause(now, call, pause, fx),
+            DispatchEvent::Silent { call } => self.silent(now, call, fx),
             DispatchEvent::AttemptEnded { call, end } => self.attempt_ended(now, call, end, fx),
             DispatchEvent::Configured(table) => self.configured(table, fx),
             DispatchEvent::Listed(listed) => {
@@ -325,7 +336,8 @@
     fn next_wake(&self) -> Option<Instant> {
         let waits = self.services.values().any(|s| !s.waiting.is_empty());
         let expiry = self.expiries.first().map(|(at, _)| *at);
-        let tick = waits.then_some(self.tick_at);
+        let streams = self.calls.values().any(|call| call.last_event().is_some());
+        let tick = (waits || streams).then_some(self.tick_at);
         let report = self.changed.then_some(self.report_at);
         let stop = self.stopping.as_ref().map(|_| self.tick_at);
         [expiry, tick, report, stop, Some(self.idle_report_at)]
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -52,9 +52,28 @@
     maybe_ran: bool,
     /// Time from the arrival to the first byte of the answer.
     first_byte: Option<Duration>,
+    /// When the stream last showed an event at the upstream that runs it.
+    last_event: Option<Instant>,
     longest_pause: Duration,
 }
 
+impl Call {
+    pub(super) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+
+    /// Returns the upstream that runs the stream, and when it last showed an
+    /// event there.
+    pub(super) fn last_event(&self) -> Option<(UpstreamKey, Instant)> {
+        match self.phase {
+            Phase::Running { upstream, .. } if self.route.kind.is_stream() => {
+                Some((upstream, self.last_event?))
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Who calls, as far as the configuration tells.
 struct Admitted {
     route: Arc<Route>,
@@ -133,6 +152,7 @@
             tried: SmallVec::new(),
             maybe_ran: false,
             first_byte: None,
+            last_event: None,
             longest_pause: Duration::ZERO,
             head,
             route,
@@ -191,21 +211,46 @@
         };
         let passed = now.saturating_duration_since(call.arrived);
         call.first_byte.get_or_insert(passed);
+        call.last_event = Some(now);
         if let Phase::Running { upstream, since } = call.phase {
             let after = now.saturating_duration_since(since);
             self.upstreams.answered(upstream, after, false);
             self.group_answered(upstream, fx);
+            self.group_goes_on(upstream, fx);
         }
     }
 
-    pub(super) fn pause(&mut self, now: Instant, key: CallKey, pause: Duration) {
+    /// A stream has shown no event for long: moves it if that helps its caller.
+    pub(super) fn silent(&mut self, now: Instant, key: CallKey, fx: &mut Vec<DispatchEffect>) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if let Phase::Running { upstream, .. } = call.phase
+            && self.is_better_moved(now, upstream)
+        {
+            fx.push(DispatchEffect::Abandon { call: key });
+        }
+    }
+
+    pub(super) fn pause(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        pause: Duration,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
         call.longest_pause = call.longest_pause.max(pause);
+        call.last_event = Some(now);
         let Phase::Running { upstream, .. } = call.phase else {
             return;
         };
+        self.group_goes_on(upstream, fx);
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
         let Some(upstream) = self.upstreams.get(upstream) else {
             return;
         };
@@ -223,6 +268,7 @@
             return None;
         };
         call.phase = Phase::Waiting;
+        call.last_event = None;
         self.changed = true;
         if let Some(upstream) = self.upstreams.get_mut(upstream) {
             upstream.own_calls = upstream.own_calls.saturating_sub(1);
--- a/crates/egretstage_dispatch/src/reducer/closing.rs
+++ b/crates/egretstage_dispatch/src/reducer/closing.rs
@@ -1,10 +1,13 @@
-//! What closes model groups and opens them again.
+//! What closes model groups and opens them again, and which of them stand.
 
 use super::Dispatcher;
-use crate::groups::Groups;
+use crate::groups::{GroupLoad, Groups};
+use crate::standing::GroupPulse;
 use crate::{DecisionLine, DispatchEffect, UpstreamKey};
 use compact_str::CompactString;
 use egretstage_wire::{InstanceId, ServiceName};
+use smallvec::SmallVec;
+use std::collections::HashMap;
 use std::time::Instant;
 
 /// Why a group is closed or open from now on.
@@ -19,6 +22,10 @@
     Formed,
     /// One of its ranks answers a call.
     Answers,
+    /// Its streams show no events.
+    Stands,
+    /// One of its streams shows an event again.
+    GoesOn,
 }
 
 /// The group that an upstream belongs to.
@@ -90,10 +97,78 @@
         }
     }
 
-    /// Tells whether each group of a service is closed and not to be tried now.
+    /// Tells whether each group of a service is closed, and not to be tried
+    /// now, or stands.
     pub(super) fn all_closed(&self, now: Instant, service: &ServiceName) -> bool {
         let loads = self.loads(now, service);
-        !loads.is_empty() && loads.iter().all(|load| load.closed && load.bound == 0)
+        let takes_none = |load: &GroupLoad| (load.closed || load.stands) && load.bound == 0;
+        !loads.is_empty() && loads.iter().all(takes_none)
+    }
+
+    /// Looks which groups stand.
+    pub(super) fn look_at_groups(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        let mut standing: HashMap<ServiceName, SmallVec<[CompactString; 2]>> = HashMap::new();
+        for ((service, group), pulse) in self.pulses() {
+            if pulse.stands(now) {
+                standing.entry(service).or_default().push(group);
+            }
+        }
+        for (service, state) in &mut self.services {
+            let groups = standing.remove(service).unwrap_or_default();
+            for group in state.groups.stand(groups) {
+                fx.push(group_line(
+                    service.clone(),
+                    group,
+                    None,
+                    ClosingReason::Stands,
+                ));
+            }
+        }
+    }
+
+    /// Returns what is seen of the streams of each group that have begun.
+    fn pulses(&self) -> HashMap<(ServiceName, CompactString), GroupPulse> {
+        let mut pulses: HashMap<_, GroupPulse> = HashMap::new();
+        for call in self.calls.values() {
+            let Some((upstream, last_event)) = call.last_event() else {
+                continue;
+            };
+            if let Some(upstream) = self.upstreams.get(upstream)
+                && !upstream.group().is_empty()
+            {
+                let of = (
+                    call.service().clone(),
+                    CompactString::from(upstream.group()),
+                );
+                pulses.entry(of).or_default().add(last_event);
+            }
+        }
+        pulses
+    }
+
+    /// Notes that a stream of a group shows an event.
+    pub(super) fn group_goes_on(&mut self, upstream: UpstreamKey, fx: &mut Vec<DispatchEffect>) {
+        if let Some(of) = self.upstreams.get(upstream).map(GroupOf::from)
+            && self.groups(&of).goes_on(&of.group)
+        {
+            fx.push(of.line(ClosingReason::GoesOn));
+        }
+    }
+
+    /// Tells whether a silent stream does better at another upstream: the
+    /// others of its group go on, or another group has room.
+    pub(super) fn is_better_moved(&self, now: Instant, upstream: UpstreamKey) -> bool {
+        let Some(of) = self.upstreams.get(upstream).map(GroupOf::from) else {
+            return true;
+        };
+        let pulses = self.pulses();
+        let group = (of.service.clone(), of.group.clone());
+        if of.group.is_empty() || pulses.get(&group).is_some_and(|pulse| pulse.beats(now)) {
+            return true;
+        }
+        let loads = self.loads(now, &of.service);
+        let mut others = loads.iter().filter(|load| load.group != of.group);
+        others.any(|load| load.has_room() && !load.closed)
     }
 
     /// Returns when upstreams of a service have said that they take calls
@@ -129,13 +204,22 @@
 
 impl GroupOf {
     fn line(self, reason: ClosingReason) -> DispatchEffect {
-        DispatchEffect::Log(Box::new(DecisionLine {
-            verb: "group",
-            service: Some(self.service),
-            group: Some(self.group),
-            upstream: Some(self.instance),
-            reason: Some(reason.into()),
-            ..DecisionLine::default()
-        }))
+        group_line(self.service, self.group, Some(self.instance), reason)
     }
 }
+
+fn group_line(
+    service: ServiceName,
+    group: CompactString,
+    upstream: Option<InstanceId>,
+    reason: ClosingReason,
+) -> DispatchEffect {
+    DispatchEffect::Log(Box::new(DecisionLine {
+        verb: "group",
+        service: Some(service),
+        group: Some(group),
+        upstream,
+        reason: Some(reason.into()),
+        ..DecisionLine::default()
+    }))
+}
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -5,5 +5,6 @@
 mod broken_groups;
 mod notices;
 mod peers;
+mod standing;
 mod support;
 mod under_load;
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -7,6 +7,7 @@
 use egretstage_wire::InstanceId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use smallvec::SmallVec;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,7 @@
         number,
         configuration: 1,
         loads: loads.iter().map(load).collect(),
+        costs: SmallVec::new(),
     }
 }
 
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -5,6 +5,7 @@
     CallKey, DispatchEffect, DispatchEvent, LoadReport, RefusalKind, UpstreamLoad, UpstreamState,
     UpstreamTag,
 };
+use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
@@ -133,6 +134,7 @@
             number,
             configuration: 1,
             loads: loads.into_iter().collect(),
+            costs: SmallVec::new(),
         }))
     };
     bench.run.event(report(2));
--- a/crates/egretstage_gateway/src/driver.rs
+++ b/crates/egretstage_gateway/src/driver.rs
@@ -25,6 +25,8 @@
     Refuse(Refusal),
     /// Pass on the error answer that is held.
     PassOn,
+    /// Take the stream from its upstream.
+    Abandon,
 }
 
 /// A decision as a log line.
@@ -125,6 +127,7 @@
         DispatchEffect::Send { call, attempt } => tell(calls, call, Command::Send(attempt)),
         DispatchEffect::Refuse { call, refusal } => tell(calls, call, Command::Refuse(refusal)),
         DispatchEffect::PassOn { call } => tell(calls, call, Command::PassOn),
+        DispatchEffect::Abandon { call } => tell(calls, call, Command::Abandon),
         DispatchEffect::Log(line) => outlets.decisions.write(Box::new(LoggedDecision(*line))),
         DispatchEffect::Ready(ready) => outlets.health.set_ready(ready),
         DispatchEffect::Configured(table) => {
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -170,6 +170,8 @@
                     Some(answer) => return self.pass_on(&mut guard, *answer),
                     None => return broken(),
                 },
+                // Only streams that have begun are abandoned.
+                Some(Command::Abandon) => {}
                 None => return broken(),
             }
         }
--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -21,12 +21,15 @@
 /// longer read.
 const EVENTS_AHEAD: usize = 64;
 
-/// Time without a whole event after which a stream that another upstream may
-/// go on with is taken from its upstream: longer than groups stand before
-/// their engines cut streams off themselves, shorter than callers wait.
-/// Bytes that make no event, and events without data, don't count.
+/// Time without a whole event after which the dispatcher decides whether a
+/// stream is taken from its upstream: longer than groups stand before their
+/// engines cut streams off themselves, shorter than callers wait. Bytes that
+/// make no event, and events without data, don't count.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_900);
 
+/// Time after which it is asked again.
+const STILL_SILENT: Duration = Duration::from_millis(250);
+
 /// How a stream from one upstream ended.
 enum StreamEnd {
     /// It was passed on to its end.
@@ -109,11 +112,18 @@
         loop {
             let frame = tokio::select! {
                 biased;
-                _ = self.rx.recv() => return self.stopped(),
+                command = self.rx.recv() => match command {
+                    Some(Command::Abandon) => return StreamEnd::Broken(UnknownCause::Silent),
+                    _ => return self.stopped(),
+                },
                 () = self.tx.closed() => return StreamEnd::Stopped,
                 frame = body.frame() => frame,
                 () = silence.as_mut(), if repeatable => {
-                    return StreamEnd::Broken(UnknownCause::Silent);
+                    let again = tokio::time::Instant::now() + STILL_SILENT;
+                    silence.as_mut().reset(again);
+                    let call = self.guard.call;
+                    self.gateway.driver.event(DispatchEvent::Silent { call });
+                    continue;
                 }
             };
             let data = match frame {
@@ -168,6 +178,8 @@
         loop {
             let attempt = match self.rx.recv().await {
                 Some(Command::Send(attempt)) => attempt,
+                // One that crossed the end of the attempt.
+                Some(Command::Abandon) => continue,
                 Some(Command::Refuse(_) | Command::PassOn) | None => {
                     self.guard.refused();
                     return None;
