Call no earlier start at an address; exclude disowned records ever longer

Change: of the upstreams listed at one address, the one that started last is called. One that disowns its record again is excluded for twice as long, up to 8 s.

Seen to fail first: with the check of addresses off, the new test calls an upstream that is gone.

--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -89,14 +89,22 @@
     /// Until when no call is sent to it, since it said that it isn't the
     /// upstream that its record names, or doesn't belong to the service.
     disowned_until: Option<Instant>,
+    /// How often in a row it said so.
+    disowned: u32,
+    /// Whether a later start has been listed at its address.
+    superseded: bool,
     /// What it said of itself in answers.
     pub notices: Notices,
 }
 
 /// Time for which an upstream that disowns its record isn't called: one call
-/// an entry finds out whether it still does.
+/// an entry finds out whether it still does. Doubles each time that it does:
+/// records of upstreams that are gone stay for seconds.
 const DISOWNED_FOR: Duration = Duration::from_secs(1);
 
+/// Times that it doubles.
+const MAX_DOUBLINGS: u32 = 3;
+
 impl Upstream {
     fn new(listed: ListedUpstream) -> Self {
         Self {
@@ -106,6 +114,8 @@
             failures: Ewma::new(FAILURE_WEIGHT),
             answer_ms: Ewma::new(ANSWER_TIME_WEIGHT),
             disowned_until: None,
+            disowned: 0,
+            superseded: false,
             notices: Notices::default(),
         }
     }
@@ -121,6 +131,7 @@
     pub fn is_ready(&self, now: Instant) -> bool {
         self.listed.state == UpstreamState::Ready
             && self.disowned_until.is_none()
+            && !self.superseded
             && self.notices.allow_calls(now)
     }
 
@@ -153,6 +164,7 @@
         let instance = listed.instance.clone();
         let mut upstream = Upstream::new(listed);
         upstream.notices = self.remembered.recall(&upstream.listed);
+        self.supersede(&mut upstream);
         let tag = UpstreamTag::from(&instance);
         let key = self.arena.insert(upstream);
         self.by_tag.insert(tag, key);
@@ -162,6 +174,22 @@
         key
     }
 
+    /// Notes which of the upstreams listed at one address started last: an
+    /// address has one upstream, and the record of an earlier one stays until
+    /// it lapses.
+    fn supersede(&mut self, new: &mut Upstream) {
+        for known in self.arena.values_mut() {
+            if known.listed.address != new.listed.address {
+                continue;
+            }
+            match (known.listed.started_ms, new.listed.started_ms) {
+                (Some(before), Some(now)) if before < now => known.superseded = true,
+                (Some(before), Some(now)) if before > now => new.superseded = true,
+                _ => {}
+            }
+        }
+    }
+
     /// Removes an upstream by its name.
     pub fn remove(&mut self, now: Instant, instance: &InstanceId) {
         let key = self.by_instance.remove(instance);
@@ -222,7 +250,8 @@
             return None;
         }
         let of_service = |u: &&Upstream| {
-            let takes_work = u.listed.state == UpstreamState::Ready && !u.notices.is_leaving();
+            let takes_work =
+                u.listed.state == UpstreamState::Ready && !u.superseded && !u.notices.is_leaving();
             takes_work && u.listed.service == *service
         };
         let upstreams = self.arena.values().filter(of_service);
@@ -232,7 +261,9 @@
     /// Notes that an upstream disowned its record when it was called.
     pub fn disowned(&mut self, now: Instant, key: UpstreamKey) {
         if let Some(upstream) = self.arena.get_mut(key) {
-            upstream.disowned_until = Some(now + DISOWNED_FOR);
+            let time = DISOWNED_FOR * (1 << upstream.disowned.min(MAX_DOUBLINGS));
+            upstream.disowned += 1;
+            upstream.disowned_until = Some(now + time);
         }
     }
 
@@ -250,6 +281,7 @@
         if let Some(upstream) = self.arena.get_mut(key) {
             upstream.failures.add(if failed { 1.0 } else { 0.0 });
             if !failed {
+                upstream.disowned = 0;
                 upstream.answer_ms.add(after.as_secs_f32() * 1000.0);
             }
         }
--- a/crates/egretstage_dispatch/tests/dispatch/broken_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/broken_groups.rs
@@ -164,6 +164,65 @@
     assert!((1..=3).contains(&strays), "{strays} calls in two seconds");
 }
 
+/// Load pattern: all instances lose power and start again under other names,
+/// at the same addresses; the records of before stay until they lapse. Each
+/// call that goes by one of them is turned away, and calls have two attempts.
+#[test]
+fn records_of_earlier_starts_at_an_address_get_no_calls() {
+    for new_first in [false, true] {
+        let mut bench = Bench::ready();
+        let at = |name: &str, started_ms: u64, port: u16| {
+            let mut upstream = upstream(name, "booking", None);
+            upstream.started_ms = Some(started_ms);
+            upstream.address.set_port(port);
+            upstream
+        };
+        let old = [at("desk-0", 10, 1), at("desk-1", 10, 2)];
+        let new = [at("desk-2", 20, 1), at("desk-3", 20, 2)];
+        let mut listed: Vec<_> = old.into_iter().chain(new).collect();
+        if new_first {
+            listed.reverse();
+        }
+        for upstream in listed {
+            bench.list(upstream);
+        }
+        for _ in 0..12 {
+            let (call, effects) = bench.call("/look/1", 3_000);
+            let attempt = sent(&effects, call).expect("an attempt");
+            assert!(
+                ["desk-2", "desk-3"].contains(&attempt.instance.as_str()),
+                "{} is gone; new first: {new_first}",
+                attempt.instance
+            );
+        }
+    }
+}
+
+/// Load pattern: records stay for seconds after their upstreams are gone, and
+/// others answer at the addresses. The more often one did, the more seldom it
+/// is called.
+#[test]
+fn an_upstream_that_goes_on_disowning_its_record_gets_ever_fewer_calls() {
+    let mut bench = Bench::ready();
+    bench.list(upstream("stray", "drafting", None));
+    let mut strays = Vec::new();
+    for step in 0..1_000 {
+        bench.run.advance(Duration::from_millis(20));
+        let (call, effects) = bench.call("/draft/1", BUDGET_MS);
+        let attempt = sent(&effects, call).expect("an attempt");
+        if attempt.instance.as_str() == "stray" {
+            strays.push(step / 50);
+            let cause = NotRunCause::OtherUpstream;
+            let end = AttemptEnd::NotRun { cause };
+            bench.run.event(DispatchEvent::AttemptEnded { call, end });
+        }
+        bench.run.event(DispatchEvent::FirstByte { call });
+        let whole = true;
+        bench.run.event(DispatchEvent::Ended { call, whole });
+    }
+    assert!(strays.len() <= 5, "called in seconds {strays:?}");
+}
+
 /// Load pattern: plain upstreams are full one after the other; each answers
 /// for itself alone.
 #[test]
