--- a/crates/egretstage_platform/src/http.rs
+++ b/crates/egretstage_platform/src/http.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// Returns a client that shares the connections and waits for so long.
+    #[must_use]
+    pub fn with_answer_timeout(&self, answer_timeout: Duration) -> Self {
+        Self {
+            answer_timeout,
+            ..self.clone()
+        }
+    }
+
     /// Gets a path, whose answer may take `wait` longer than others.
     ///
     /// # Errors
