Call a store that fails ever more seldom, down to once a second

Cause: while the store turned some entries away, each of their three feeds called it four times a second; calls that are refused have their price too.

Change: the time between failed calls doubles from 250 ms to 1 s; peers are asked as often as before. Records that are missing are believed for their time from the first call that succeeds, since the store came back at some moment before it.

--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -25,9 +25,13 @@
 /// How long the store may wait for a change among the entries.
 const ENTRIES_WAIT: Duration = Duration::from_secs(10);
 
-/// Pause after a failed call.
+/// Pause after a failed call, in which peers are asked.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Longest time between two calls that fail: each has its price, and a store
+/// that is away is missed for seconds anyway.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// What a feed says.
 #[derive(Debug)]
 pub(crate) enum FeedNews {
@@ -63,15 +67,18 @@
     ) {
         let mut follower = KeyedFollower::new(topic);
         let mut peers = PeerRecords::new(self.board.clone(), topic);
-        let mut reachable = true;
+        let mut failures = 0;
+        let mut call_at = Instant::now();
         let name: &'static str = topic.into();
         loop {
             let was_caught_up = follower.is_caught_up();
-            let (changes, pause) = match follower.poll(Instant::now(), &*self.store, pace.wait) {
-                Ok(changes) => {
-                    if !reachable {
-                        log::info!(dependency = "store", topic = name; "regained");
-                        reachable = true;
+            let now = Instant::now();
+            let read = (now >= call_at).then(|| follower.poll(now, &*self.store, pace.wait));
+            let (changes, pause) = match read {
+                Some(Ok(changes)) => {
+                    if failures > 0 {
+                        log::info!(dependency = "store", topic = name, failures; "regained");
+                        failures = 0;
                     }
                     self.board.read(topic, &changes);
                     (
@@ -83,10 +90,13 @@
                         },
                     )
                 }
-                Err(e) => {
-                    if reachable {
-                        log_lost(name, &e);
-                        reachable = false;
+                failed => {
+                    if let Some(Err(e)) = failed {
+                        if failures == 0 {
+                            log_lost(name, &e);
+                        }
+                        call_at = Instant::now() + retry_delay(failures);
+                        failures += 1;
                     }
                     let told = peers.ask();
                     if !told.is_empty() {
@@ -168,6 +178,14 @@
     }
 }
 
+/// Returns the time until the next call after so many failures and one more.
+fn retry_delay(failures: u32) -> Duration {
+    let doublings = failures.min(MAX_RETRY_DELAY.as_millis().ilog2());
+    RETRY_DELAY
+        .saturating_mul(1 << doublings)
+        .min(MAX_RETRY_DELAY)
+}
+
 fn log_lost(topic: &str, e: &PlatformError) {
     log::warn!(dependency = "store", topic = topic, error:display = e; "lost");
 }
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -45,6 +45,10 @@
     topic: KeyedTopic,
     position: Position,
     known: HashSet<CompactString>,
+    /// Whether the last call failed.
+    failing: bool,
+    /// When the store was last known to fail: the last failed call, or the
+    /// first one after it, since the store came back between them.
     failed_at: Option<Instant>,
     missing: HashMap<CompactString, Instant>,
 }
@@ -57,6 +61,7 @@
             topic,
             position: start(),
             known: HashSet::new(),
+            failing: false,
             failed_at: None,
             missing: HashMap::new(),
         }
@@ -65,6 +70,7 @@
     /// Notes that the store serves others while it fails this reader: no record
     /// has lapsed for want of a store, so what is missing is gone.
     pub fn served_elsewhere(&mut self) {
+        self.failing = false;
         self.failed_at = None;
     }
 
@@ -103,9 +109,10 @@
             }
             Position::Tail(from) => self.read_tail(now, store, *from, wait),
         };
-        if read.is_err() {
+        if read.is_err() || self.failing {
             self.failed_at = Some(now);
         }
+        self.failing = read.is_err();
         let mut changes = read?;
         self.drop_missing(now, &mut changes);
         Ok(changes)
