Move what a decider learns into a module; hear costs once a tick

No behaviour changes but one: what the other entries say that streams cost is taken over with the next tick instead of with each report, several hundred times a second on the large fleet.

--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -6,7 +6,7 @@
 
 use crate::admission::PauseControl;
 use crate::closure::Closure;
-use crate::{EngineProfile, GroupCost, GroupTag, PeerLoads, Upstreams};
+use crate::{EngineProfile, GroupCost, GroupTag, PeerSum, Upstreams};
 use compact_str::CompactString;
 use egretstage_wire::ServiceName;
 use smallvec::SmallVec;
@@ -79,20 +79,10 @@
         }
     }
 
-    /// Takes over what the other entries say that streams cost.
-    pub(crate) fn hear_others(
-        &mut self,
-        peers: &PeerLoads,
-        upstreams: &Upstreams,
-        now: Instant,
-        service: &ServiceName,
-    ) {
-        let Some((engine, max_pause)) = self.engine else {
-            return;
-        };
-        for load in self.loads(now, upstreams, service) {
-            let others = peers.cost_of(GroupTag::from(load.group.as_str()));
-            let pauses = self.pauses.entry(load.group);
+    /// Takes over what the other entries say that a group's streams cost.
+    pub(crate) fn hear_others(&mut self, group: CompactString, others: PeerSum) {
+        if let Some((engine, max_pause)) = self.engine {
+            let pauses = self.pauses.entry(group);
             let pauses = pauses.or_insert_with(|| PauseControl::new(engine, max_pause));
             pauses.hear_others(others);
         }
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -7,8 +7,9 @@
 
 use crate::waiting::Budgets;
 use crate::{
-    CallKey, DecisionLine, DispatchEffect, DispatchEvent, ListedUpstream, LoadReport, PeerLoads,
-    RoutingTable, UpstreamKey, UpstreamLoad, UpstreamNotice, UpstreamState, UpstreamTag, Upstreams,
+    CallKey, DecisionLine, DispatchEffect, DispatchEvent, GroupTag, ListedUpstream, LoadReport,
+    PeerLoads, RoutingTable, UpstreamKey, UpstreamLoad, UpstreamNotice, UpstreamState, UpstreamTag,
+    Upstreams,
 };
 use calls::Call;
 use egretstage_runtime::Reducer;
@@ -208,10 +209,6 @@
         if report.entry != self.entry {
             let changed = self.peers.reported(now, report);
             self.count_peer_calls(&changed);
-            for (service, state) in &mut self.services {
-                let groups = &mut state.groups;
-                groups.hear_others(&self.peers, &self.upstreams, now, service);
-            }
         }
     }
 
@@ -223,6 +220,17 @@
         }
     }
 
+    /// Takes over what the other entries say that streams cost.
+    fn hear_costs(&mut self, now: Instant) {
+        for (service, state) in &mut self.services {
+            let loads = state.groups.loads(now, &self.upstreams, service);
+            for load in loads {
+                let others = self.peers.cost_of(GroupTag::from(load.group.as_str()));
+                state.groups.hear_others(load.group, others);
+            }
+        }
+    }
+
     /// Returns the time between two reports: each goes to all other entries.
     fn report_interval(&self) -> Duration {
         let entries = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
@@ -283,6 +291,7 @@
             self.upstreams.forget_disowned(now);
             let changed = self.peers.forget_silent(now);
             self.count_peer_calls(&changed);
+            self.hear_costs(now);
             self.look_at_groups(now, fx);
             self.look_at_waiting(now, fx);
         }
--- a/crates/egretstage_dispatch/tests/dispatch/standing.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/standing.rs
@@ -151,6 +151,7 @@
                 .run
                 .event(DispatchEvent::PeerReported(Box::new(report)));
         }
+        bench.run.advance(Duration::from_millis(60));
         let sends = (0..24).filter(|_| {
             let (call, effects) = bench.call("/draft/1", BUDGET_MS);
             sent(&effects, call).is_some()
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -28,9 +28,9 @@
 /// Pause after a failed call, in which peers are asked.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Longest time between two calls that fail: each has its price, and a store
-/// that is away is missed for seconds anyway.
-const MAX_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Times that the delay until the next call doubles, up to a second: each call
+/// has its price, and a store that is away is missed for seconds anyway.
+const MAX_RETRY_DOUBLINGS: u32 = 2;
 
 /// What a feed says.
 #[derive(Debug)]
@@ -178,12 +178,9 @@
     }
 }
 
-/// Returns the time until the next call after so many failures and one more.
+/// Returns the time until the next call after a failure that so many preceded.
 fn retry_delay(failures: u32) -> Duration {
-    let doublings = failures.min(MAX_RETRY_DELAY.as_millis().ilog2());
-    RETRY_DELAY
-        .saturating_mul(1 << doublings)
-        .min(MAX_RETRY_DELAY)
+    RETRY_DELAY * (1 << failures.min(MAX_RETRY_DOUBLINGS))
 }
 
 fn log_lost(topic: &str, e: &PlatformError) {
--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -1,5 +1,6 @@
 //! Decides when a group changes to which expert map.
 
+mod hearing;
 mod orders;
 mod pacing;
 mod phases;
@@ -8,7 +9,7 @@
 
 use crate::{
     EngineReport, ExpertsByRank, FencedChanges, FencedOrder, GroupDemand, GroupShape, MapChanges,
-    OrderEnd, PassLine, RankAddress, RankState, RecentLoads, Seats,
+    PassLine, RankAddress, Seats,
 };
 use egretstage_wire::InstanceId;
 use pacing::Pacer;
@@ -243,8 +244,8 @@
         self.superseded
     }
 
-    /// Returns where the companions of every so manieth rank are reached,
-    /// beginning with one, and whether each is known to follow this decider.
+    /// Returns where the companions of every n-th rank are reached, beginning
+    /// with one, and whether each is known to follow this decider.
     pub fn companions(
         &self,
         first: usize,
@@ -279,159 +280,6 @@
         self.heard_others
     }
 
-    /// Takes in the state that a companion tells of its rank.
-    pub fn state(&mut self, now: Instant, state: RankState) {
-        let rank = usize::from(state.report.rank);
-        let known = self.ranks.get(rank).and_then(Option::as_ref);
-        let told = known.map(|view| (view.state.incarnation, view.state.number));
-        if told.is_some_and(|told| told.0 == state.incarnation && told.1 >= state.number) {
-            return;
-        }
-        if let Some(seat) = self.seats.get_mut(rank) {
-            *seat = Some(RankAddress {
-                companion: state.address,
-                engine: state.engine,
-            });
-        }
-        let number = state.number;
-        self.take(now, state, false);
-        if let Some(Some(view)) = self.ranks.get_mut(rank) {
-            view.told = (view.state.number == number).then_some(number);
-        }
-        self.heard(now, rank);
-    }
-
-    /// Notes that a companion tells that an earlier state of its rank holds.
-    pub fn still(&mut self, now: Instant, rank: u16, still: StillState) {
-        let rank = usize::from(rank);
-        let Some(Some(view)) = self.ranks.get_mut(rank) else {
-            return;
-        };
-        if view.state.incarnation != still.incarnation || view.state.number >= still.number {
-            return;
-        }
-        if view.told == Some(still.state) {
-            view.state.number = still.number;
-            view.state.report.pass = view.state.report.pass.max(still.pass);
-            view.received = now;
-        }
-        self.heard(now, rank);
-    }
-
-    /// Takes in what the requests of a rank chose of late.
-    pub fn counted(&mut self, now: Instant, rank: u16, loads: &RecentLoads) {
-        self.demand.take(now, rank, loads);
-    }
-
-    fn heard(&mut self, now: Instant, rank: usize) {
-        if let Some(Some(view)) = self.ranks.get_mut(rank) {
-            view.companion_heard = Some(now);
-        }
-        if rank != usize::from(self.own_rank) {
-            self.heard_others = now;
-        }
-    }
-
-    /// Takes in the report of an engine whose companion is silent.
-    pub fn looked(&mut self, now: Instant, engine: SocketAddr, report: EngineReport) {
-        let known = self.ranks.get(usize::from(report.rank));
-        let known = known.and_then(Option::as_ref);
-        // A companion at an unknown address is never sent anything.
-        let (instance, address, told) = match known {
-            Some(RankView { state, .. }) => {
-                let told = (state.incarnation, state.number);
-                (state.instance.clone(), state.address, told)
-            }
-            None => (self.instance.clone(), engine, (0, 0)),
-        };
-        let state = RankState {
-            instance,
-            incarnation: told.0,
-            number: told.1,
-            address,
-            engine,
-            report,
-            follows: 0,
-            lists: None,
-        };
-        let rank = usize::from(state.report.rank);
-        self.take(now, state, true);
-        if let Some(Some(view)) = self.ranks.get_mut(rank) {
-            // What the companion told no longer is what is known.
-            view.told = None;
-        }
-    }
-
-    /// Takes in a report; from another instance it lags behind the engine.
-    fn take(&mut self, now: Instant, state: RankState, lags: bool) {
-        let settled = state.follows == self.fence || (lags && now >= self.settled_at);
-        let Some(seat) = self.ranks.get_mut(usize::from(state.report.rank)) else {
-            return;
-        };
-        match seat {
-            Some(view) if view.is_outdated(now, &state.report, lags) => {}
-            Some(view) => {
-                if view.state.report.epoch < state.report.epoch {
-                    view.in_flight = None;
-                    view.copying = None;
-                    view.refused = 0;
-                }
-                let lists = state.lists.clone().or_else(|| view.state.lists.take());
-                view.state = RankState { lists, ..state };
-                view.received = now;
-                view.settled |= settled;
-            }
-            None => {
-                *seat = Some(RankView {
-                    state,
-                    received: now,
-                    settled,
-                    outdated_until: now,
-                    companion_heard: None,
-                    in_flight: None,
-                    copying: None,
-                    refused: 0,
-                    lacks_base: false,
-                    told: None,
-                    map_sent: None,
-                });
-            }
-        }
-    }
-
-    /// Takes in a companion's answer to an order, given after so many states:
-    /// those are older than the order's effect, whenever they arrive.
-    pub fn order_answered(&mut self, now: Instant, number: u64, end: OrderEnd, states: u64) {
-        let ended = |view: &&mut RankView| view.in_flight.is_some_and(|o| o.number == number);
-        if let Some(view) = self.ranks.iter_mut().flatten().find(ended) {
-            view.state.number = view.state.number.max(states);
-        }
-        self.order_done(now, number, end, None);
-    }
-
-    /// Takes in the end of an order, with the engine's report afterwards.
-    pub fn order_done(
-        &mut self,
-        now: Instant,
-        number: u64,
-        end: OrderEnd,
-        report: Option<EngineReport>,
-    ) {
-        self.superseded |= end == OrderEnd::Fenced;
-        let ended = |view: &&mut RankView| view.in_flight.is_some_and(|o| o.number == number);
-        let Some(view) = self.ranks.iter_mut().flatten().find(ended) else {
-            return;
-        };
-        let Some(order) = view.in_flight.take() else {
-            return;
-        };
-        view.ended(now, &order, end);
-        if let Some(report) = report.filter(|r| !view.is_outdated(now, r, order.direct)) {
-            view.state.report = report;
-            view.received = now;
-        }
-    }
-
     /// Returns the reports of all ranks if they are fresh and of one epoch in
     /// which the group takes work.
     fn whole_group(&self, now: Instant) -> Option<Vec<EngineReport>> {
--- a/crates/egretstage_passes/src/demand.rs
+++ b/crates/egretstage_passes/src/demand.rs
@@ -8,7 +8,7 @@
 /// Largest value of a scaled load: one half of a byte.
 const FULL_SCALE: f32 = 15.0;
 
-/// Every so manieth layer, beginning with one.
+/// Every n-th layer, beginning with one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LayerSlice {
     /// The first layer.
