Fill a group that nobody has seen to what its ranks bear; let late calls wait behind

Once it had, half of the calls waited until the time that the first event takes no longer fitted their objective, and then went before fresh ones: first come, first served.

Change: the first bound is made from what a stream adds to a step, shared by all ranks, at the skew of the maps that groups start with. A waiting call goes behind the others as soon as the time that answers take to begin, as learnt of late, no longer fits its objective; before, after half of it.

Seen to fail first: the new test of the first bound gives 80 streams at 63 ranks.

--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -34,13 +34,14 @@
 /// network jitter between availability zones, with a reserve.
 const PASS_SPREAD: Duration = Duration::from_millis(40);
 
-/// Cost of a stream before any pause was seen, in milliseconds for one step:
-/// a group of unbalanced experts.
-const FIRST_COST_MS: f32 = 0.25;
+/// Largest over mean rank load that is expected before any pause was seen:
+/// that of a group whose experts are not balanced yet. A stream's work goes to
+/// all ranks, and a step takes as long as that of the most loaded one.
+const FIRST_SKEW: f32 = 3.3;
 
-/// Least cost of a stream, in milliseconds for one step: keeps the bound
+/// The same of a group that is balanced better than any: keeps the bound
 /// finite when a few streams run without delay.
-const MIN_COST_MS: f32 = 0.03;
+const LEAST_SKEW: f32 = 0.4;
 
 /// Bounds the streams of a model group by the pauses between their events.
 ///
@@ -65,6 +66,7 @@
 /// let engine = EngineProfile {
 ///     slots: 12,
 ///     step_ms: 5.0,
+///     stream_step_ms: 0.9,
 ///     steps_per_event: 4,
 ///     read_per_s: 60e3,
 ///     experts: None,
@@ -148,7 +150,7 @@
         let streams = streams.max(ranks * MIN_STREAMS_PER_RANK).max(1);
         let cost = ((pause_ms - self.base_ms()) / to_f32(streams)).max(0.0);
         let bound = self.bound(ranks);
-        let first = FIRST_COST_MS * self.steps();
+        let first = self.cost_at(FIRST_SKEW, ranks);
         let costs = self.costs.get_or_insert(Costs {
             mean: cost,
             peak: first.max(cost),
@@ -193,7 +195,7 @@
     #[must_use]
     pub fn bound(&self, ranks: u32) -> u32 {
         let target = self.max_pause_ms * TARGET_SHARE;
-        let streams = (target - self.base_ms()).max(0.0) / self.peak_cost();
+        let streams = (target - self.base_ms()).max(0.0) / self.peak_cost(ranks);
         let slots = self.engine.slots.saturating_mul(ranks);
         to_u32(streams).clamp(ranks.min(slots), slots)
     }
@@ -202,11 +204,17 @@
         self.engine.step_ms * self.steps()
     }
 
-    fn peak_cost(&self) -> f32 {
-        let first = FIRST_COST_MS * self.steps();
+    fn peak_cost(&self, ranks: u32) -> f32 {
         let own = self.costs.map(|costs| costs.peak);
-        let peak = self.others.mean_with(own).unwrap_or(first);
-        peak.max(MIN_COST_MS * self.steps())
+        let peak = self.others.mean_with(own);
+        let peak = peak.unwrap_or_else(|| self.cost_at(FIRST_SKEW, ranks));
+        peak.max(self.cost_at(LEAST_SKEW, ranks))
+    }
+
+    /// Returns what a stream costs a group of so many ranks at a skew, in
+    /// milliseconds for one event.
+    fn cost_at(&self, skew: f32, ranks: u32) -> f32 {
+        self.engine.stream_step_ms * self.steps() * skew / to_f32(ranks.max(1))
     }
 
     fn steps(&self) -> f32 {
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 //! |---|---|
 //! | how many streams a model group runs at once | [`admission`] |
 //! | in which order calls wait, and when waiting is hopeless | [`waiting`] |
+//! | until when a waiting call can be in time | `first_answer` |
 //! | whether a model group takes calls at all | [`closure`] |
 //! | which upstream runs a call | [`placement`] |
 //! | when a refused caller returns | [`returns`] |
@@ -24,6 +25,7 @@
 mod call;
 pub mod closure;
 mod event;
+mod first_answer;
 mod groups;
 mod line;
 mod notices;
@@ -41,6 +43,7 @@
     Attempt, AttemptEnd, DispatchEffect, DispatchEvent, NotRunCause, Refusal, RefusalKind,
     UnknownCause, UpstreamNotice,
 };
+pub use first_answer::FirstAnswerTime;
 pub use line::DecisionLine;
 pub use notices::Notices;
 pub use peers::{
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -30,9 +30,6 @@
     pub idle_report_interval: Duration,
     /// Time between two looks at the waiting calls.
     pub tick: Duration,
-    /// Share of a stream's objective that it may wait and still be in time;
-    /// the rest is for the prompt and the first event.
-    pub in_time_wait_share: f32,
     /// Longest wait of a stream: callers give up a stream that shows nothing
     /// for two seconds.
     pub max_stream_wait: Duration,
@@ -60,7 +57,6 @@
             report_time_per_entry: Duration::from_millis(3),
             idle_report_interval: Duration::from_millis(400),
             tick: Duration::from_millis(50),
-            in_time_wait_share: 0.5,
             max_stream_wait: Duration::from_millis(1_400),
             plain_queue: 2,
             max_unsent: 3,
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -4,7 +4,7 @@
 mod placing;
 
 use super::Dispatcher;
-use crate::waiting::Freshness;
+use crate::waiting::{Freshness, Objective};
 use crate::{
     CallHead, CallKey, DecisionLine, DispatchEffect, Refusal, RefusalKind, Route, UpstreamKey,
 };
@@ -44,7 +44,7 @@
     freshness: Freshness,
     arrived: Instant,
     expires: Instant,
-    in_time_until: Instant,
+    objective: Objective,
     phase: Phase,
     attempts: u32,
     unsent: u32,
@@ -133,7 +133,10 @@
         let route = by.route;
         let budgets = self.budgets.entry(route.name.clone()).or_default();
         let returned = budgets.is_returned(head.budget);
-        let wait = route.objective.mul_f32(self.limits.in_time_wait_share);
+        let objective = Objective {
+            at: now + route.objective,
+            time: route.objective,
+        };
         Call {
             service: self.choose_service(&route, key),
             organisation: by.organisation,
@@ -145,7 +148,7 @@
             },
             arrived: now,
             expires: now + head.budget.min(route.timeout),
-            in_time_until: now + wait,
+            objective,
             phase: Phase::Waiting,
             attempts: 0,
             unsent: 0,
@@ -214,6 +217,8 @@
         call.last_event = Some(now);
         if let Phase::Running { upstream, since } = call.phase {
             let after = now.saturating_duration_since(since);
+            let service = call.service.clone();
+            self.service(&service).first_answer.began(after);
             self.upstreams.answered(upstream, after, false);
             self.group_answered(upstream, fx);
             self.group_goes_on(upstream, fx);
@@ -330,7 +335,7 @@
     /// Moves overdue calls back and refuses those that have waited too long.
     pub(super) fn look_at_waiting(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
         for service in self.services.values_mut() {
-            service.waiting.settle(now);
+            service.waiting.settle(now, &service.first_answer);
         }
         let waits = self
             .calls
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -16,10 +16,10 @@
         };
         call.phase = Phase::Waiting;
         let (priority, freshness) = (call.priority, call.freshness);
-        let (arrived, in_time_until) = (call.arrived, call.in_time_until);
+        let (arrived, objective) = (call.arrived, call.objective);
         let service = call.service.clone();
         let waiting = &mut self.service(&service).waiting;
-        waiting.push(key, priority, freshness, arrived, in_time_until);
+        waiting.push(key, priority, freshness, arrived, objective);
     }
 
     pub(in crate::reducer) fn pump_all(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
@@ -37,6 +37,8 @@
         service: &ServiceName,
         fx: &mut Vec<DispatchEffect>,
     ) {
+        let state = self.service(service);
+        state.waiting.settle(now, &state.first_answer);
         while let Some(key) = self.service(service).waiting.first() {
             let Some(upstream) = self.place(now, service, key) else {
                 return;
--- a/crates/egretstage_dispatch/src/reducer/service.rs
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -1,10 +1,10 @@
 //! What a dispatcher keeps for each service.
 
 use super::DispatchLimits;
-use crate::ServiceProfile;
 use crate::groups::Groups;
 use crate::returns::{ReturnLimits, ReturnSchedule};
 use crate::waiting::{StartRate, WaitingCalls};
+use crate::{FirstAnswerTime, ServiceProfile};
 use egretstage_routing::{RetryBudget, RetryLimits};
 use std::time::Duration;
 
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct ServiceState {
     pub(super) waiting: WaitingCalls,
+    /// How long its answers take to begin.
+    pub(super) first_answer: FirstAnswerTime,
     pub(super) starts: StartRate,
     pub(super) returns: ReturnSchedule,
     pub(super) retries: RetryBudget,
@@ -29,6 +31,7 @@
     pub(super) fn new(limits: &DispatchLimits) -> Self {
         Self {
             waiting: WaitingCalls::default(),
+            first_answer: FirstAnswerTime::default(),
             starts: StartRate::new(START_WINDOW),
             returns: ReturnSchedule::new(ReturnLimits::default()),
             retries: RetryBudget::new(RetryLimits {
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -97,6 +97,9 @@
     pub slots: u32,
     /// Time of a token step without any call, in milliseconds.
     pub step_ms: f32,
+    /// Time that a stream adds to a token step of an engine that has it to
+    /// itself, in milliseconds.
+    pub stream_step_ms: f32,
     /// Token steps between two events of a stream.
     pub steps_per_event: u32,
     /// Prompt tokens read in a second.
--- a/crates/egretstage_dispatch/src/waiting.rs
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -6,7 +6,7 @@
 //! goes before one that can't, which fills the places that nobody else could
 //! use; then the one that arrived first.
 
-use crate::CallKey;
+use crate::{CallKey, FirstAnswerTime};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -69,22 +69,33 @@
     call: CallKey,
 }
 
+/// When an answer must begin to be in time.
+#[derive(Clone, Copy, Debug)]
+pub struct Objective {
+    /// The instant.
+    pub at: Instant,
+    /// The time from the call's arrival to it.
+    pub time: Duration,
+}
+
 /// The waiting calls of one service.
 #[derive(Clone, Debug, Default)]
 pub struct WaitingCalls {
-    order: BTreeMap<Rank, Instant>,
+    /// With each call, the instant until which its answer must begin, and the
+    /// time that it has for that at most.
+    order: BTreeMap<Rank, Objective>,
     ranks: HashMap<CallKey, Rank>,
 }
 
 impl WaitingCalls {
-    /// Adds a call that can be in time until the instant given.
+    /// Adds a call with its objective.
     pub fn push(
         &mut self,
         call: CallKey,
         priority: u8,
         freshness: Freshness,
         arrived: Instant,
-        in_time_until: Instant,
+        objective: Objective,
     ) {
         let rank = Rank {
             priority,
@@ -92,7 +103,7 @@
             arrived,
             call,
         };
-        self.order.insert(rank, in_time_until);
+        self.order.insert(rank, objective);
         self.ranks.insert(call, rank);
     }
 
@@ -128,15 +139,17 @@
     }
 
     /// Moves the calls that can no longer be in time behind the others.
-    pub fn settle(&mut self, now: Instant) {
-        let overdue = |(rank, until): (&Rank, &Instant)| {
-            (rank.freshness == Freshness::InTime && *until <= now).then_some(*rank)
+    pub fn settle(&mut self, now: Instant, first_answer: &FirstAnswerTime) {
+        let overdue = |(rank, objective): (&Rank, &Objective)| {
+            let begins = now + first_answer.of(objective.time);
+            let late = rank.freshness == Freshness::InTime && begins > objective.at;
+            late.then_some((*rank, *objective))
         };
-        let overdue: Vec<Rank> = self.order.iter().filter_map(overdue).collect();
-        for rank in overdue {
+        let overdue: Vec<_> = self.order.iter().filter_map(overdue).collect();
+        for (rank, objective) in overdue {
             self.remove(rank.call);
-            let call = rank.call;
-            self.push(call, rank.priority, Freshness::Overdue, rank.arrived, now);
+            let freshness = Freshness::Overdue;
+            self.push(rank.call, rank.priority, freshness, rank.arrived, objective);
         }
     }
 }
--- a/crates/egretstage_dispatch/tests/dispatch/admission.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/admission.rs
@@ -18,6 +18,7 @@
         let engine = EngineProfile {
             slots: 12,
             step_ms: 4.5,
+            stream_step_ms: 0.9,
             steps_per_event: 4,
             read_per_s: 60_000.0,
             experts: None,
@@ -123,3 +124,37 @@
     group.control.forget();
     assert_eq!(group.bound(), first);
 }
+
+/// Load pattern: a group was formed anew, or an entry has just started, and
+/// nothing was seen of the group yet. Its work is shared by all ranks, so the
+/// more ranks it has the more streams it takes; before its experts are
+/// balanced, the most loaded rank has over three times the mean.
+#[test]
+fn a_group_that_nobody_has_seen_is_filled_to_what_its_ranks_bear() {
+    /// Largest over mean rank load with the maps that groups start with.
+    const UNBALANCED: f32 = 3.3;
+    for (ranks, stream_step_ms, steps, max_pause_ms) in [
+        (12_u16, 0.9_f32, 4_u16, 120_u16),
+        (24, 1.09, 5, 150),
+        (63, 1.09, 5, 150),
+        (64, 1.99, 6, 200),
+    ] {
+        let engine = EngineProfile {
+            slots: 12,
+            step_ms: 4.55,
+            stream_step_ms,
+            steps_per_event: u32::from(steps),
+            read_per_s: 60_000.0,
+            experts: None,
+        };
+        let max_pause = Duration::from_millis(u64::from(max_pause_ms));
+        let bound = PauseControl::new(engine, max_pause).bound(u32::from(ranks));
+        let streams = f32::from(u16::try_from(bound).expect("a few hundred"));
+        let step = 4.55 + stream_step_ms * UNBALANCED * streams / f32::from(ranks);
+        let used = step * f32::from(steps) / f32::from(max_pause_ms);
+        assert!(
+            (0.7..=0.9).contains(&used),
+            "{bound} streams at {ranks} ranks make pauses of {used:.2} of the longest"
+        );
+    }
+}
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -60,6 +60,7 @@
             engine: Some(EngineProfile {
                 slots: 12,
                 step_ms: 4.5,
+                stream_step_ms: 0.15,
                 steps_per_event: 4,
                 read_per_s: 60_000.0,
                 experts: None,
