--- a/crates/egretstage_passes/tests/switches/many_ranks.rs
+++ b/crates/egretstage_passes/tests/switches/many_ranks.rs
@@ -29,6 +29,22 @@
     copy_time: Duration::from_millis(38),
 };
 
+/// The users' first groups.
+const FIRST: Size = Size {
+    ranks: 12,
+    layers: 3,
+    experts: 96,
+    copy_time: Duration::from_millis(98),
+};
+
+/// The users' grown groups.
+const GROWN: Size = Size {
+    ranks: 24,
+    layers: 16,
+    experts: 96,
+    copy_time: Duration::from_millis(76),
+};
+
 /// Share of its link that the decider may use while nothing changes.
 const STEADY_SHARE: f64 = 0.6;
 
@@ -81,9 +97,10 @@
     assert!(world.group.switches > 0, "no switch");
 }
 
+/// Prints the slopes of `docs/CAPACITY.md` with `--nocapture`.
 #[test]
 fn a_steady_decider_uses_a_part_of_its_link() {
-    for size in [LARGE, TARGET] {
+    for size in [FIRST, GROWN, LARGE, TARGET] {
         let mut world = world(size, 4);
         world.run_for(6 * SECOND);
         let decider = world.decider().expect("a decider");
@@ -97,6 +114,11 @@
         ] {
             let bytes = f64::from(u32::try_from(bytes).expect("a few megabytes"));
             let share = bytes / link;
+            let kb_per_s = bytes / 4_000.0;
+            println!(
+                "a decider of {} ranks {what} {kb_per_s:.1} KB/s",
+                size.ranks
+            );
             assert!(
                 share <= STEADY_SHARE,
                 "a decider of {} ranks {what} {share:.2} of its link",
