Take back the switch of a decider whose instance stands still; hold two passes ahead

Load pattern: the instance of a decider is frozen just as it has ordered the hold of its group. Neither its companion nor its engine answers, for four seconds.

Change: another rank holds the group, ordered straight at its engine. Ranks are armed in an order that lets a successor conclude from what it reaches: those whose companions are heard, then the holder by its companion, then those whose companions are silent, the decider's own last. As long as the holder's companion vouches that its rank isn't armed and can't be, no rank out of reach is. The successor makes the holder prepare another version, which forbids the switch for good, disarms the others and lifts the hold. Companions say whether an order to arm may still come (no answer, or of before their start). The hold is two passes ahead, so that the longer order costs no pause.

States count for three intervals at least, and a lost one is asked for.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -7,6 +7,7 @@
 mod rank_view;
 mod survey;
 
+use crate::member::state_interval;
 use crate::{
     EngineReport, ExpertsByRank, FencedChanges, FencedOrder, GroupDemand, GroupShape, MapChanges,
     PassLine, RankAddress, Seats,
@@ -17,12 +18,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use survey::Predecessor;
 
 /// Limits of a decider.
 #[derive(Clone, Copy, Debug)]
 pub struct DeciderLimits {
-    /// Age of a rank's state beyond which nothing is begun: a few states of
-    /// the rank were lost, or the decider itself stood still.
+    /// Least age of a rank's state beyond which nothing is begun: a few states
+    /// of the rank were lost, or the decider itself stood still.
     pub fresh: Duration,
     /// Time after a takeover in which the predecessor may still give orders to
     /// engines whose companions are silent, and their reports lag.
@@ -34,6 +36,8 @@
     /// again: several round trips between availability zones and the engine's
     /// own answer. The group may be held meanwhile.
     pub companion_timeout: Duration,
+    /// Time after which a hold is given up that its rank doesn't answer.
+    pub hold_timeout: Duration,
     /// Time beyond that of the copies after which they are given up.
     pub prepare_slack: Duration,
     /// What the maps that are sent to companions may take of the decider's
@@ -62,9 +66,10 @@
             settle: Duration::from_millis(500),
             order_timeout: Duration::from_millis(250),
             companion_timeout: Duration::from_millis(80),
+            hold_timeout: Duration::from_secs(1),
             prepare_slack: Duration::from_secs(1),
             map_bytes_per_s: 400_000,
-            lead: 1,
+            lead: 2,
             plan_interval: Duration::from_millis(50),
             demand_age: Duration::from_millis(400),
             copy_span: Duration::from_millis(160),
@@ -104,6 +109,8 @@
         /// The order.
         order: Box<FencedChanges>,
     },
+    /// Asks a companion for the state of its rank.
+    AskState(SocketAddr),
     /// Reads the report of an engine whose companion is silent.
     Look(SocketAddr),
     /// Writes a log line.
@@ -135,9 +142,19 @@
         since: Instant,
     },
     /// A rank shall hold the group before a pass.
-    Holding { version: u64, pass: u64 },
+    Holding {
+        version: u64,
+        pass: u64,
+        holder: u16,
+        since: Instant,
+    },
     /// The group is held; all ranks shall switch at that pass.
-    Arming { version: u64, pass: u64 },
+    Arming {
+        version: u64,
+        pass: u64,
+        /// The rank that holds the group.
+        holder: u16,
+    },
     /// The group is held; no rank shall switch at that pass.
     Disarming,
     /// No rank shall hold the group any longer.
@@ -164,9 +181,12 @@
     limits: DeciderLimits,
     shape: GroupShape,
     instance: InstanceId,
-    /// The rank beside the deciding companion; it holds the group, since its
-    /// engine is reached soonest.
+    /// The rank beside the deciding companion. It is armed last.
     own_rank: u16,
+    /// The version that no rank shall be armed with any more.
+    taken_back: Option<u64>,
+    /// The companion that decided before, if that is known.
+    predecessor: Option<Predecessor>,
     ranks: Vec<Option<RankView>>,
     /// Where the ranks are reached, as far as known.
     seats: Vec<Option<RankAddress>>,
@@ -180,6 +200,10 @@
     /// decider left.
     settled_at: Instant,
     look_at: Instant,
+    /// From when on no order of an earlier decider takes effect.
+    no_order_after: Instant,
+    /// From when on engines may be called without their companions.
+    direct_from: Instant,
     phase: Phase,
     /// The last map that was prepared at all ranks, with its version.
     switched_to: Option<(u64, Rc<ExpertsByRank>)>,
@@ -190,8 +214,16 @@
     superseded: bool,
 }
 
+/// Longest time after which an order without an answer is carried out: some
+/// seconds, with a reserve.
+pub(crate) const LATEST_ORDER: Duration = Duration::from_secs(15);
+
+/// Times between two states of a rank that may pass before it counts as silent:
+/// two of them are lost in a row.
+const STATES_LOST: u32 = 3;
+
 /// Versions that one decider may use before the next fencing number's begin.
-const VERSIONS_PER_FENCE: u64 = 1 << 16;
+const VERSIONS_PER_FENCE: u64 = 1 << 20;
 
 impl MapDecider {
     /// Starts to decide for a group of so many ranks.
@@ -206,17 +238,25 @@
         limits: DeciderLimits,
     ) -> Self {
         let ranks = usize::from(own.ranks);
+        let limits = DeciderLimits {
+            fresh: limits.fresh.max(state_interval(own.ranks) * STATES_LOST),
+            ..limits
+        };
         let mut seats = seats.to_vec();
         seats.resize(ranks, None);
         Self {
             seats,
             settled_at: now + limits.settle,
             look_at: now + limits.settle,
+            no_order_after: now + LATEST_ORDER,
+            direct_from: now,
             fence,
             limits,
             shape,
             instance,
             own_rank: own.rank,
+            taken_back: None,
+            predecessor: None,
             ranks: vec![None; ranks],
             next_seat: 0,
             demand: GroupDemand::new(own.ranks, shape.layers, shape.experts),
@@ -231,6 +271,22 @@
         }
     }
 
+    /// Notes which companion decided before, as the claim tells that came before
+    /// this decider's, and a map that ranks may be ordered to prepare.
+    pub fn succeed(&mut self, address: SocketAddr, fence: u64, map: ExpertsByRank) {
+        self.predecessor = Some(Predecessor {
+            address,
+            fence,
+            map,
+        });
+    }
+
+    /// Notes that the decider's process stood still: others may have taken over,
+    /// and companions only look silent until what they sent was read.
+    pub fn stood_still(&mut self, now: Instant) {
+        self.direct_from = now + self.limits.fresh;
+    }
+
     /// Returns the fencing number.
     #[must_use]
     pub fn fence(&self) -> u64 {
@@ -300,24 +356,35 @@
         if self.superseded {
             return;
         }
+        self.ask_for_states(out);
         let Some(reports) = self.whole_group(now) else {
             if self.epoch_is_mixed() && !matches!(self.phase, Phase::Surveying) {
                 self.enter(Phase::Surveying, out);
             }
+            self.take_back(now, out);
             self.look(now, out);
             return;
         };
         match self.phase.clone() {
             Phase::Surveying if !self.is_settled() => self.look(now, out),
-            Phase::Surveying => self.survey(&reports, out),
+            Phase::Surveying => self.survey(now, &reports, out),
             Phase::Idle => self.idle(now, &reports, out),
             Phase::Preparing {
                 version,
                 map,
                 since,
             } => self.prepare(now, &reports, version, &map, since, out),
-            Phase::Holding { version, pass } => self.hold(now, &reports, version, pass, out),
-            Phase::Arming { version, pass } => self.arm(now, &reports, version, pass, out),
+            Phase::Holding {
+                version,
+                pass,
+                holder,
+                since,
+            } => self.hold(now, &reports, (version, pass), (holder, since), out),
+            Phase::Arming {
+                version,
+                pass,
+                holder,
+            } => self.arm(now, &reports, (version, pass), holder, out),
             Phase::Disarming => self.disarm(now, &reports, out),
             Phase::Releasing => self.release(now, &reports, out),
         }
@@ -329,7 +396,7 @@
     /// companions have had their time.
     fn look(&mut self, now: Instant, out: &mut Vec<RankOutput>) {
         let may_be_held = !matches!(self.phase, Phase::Idle | Phase::Preparing { .. });
-        if !may_be_held || now < self.look_at {
+        if !may_be_held || now < self.look_at.max(self.direct_from) {
             return;
         }
         self.look_at = now + self.limits.order_timeout;
--- a/crates/egretstage_passes/src/decider/hearing.rs
+++ b/crates/egretstage_passes/src/decider/hearing.rs
@@ -1,7 +1,7 @@
 //! What a decider learns: states, counts, and the ends of orders.
 
 use super::rank_view::RankView;
-use super::{MapDecider, StillState};
+use super::{MapDecider, RankOutput, StillState};
 use crate::{EngineReport, OrderEnd, RankAddress, RankState, RecentLoads};
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -42,10 +42,21 @@
             view.state.number = still.number;
             view.state.report.pass = view.state.report.pass.max(still.pass);
             view.received = now;
+        } else {
+            view.lacks_state = true;
         }
         self.heard(now, rank);
     }
 
+    /// Asks the companions for states that were lost.
+    pub(super) fn ask_for_states(&mut self, out: &mut Vec<RankOutput>) {
+        for view in self.ranks.iter_mut().flatten() {
+            if std::mem::take(&mut view.lacks_state) {
+                out.push(RankOutput::AskState(view.state.address));
+            }
+        }
+    }
+
     /// Takes in what the requests of a rank chose of late.
     pub fn counted(&mut self, now: Instant, rank: u16, loads: &RecentLoads) {
         self.demand.take(now, rank, loads);
@@ -80,6 +91,7 @@
             engine,
             report,
             follows: 0,
+            may_be_armed: true,
             lists: None,
         };
         let rank = usize::from(state.report.rank);
@@ -98,6 +110,9 @@
         };
         match seat {
             Some(view) if view.is_outdated(now, &state.report, lags) => {}
+            // Read before the companion followed this decider: perhaps before it
+            // stood still, long before what is known.
+            Some(view) if view.settled && !settled && !lags => {}
             Some(view) => {
                 if view.state.report.epoch < state.report.epoch {
                     view.in_flight = None;
@@ -121,6 +136,7 @@
                     refused: 0,
                     lacks_base: false,
                     told: None,
+                    lacks_state: false,
                     map_sent: None,
                 });
             }
--- a/crates/egretstage_passes/src/decider/orders.rs
+++ b/crates/egretstage_passes/src/decider/orders.rs
@@ -13,9 +13,40 @@
         rank: u16,
         order: PassOrder,
         out: &mut Vec<RankOutput>,
+    ) {
+        if let Some(way) = self.way_to(now, rank) {
+            self.order_by(now, rank, way, order, out);
+        }
+    }
+
+    /// Gives an order straight to a rank's engine, unless one is under way.
+    pub(super) fn order_engine(
+        &mut self,
+        now: Instant,
+        rank: u16,
+        order: PassOrder,
+        out: &mut Vec<RankOutput>,
+    ) {
+        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
+        if rank == self.own_rank {
+            self.order(now, rank, order, out);
+        } else if let Some(view) = view.filter(|_| now >= self.direct_from) {
+            let way = Way::Engine(view.state.engine);
+            self.order_by(now, rank, way, order, out);
+        }
+    }
+
+    fn order_by(
+        &mut self,
+        now: Instant,
+        rank: u16,
+        way: Way,
+        order: PassOrder,
+        out: &mut Vec<RankOutput>,
     ) {
         let fence = self.fence;
-        let Some((way, number, view)) = self.begin_order(now, rank, OrderEffect::of(&order)) else {
+        let effect = OrderEffect::of(&order);
+        let Some((number, view)) = self.begin_order(now, rank, way, effect) else {
             return;
         };
         let report = &view.state.report;
@@ -49,7 +80,10 @@
         }
         let (fence, own) = (self.fence, self.own_rank);
         let effect = OrderEffect::Copies(version);
-        let Some((way, number, view)) = self.begin_order(now, rank, effect) else {
+        let Some(way) = self.way_to(now, rank) else {
+            return;
+        };
+        let Some((number, view)) = self.begin_order(now, rank, way, effect) else {
             return;
         };
         view.map_sent = Some(version);
@@ -111,14 +145,36 @@
         u32::try_from(self.ranks.len()).unwrap_or(u32::MAX)
     }
 
+    /// Tells whether the companion of a rank was heard of late.
+    pub(super) fn is_companion_heard(&self, now: Instant, rank: u16) -> bool {
+        let view = self.ranks.get(usize::from(rank)).and_then(Option::as_ref);
+        let heard = view.and_then(|view| view.companion_heard);
+        heard.is_some_and(|at| self.is_fresh(now, at))
+    }
+
+    /// Tells whether what was received at a time still counts.
+    pub(super) fn is_fresh(&self, now: Instant, at: Instant) -> bool {
+        now.saturating_duration_since(at) <= self.limits.fresh
+    }
+
+    /// Returns the way to a rank, if there is one now.
+    fn way_to(&self, now: Instant, rank: u16) -> Option<Way> {
+        let view = self.ranks.get(usize::from(rank))?.as_ref()?;
+        if self.is_companion_heard(now, rank) {
+            Some(Way::Companion(view.state.address))
+        } else {
+            (now >= self.direct_from).then_some(Way::Engine(view.state.engine))
+        }
+    }
+
     /// Notes that an order is given to a rank, unless one is under way there.
     fn begin_order(
         &mut self,
         now: Instant,
         rank: u16,
+        way: Way,
         effect: OrderEffect,
-    ) -> Option<(Way, u64, &mut RankView)> {
-        let fresh = self.limits.fresh;
+    ) -> Option<(u64, &mut RankView)> {
         let view = self.ranks.get_mut(usize::from(rank))?.as_mut()?;
         if let Some(order) = &view.in_flight {
             let timeout = if order.direct {
@@ -131,19 +187,12 @@
             }
         }
         self.orders += 1;
-        let heard = view.companion_heard;
-        let by_companion = heard.is_some_and(|at| now.saturating_duration_since(at) <= fresh);
-        let way = if by_companion {
-            Way::Companion(view.state.address)
-        } else {
-            Way::Engine(view.state.engine)
-        };
         view.in_flight = Some(InFlight {
             number: self.orders,
             since: now,
             effect,
             direct: matches!(way, Way::Engine(_)),
         });
-        Some((way, self.orders, view))
+        Some((self.orders, view))
     }
 }
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -139,7 +139,13 @@
         if reports.iter().all(|r| r.prepared == Some(version)) {
             let pass = self.next_pass(reports);
             self.switched_to = Some((version, Rc::clone(&map.layers)));
-            self.enter(Phase::Holding { version, pass }, out);
+            let holding = Phase::Holding {
+                version,
+                pass,
+                holder: self.next_holder(now),
+                since: now,
+            };
+            self.enter(holding, out);
             return self.wake(now, out);
         }
         let copies = self.shape.copy_time * u32::from(self.copies_per_rank());
@@ -175,30 +181,61 @@
         last.unwrap_or(0) + self.limits.lead
     }
 
+    /// Returns the rank that holds the group for the next map: one with a
+    /// companion that is heard, but not the decider's own, and another one for
+    /// each map.
+    ///
+    /// If the decider's instance stands still, the hold is then at an engine
+    /// that its successor reaches.
+    fn next_holder(&self, now: Instant) -> u16 {
+        let heard = (0..).zip(&self.ranks).filter_map(|(rank, view)| {
+            let at = view.as_ref()?.companion_heard?;
+            (rank != self.own_rank && self.is_fresh(now, at)).then_some(rank)
+        });
+        let heard: Vec<u16> = heard.collect();
+        let turn = usize::try_from(self.versions).unwrap_or(0);
+        let next = heard.get(turn % heard.len().max(1));
+        next.copied().unwrap_or(self.own_rank)
+    }
+
     pub(super) fn hold(
         &mut self,
         now: Instant,
         reports: &[EngineReport],
-        version: u64,
-        pass: u64,
+        (version, pass): (u64, u64),
+        (holder, since): (u16, Instant),
         out: &mut Vec<RankOutput>,
     ) {
-        let holder = self.own_rank;
         let Some(report) = reports.get(usize::from(holder)) else {
             return;
         };
         if report.held == Some(pass) {
-            self.enter(Phase::Arming { version, pass }, out);
+            let arming = Phase::Arming {
+                version,
+                pass,
+                holder,
+            };
+            self.enter(arming, out);
             return self.wake(now, out);
         }
         if report.held.is_some() || reports.iter().any(|r| r.prepared != Some(version)) {
             return self.enter(Phase::Surveying, out);
         }
+        if now.saturating_duration_since(since) > self.limits.hold_timeout {
+            // Another rank holds for the next map. One that is held late by an
+            // order of this one is noticed then.
+            return self.enter(Phase::Idle, out);
+        }
         // What is known of the passes is old: each refusal takes a later one.
         let refusals = self.refusals_of(holder);
         let pass = pass.max(report.pass + self.limits.lead + refusals);
-        self.phase = Phase::Holding { version, pass };
-        self.order(now, holder, PassOrder::Hold { pass }, out);
+        self.phase = Phase::Holding {
+            version,
+            pass,
+            holder,
+            since,
+        };
+        self.order_engine(now, holder, PassOrder::Hold { pass }, out);
     }
 
     fn refusals_of(&self, rank: u16) -> u64 {
@@ -210,19 +247,58 @@
         &mut self,
         now: Instant,
         reports: &[EngineReport],
-        version: u64,
-        pass: u64,
+        (version, pass): (u64, u64),
+        holder: u16,
         out: &mut Vec<RankOutput>,
     ) {
         if reports.iter().all(|r| r.armed == Some(version)) {
             self.enter(Phase::Releasing, out);
             return self.wake(now, out);
         }
-        // There is no way back from here: an order to arm that has no answer
-        // may still be carried out, so the group is released only when all are
-        // armed, or when it is formed again.
-        for report in reports.iter().filter(|r| r.armed != Some(version)) {
-            self.order(now, report.rank, PassOrder::Arm { version, pass }, out);
+        let is_forbidden = |report: &EngineReport| {
+            report.rank == holder && report.armed.is_none() && report.prepared != Some(version)
+        };
+        if reports.iter().any(is_forbidden) {
+            // A decider before this one takes the switch back.
+            return self.enter(Phase::Surveying, out);
+        }
+        // There is no other way back from here: an order to arm that has no
+        // answer may still be carried out, so the group is released only when
+        // all are armed, or when it is formed again.
+        for rank in self.due_to_arm(now, reports, version, holder) {
+            self.order(now, rank, PassOrder::Arm { version, pass }, out);
+        }
+    }
+
+    /// Returns the ranks that are armed next.
+    ///
+    /// First those whose companions are heard, then the holder, by its companion
+    /// alone, then those whose companions are silent, and last the decider's own
+    /// rank. So as long as the companion of the holder says that its rank isn't
+    /// armed, neither is the decider's, and no order is on its way to an engine
+    /// of which no companion knows.
+    fn due_to_arm(
+        &self,
+        now: Instant,
+        reports: &[EngineReport],
+        version: u64,
+        holder: u16,
+    ) -> Vec<u16> {
+        let own = self.own_rank;
+        let missing = reports.iter().filter(|r| r.armed != Some(version));
+        let missing: Vec<u16> = missing.map(|report| report.rank).collect();
+        let is_other = |rank: &&u16| **rank != own && **rank != holder;
+        let (heard, silent): (Vec<u16>, Vec<u16>) = missing
+            .iter()
+            .filter(is_other)
+            .partition(|rank| self.is_companion_heard(now, **rank));
+        let holder_is_missing = holder != own && missing.contains(&holder);
+        match (heard.is_empty(), holder_is_missing, silent.is_empty()) {
+            (false, _, _) => heard,
+            (true, true, _) if self.is_companion_heard(now, holder) => vec![holder],
+            (true, true, _) => Vec::new(),
+            (true, false, false) => silent,
+            (true, false, true) => vec![own],
         }
     }
 
@@ -234,6 +310,9 @@
     ) {
         let armed = reports.iter().filter_map(|r| Some((r.rank, r.armed?)));
         let armed: Vec<(u16, u64)> = armed.collect();
+        if armed.is_empty() && !self.is_arming_known(now) {
+            return;
+        }
         if armed.is_empty() {
             self.enter(Phase::Releasing, out);
             return self.wake(now, out);
--- a/crates/egretstage_passes/src/decider/rank_view.rs
+++ b/crates/egretstage_passes/src/decider/rank_view.rs
@@ -55,6 +55,8 @@
     /// Number of the state that the companion told, as long as nothing else
     /// was learnt of the rank.
     pub(super) told: Option<u64>,
+    /// Whether the companion says that a state holds which wasn't received.
+    pub(super) lacks_state: bool,
     /// The version that the companion was last ordered to prepare.
     pub(super) map_sent: Option<u64>,
 }
--- a/crates/egretstage_passes/src/lib.rs
+++ b/crates/egretstage_passes/src/lib.rs
@@ -13,14 +13,14 @@
 //! The order of a switch keeps the maps equal, whatever is lost or late:
 //!
 //! 1. all ranks prepare the map: copies change nothing that is in use;
-//! 2. the decider's rank holds the group before a pass, and says so;
-//! 3. all ranks are armed for that pass, and say so;
+//! 2. another rank than the decider's holds the group before a pass;
+//! 3. all ranks are armed for that pass, and say so: the decider's rank last;
 //! 4. the hold is released.
 //!
-//! A group whose decider's whole instance stands still between 2 and 4 stands
-//! with it: what the engine beside it was ordered is unknown. Holding at another
-//! rank and arming the own rank last would end that, but takes one more round
-//! trip for each switch, which costs more pauses than it saves.
+//! A decider whose whole instance stands still after 2 is replaced, and its
+//! successor takes the switch back: as long as another rank isn't armed, the
+//! rank that it can't reach isn't either. Only between the arming of the
+//! decider's rank and 4 a group stands with the instance of its decider.
 //!
 //! Nothing here does I/O or reads a clock.
 
--- a/crates/egretstage_passes/src/map_changes.rs
+++ b/crates/egretstage_passes/src/map_changes.rs
@@ -121,6 +121,13 @@
         self.told.push((hash, map));
     }
 
+    /// Returns the map that was told last, or one that the group may start with.
+    #[must_use]
+    pub fn newest(&self) -> Option<&ExpertsByRank> {
+        let known = self.told.last().or(self.starts.first());
+        known.map(|(_, map)| map)
+    }
+
     /// Returns the map that changes make, if the one that they change is known.
     #[must_use]
     pub fn apply(&self, changes: &MapChanges) -> Option<ExpertsByRank> {
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -1,10 +1,14 @@
 //! The companion's part in its group: claims, reports, orders.
 
+mod arming;
 mod claims;
 mod event;
 mod liveness;
 mod telling;
 
+use arming::PendingArming;
+pub(crate) use telling::state_interval;
+
 pub use event::{MemberEffect, MemberEvent, PassLine};
 use telling::Telling;
 
@@ -98,6 +102,7 @@
     /// Maps that the decider told.
     maps: KnownMaps,
     counts: CountWindow,
+    arming: PendingArming,
     telling: Telling,
     /// The newest claim with its fencing number.
     holder: Option<(DeciderClaim, u64)>,
@@ -132,6 +137,7 @@
             follows: 0,
             lists: None,
             maps: KnownMaps::default(),
+            arming: PendingArming::default(),
             telling: Telling::new(now),
             holder: None,
             heard: now,
@@ -175,6 +181,7 @@
         }
         let ranks = report.ranks;
         let known = self.report.as_ref().map(|report| report.ranks);
+        self.arming.reported(now, &report);
         self.report = Some(report);
         self.follows = follows;
         if known != Some(ranks) {
@@ -237,6 +244,7 @@
                 seats,
             } => self.heartbeat(now, *claim, fence, &seats, fx),
             PassMessage::Alive { fence, seats } => self.alive(now, fence, &seats),
+            PassMessage::AskState => self.tell_whole(now, fx),
             PassMessage::Hear { fence } => self.asked_for(now, from, fence, fx),
             PassMessage::Heard { fence, age_ms } => self.heard_elsewhere(now, fence, age_ms),
             PassMessage::Order { number, order } => {
@@ -292,6 +300,7 @@
         if let PassOrder::Prepare { layers, .. } = &order.order {
             self.maps.remember(layers.clone());
         }
+        self.arming.ordered(now, (giver, number), &order);
         fx.push(MemberEffect::Order {
             engine: self.settings.engine,
             giver: Some(giver),
@@ -315,7 +324,9 @@
             }
             return;
         };
+        self.arming.ended(giver, number, end);
         if let Some(report) = report {
+            self.arming.reported(now, &report);
             self.report = Some(report);
         }
         let states = self.telling.states();
@@ -374,6 +385,7 @@
     fn carry_out(&self, output: RankOutput) -> MemberEffect {
         match output {
             RankOutput::Line(line) => MemberEffect::Log(line),
+            RankOutput::AskState(to) => MemberEffect::Send(to, Box::new(PassMessage::AskState)),
             RankOutput::Look(engine) => MemberEffect::Look(engine),
             RankOutput::Changes { to, number, order } => {
                 let message = PassMessage::Changes { number, order };
--- a/crates/egretstage_passes/src/member/claims.rs
+++ b/crates/egretstage_passes/src/member/claims.rs
@@ -58,12 +58,15 @@
         self.heard = now + self.settings.limits.new_holder_grace;
         self.asked = false;
         self.silence.reset();
-        self.holder = Some((claim, fence));
+        let before = self.holder.replace((claim, fence));
         if let (true, Some(report), Some(shape)) = (own, &self.report, self.shape) {
             let instance = self.settings.instance.clone();
             let limits = self.settings.limits.decider;
             let seats = &self.seats;
-            let decider = MapDecider::new(now, fence, instance, report, seats, shape, limits);
+            let mut decider = MapDecider::new(now, fence, instance, report, seats, shape, limits);
+            if let (Some((claim, fence)), Some(map)) = (before, self.maps.newest()) {
+                decider.succeed(claim.address, fence, map.clone());
+            }
             self.decider = Some(decider);
             self.heartbeat_at = now;
         }
--- a/crates/egretstage_passes/src/member/event.rs
+++ b/crates/egretstage_passes/src/member/event.rs
@@ -120,6 +120,15 @@
         /// The phase.
         phase: &'static str,
     },
+    /// The hold of a decider is lifted whose instance stands still.
+    LiftHold {
+        /// The new decider's fencing number.
+        fence: u64,
+        /// The rank that holds the group.
+        rank: u16,
+        /// The pass that is held.
+        pass: u64,
+    },
     /// A map with few copies pays.
     Plan {
         /// The decider's fencing number.
--- a/crates/egretstage_passes/src/member/liveness.rs
+++ b/crates/egretstage_passes/src/member/liveness.rs
@@ -181,7 +181,9 @@
     pub(super) fn notice_own_stall(&mut self, now: Instant) {
         let stood = now.saturating_duration_since(self.polled) > OWN_STALL;
         self.polled = now;
-        if stood && self.decider.is_none() {
+        if let (true, Some(decider)) = (stood, &mut self.decider) {
+            decider.stood_still(now);
+        } else if stood {
             let limit = self.silence.get();
             let earliest = (now + OWN_STALL).checked_sub(limit).unwrap_or(now);
             self.heard = self.heard.max(earliest);
--- a/crates/egretstage_passes/src/member/telling.rs
+++ b/crates/egretstage_passes/src/member/telling.rs
@@ -29,6 +29,11 @@
 /// One in so many later states is whole.
 const WHOLE_EVERY: u64 = 8;
 
+/// Returns the time between two states of each rank while nothing changes.
+pub(crate) fn state_interval(ranks: u16) -> Duration {
+    STATE_TIME_PER_RANK * u32::from(ranks)
+}
+
 /// What was told, and when the next is due.
 #[derive(Clone, Debug)]
 pub(super) struct Telling {
@@ -113,6 +118,7 @@
             engine: self.settings.engine,
             lists: self.lists.clone().filter(in_use),
             follows: self.follows,
+            may_be_armed: self.arming.may_come(),
             report,
         })
     }
@@ -136,7 +142,7 @@
         };
         let told = self.told(report);
         let (rank, pass) = (report.rank, report.pass);
-        let interval = STATE_TIME_PER_RANK * u32::from(report.ranks);
+        let interval = state_interval(report.ranks);
         let telling = &mut self.telling;
         let still = telling.whole.as_ref().filter(|(_, whole)| *whole == told);
         let state = still.map(|(number, _)| *number);
@@ -177,7 +183,7 @@
     }
 
     /// Tells the decider the whole state of the rank.
-    fn tell_whole(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
+    pub(super) fn tell_whole(&mut self, now: Instant, fx: &mut Vec<MemberEffect>) {
         let Some(state) = self.state() else {
             return;
         };
--- a/crates/egretstage_passes/src/message.rs
+++ b/crates/egretstage_passes/src/message.rs
@@ -29,6 +29,10 @@
     /// Fencing number of the decider that the companion followed when it asked
     /// for the report: no order of an earlier one came after it.
     pub follows: u64,
+    /// Whether an order to switch may still take effect that the report doesn't
+    /// show: it has no answer, or may be one of before the companion's start.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub may_be_armed: bool,
     /// The experts that the rank holds in the map in use.
     pub lists: Option<(u64, ExpertLists)>,
 }
@@ -64,6 +68,8 @@
         /// The last pass that was begun.
         pass: u64,
     },
+    /// Decider to companion: the state that still holds was not received.
+    AskState,
     /// Companion to decider: what the rank's requests chose of late.
     Counts {
         /// The rank.
--- a/crates/egretstage_passes/tests/switches/main.rs
+++ b/crates/egretstage_passes/tests/switches/main.rs
@@ -61,6 +61,39 @@
     assert!(held > 0, "no decider froze while the group was held");
 }
 
+/// Load pattern: the instance of a decider stands still for seconds while the
+/// group is held: neither its companion nor its engine answers. As long as not
+/// all other ranks are armed, its successor takes the switch back.
+#[test]
+fn a_group_that_a_frozen_instance_holds_goes_on() {
+    let mut taken_back = 0;
+    for ticks in 0..60 {
+        let mut world = World::new(3, true, false);
+        world.run_for(Duration::from_millis(1_500));
+        world.group.shift(9);
+        world.run_for(world::TICK * ticks);
+        let decider = world.decider().expect("a decider");
+        world.freeze_instance(decider);
+        let held = (0..4).any(|rank| world.group.report(rank).held.is_some());
+        // Orders that were on their way arrive.
+        world.run_for(SECOND / 10);
+        let mut others = (0..4).filter(|rank| *rank != decider);
+        let armed = others.all(|rank| world.group.report(rank).armed.is_some());
+        world.run_for(4 * SECOND);
+        world.thaw(decider);
+        world.run_for(SECOND);
+        if held && !armed {
+            taken_back += 1;
+            let stood = world.group.longest_hold;
+            assert!(
+                stood < STALL,
+                "lost after {ticks} ticks: held for {stood:?}"
+            );
+        }
+    }
+    assert!(taken_back > 0, "no instance froze before all were armed");
+}
+
 /// Load pattern: whole maps fill the queue of the decider's link and are lost.
 /// Ranks that know the map in use are told its changes.
 #[test]
@@ -162,6 +195,62 @@
     }
 }
 
+/// Load pattern: one decider after the other stands still just as it holds the
+/// group, while orders are late, datagrams lost and companions restarted.
+#[test]
+fn maps_stay_equal_while_holders_freeze() {
+    for seed in 0..SCHEDULES {
+        freeze_holders(seed);
+    }
+}
+
+fn freeze_holders(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut world = World::new(seed, seed.is_multiple_of(2), seed.is_multiple_of(3));
+    world.run_for(2 * SECOND);
+    for _ in 0..8 {
+        world.faults = Faults {
+            lost_datagrams: [0.0, 0.05, 0.2][rng.random_range(0..3)],
+            late_orders: [0.0, 0.1, 0.4][rng.random_range(0..3)],
+            ..Faults::default()
+        };
+        world.group.shift(rng.random_range(0..16));
+        for _ in 0..200 {
+            world.run_for(world::TICK);
+            if (0..4).any(|rank| world.group.report(rank).held.is_some()) {
+                break;
+            }
+        }
+        world.run_for(world::TICK * rng.random_range(0..6));
+        let frozen = world.decider();
+        if let Some(decider) = frozen {
+            world.freeze_instance(decider);
+        }
+        let other = rng.random_range(0..4);
+        match rng.random_range(0..4) {
+            0 => world.restart(other),
+            1 => world.freeze(other),
+            2 => world.freeze_instance(other),
+            _ => {}
+        }
+        world.run_for(Duration::from_millis(rng.random_range(300..4_500)));
+        if let Some(decider) = frozen {
+            world.thaw(decider);
+        }
+        world.run_for(Duration::from_millis(rng.random_range(0..1_000)));
+        world.thaw(other);
+    }
+    world.faults = Faults::default();
+    world.run_for(16 * SECOND);
+    let pass = world.group.pass;
+    world.run_for(8 * SECOND);
+    assert!(
+        world.group.pass > pass + 100,
+        "seed {seed}: {} passes in 8 s",
+        world.group.pass - pass
+    );
+}
+
 fn run_schedule(seed: u64, checks_fences: bool, counts_orders: bool) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut world = World::new(seed, checks_fences, counts_orders);
--- a/crates/egretstage_passes/tests/switches/many_ranks.rs
+++ b/crates/egretstage_passes/tests/switches/many_ranks.rs
@@ -76,10 +76,15 @@
 
 #[test]
 fn one_claim_holds_and_maps_change_with_128_ranks() {
-    let world = run_shifts(TARGET, 2, Faults::default());
-    assert_eq!(world.claims.len(), 1, "claims without a fault");
-    let switches = world.group.switches;
-    assert!(switches >= 3, "{switches} switches for three shifts");
+    for seed in [2, 3, 5] {
+        let world = run_shifts(TARGET, seed, Faults::default());
+        assert_eq!(world.claims.len(), 1, "seed {seed}: claims without a fault");
+        let switches = world.group.switches;
+        assert!(
+            switches >= 3,
+            "seed {seed}: {switches} switches for three shifts"
+        );
+    }
 }
 
 #[test]
--- a/crates/egretstage_rank_companion/src/engine.rs
+++ b/crates/egretstage_rank_companion/src/engine.rs
@@ -113,8 +113,10 @@
                 order,
             } => {
                 let end = client.order(engine, &order);
-                // The giver waits, and knows what an accepted order does.
-                let known = giver.is_some() && end == OrderEnd::Accepted;
+                // The giver waits, and knows what an accepted order does; to read
+                // from another instance has its price.
+                let is_elsewhere = giver.is_some() || engine != own;
+                let known = is_elsewhere && end == OrderEnd::Accepted;
                 let report = if known {
                     None
                 } else {
