Follow a store that comes back from a copy: eras, and fencing numbers that rise over them

Load pattern: the store is away for a moment and comes back from a copy some seconds old; offsets are given out again, and what the system wrote since is gone.

Cause, read in the code: a reader went on from its offset, which exists again for other records, and missed what stood before it; a claim's fencing number was its offset plus one, so two claims could carry one number.

Change: the era that each answer tells is decoded in the adapter; answers of an earlier one are dropped. A claim holds its fencing number, made from the era, the end of the claims and the highest number that the claimant knew. A claim that an engine refuses is given up, and a decider that misses a rank for two seconds reads the claims: random schedules with fall backs had shown a claim from the copy that was followed for ever, and two deciders with some ranks each.

--- a/crates/egretstage_control/src/apply.rs
+++ b/crates/egretstage_control/src/apply.rs
@@ -185,7 +185,12 @@
         };
         loop {
             match view.log().append(CONFIGURATION_STREAM, &req) {
-                Ok(_) | Err(PlatformError::NoAnswer { .. } | PlatformError::Malformed { .. }) => {
+                Ok(_)
+                | Err(
+                    PlatformError::NoAnswer { .. }
+                    | PlatformError::EarlierEra { .. }
+                    | PlatformError::Malformed { .. },
+                ) => {
                     self.may_be_published = true;
                 }
                 Err(source) if self.is_over() && !self.may_be_published => {
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The entry as a process.
 
+use crate::announcement::Announcement;
 use crate::dialect::Platform;
 use crate::driver::{Driver, LoggedDecision, Outlets};
 use crate::exchange::Gateway;
@@ -141,9 +142,12 @@
     board: &RecordBoard,
     news: &UnboundedSender<FeedNews>,
 ) -> miette::Result<()> {
+    let announcement = Announcement::new(settings.instance.as_str(), settings.peers.listen);
+    let announcement = Arc::new(announcement);
     let feed = || Feed {
         store: store(),
         board: board.clone(),
+        announcement: Arc::clone(&announcement),
         tx: news.clone(),
     };
     let freshness = settings.freshness;
@@ -155,9 +159,8 @@
     spawn("upstreams", move || {
         reader.follow_upstreams(&*decode, freshness.leaving());
     })?;
-    let (own, address) = (settings.instance.clone(), settings.peers.listen);
-    let reader = feed();
-    spawn("entries", move || reader.follow_entries(&own, address))
+    let (reader, own) = (feed(), settings.instance.clone());
+    spawn("entries", move || reader.follow_entries(&own))
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> miette::Result<()> {
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -1,11 +1,12 @@
 //! Reads the platform's store on threads of their own.
 
+use crate::announcement::Announcement;
 use crate::dialect::RecordDecoder;
 use crate::record_relay::{PeerRecords, RecordBoard};
 use compact_str::CompactString;
 use egretstage_dispatch::{DispatchEvent, ListedUpstream};
 use egretstage_platform::{
-    KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, PlatformError,
+    KeyedChange, KeyedFollower, KeyedStore, KeyedTopic, PlatformError, StoreEra,
 };
 use egretstage_wire::InstanceId;
 use std::net::SocketAddr;
@@ -45,6 +46,7 @@
 pub(crate) struct Feed {
     pub(crate) store: Box<dyn KeyedStore>,
     pub(crate) board: RecordBoard,
+    pub(crate) announcement: Arc<Announcement>,
     pub(crate) tx: UnboundedSender<FeedNews>,
 }
 
@@ -81,6 +83,9 @@
                         failures = 0;
                     }
                     self.board.read(topic, &changes);
+                    if let Some(era) = follower.era() {
+                        self.announcement.keep(Instant::now(), &*self.store, era);
+                    }
                     (
                         changes,
                         if was_caught_up {
@@ -154,16 +159,9 @@
     }
 
     /// Tells the others where this entry is, then follows where they are.
-    pub(crate) fn follow_entries(&self, own: &InstanceId, address: SocketAddr) {
-        let record = KeyedRecord {
-            key: own.as_str().into(),
-            value: Some(address.to_string().into_bytes()),
-            offset: 0,
-        };
-        while let Err(e) = self.store.put(KeyedTopic::Entries, &record) {
-            log::warn!(error:display = e; "this entry isn't announced yet");
-            std::thread::sleep(RETRY_DELAY);
-        }
+    pub(crate) fn follow_entries(&self, own: &InstanceId) {
+        self.announcement
+            .keep(Instant::now(), &*self.store, StoreEra::default());
         let pace = Pace {
             wait: ENTRIES_WAIT,
             pause: Duration::ZERO,
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! All of it runs on one thread, because an entry instance has a fraction of a
 //! core; only reads of the store block, on threads of their own.
 
+mod announcement;
 mod answers;
 mod attempt;
 pub mod daemon;
--- a/crates/egretstage_passes/src/claim.rs
+++ b/crates/egretstage_passes/src/claim.rs
@@ -7,8 +7,9 @@
 
 /// A companion's claim to decide for a group, as it stands in the store.
 ///
-/// The offset of its record makes the fencing number, so a later claim has a
-/// higher one without any other agreement.
+/// Its fencing number is made from the era of the store and the end of the claims
+/// before it, so a later claim has a higher one without any other agreement, also
+/// if the store has lost the claims between.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeciderClaim {
     /// The group.
--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -196,6 +196,8 @@
     pacer: Pacer,
     /// When another companion was last heard; at first the takeover.
     heard_others: Instant,
+    /// When all ranks were last heard; at first the takeover.
+    whole_at: Instant,
     /// When a report that was read from another instance tells what an earlier
     /// decider left.
     settled_at: Instant,
@@ -262,6 +264,7 @@
             demand: GroupDemand::new(own.ranks, shape.layers, shape.experts),
             pacer: Pacer::new(now, limits.map_bytes_per_s),
             heard_others: now,
+            whole_at: now,
             phase: Phase::Surveying,
             switched_to: None,
             versions: 0,
@@ -336,6 +339,12 @@
         self.heard_others
     }
 
+    /// Returns when all ranks were last heard; at first the takeover.
+    #[must_use]
+    pub fn whole_at(&self) -> Instant {
+        self.whole_at
+    }
+
     /// Returns the reports of all ranks if they are fresh and of one epoch in
     /// which the group takes work.
     fn whole_group(&self, now: Instant) -> Option<Vec<EngineReport>> {
@@ -365,6 +374,7 @@
             self.look(now, out);
             return;
         };
+        self.whole_at = now;
         match self.phase.clone() {
             Phase::Surveying if !self.is_settled() => self.look(now, out),
             Phase::Surveying => self.survey(now, &reports, out),
--- a/crates/egretstage_passes/src/member.rs
+++ b/crates/egretstage_passes/src/member.rs
@@ -51,6 +51,9 @@
     pub longest_stagger: Duration,
     /// Time between two reads of the claims while there is no decider.
     pub claims_interval: Duration,
+    /// Time for which a decider misses some rank before it reads the claims: the
+    /// others may follow another one, which knows no way to this one.
+    pub doubt_after: Duration,
     /// Limits of a decider.
     pub decider: DeciderLimits,
 }
@@ -70,6 +73,7 @@
             stagger: Duration::from_millis(60),
             longest_stagger: Duration::from_millis(800),
             claims_interval: Duration::from_millis(400),
+            doubt_after: Duration::from_secs(2),
             decider: DeciderLimits::default(),
         }
     }
@@ -114,6 +118,8 @@
     seats: Vec<Option<RankAddress>>,
     reading_claim: bool,
     decider: Option<MapDecider>,
+    /// The highest fencing number that was ever known.
+    highest_fence: u64,
     /// Fencing number of an own claim that was given up.
     retired: Option<u64>,
     report_at: Instant,
@@ -146,6 +152,7 @@
             seats: Vec::new(),
             reading_claim: false,
             decider: None,
+            highest_fence: 0,
             retired: None,
             report_at: now,
             counts_at: now,
@@ -375,6 +382,9 @@
             fx.push(self.carry_out(output));
         }
         if superseded {
+            // The store may show the own claim as the newest, if it has lost
+            // the one that an engine knows of.
+            self.retired = Some(self.fence());
             self.forget_holder(fx);
             self.claim_at = now;
         } else {
@@ -455,7 +465,11 @@
                 }
             }
             MemberEvent::Received(from, message) => self.received(now, from, *message, fx),
-            MemberEvent::ClaimRead { claim, end } => self.claim_read(now, claim, end, fx),
+            MemberEvent::ClaimRead {
+                claim,
+                end,
+                least_fence,
+            } => self.claim_read(now, claim, (end, least_fence), fx),
             MemberEvent::ClaimFailed => {
                 self.reading_claim = false;
                 self.claim_at = now + self.settings.limits.claims_interval;
--- a/crates/egretstage_passes/src/member/claims.rs
+++ b/crates/egretstage_passes/src/member/claims.rs
@@ -9,19 +9,23 @@
         &mut self,
         now: Instant,
         claim: Option<(DeciderClaim, u64)>,
-        end: u64,
+        (end, least_fence): (u64, u64),
         fx: &mut Vec<MemberEffect>,
     ) {
         self.reading_claim = false;
         self.claim_at = now + self.settings.limits.claims_interval;
-        let known = self.holder.as_ref().map(|(_, fence)| *fence);
+        let newest = claim.as_ref().map_or(0, |(_, fence)| *fence);
         if let Some((claim, fence)) = claim
-            && known.is_none_or(|known| fence > known)
+            && self.is_newer(fence)
             && self.retired != Some(fence)
         {
             return self.follow(now, claim, fence, fx);
         }
-        if self.decider.is_some() || !self.suspects(now) {
+        if self.decider.is_some() {
+            self.claim_at = now + self.settings.limits.doubt_after;
+            return;
+        }
+        if !self.suspects(now) {
             return;
         }
         let Some(report) = self.report.as_ref().filter(|_| self.shape.is_some()) else {
@@ -38,7 +42,18 @@
             incarnation: self.settings.incarnation,
             address: self.settings.address,
         };
-        fx.push(MemberEffect::WriteClaim(Box::new(claim), end));
+        let fence = least_fence.max(newest + 1).max(self.highest_fence + 1);
+        fx.push(MemberEffect::WriteClaim(Box::new(claim), fence, end));
+    }
+
+    /// Tells whether a claim is newer than the one that is followed, and none
+    /// newer was ever known: a store that has come back from a copy shows claims
+    /// of deciders that were replaced.
+    fn is_newer(&self, fence: u64) -> bool {
+        match &self.holder {
+            Some((_, known)) => fence > *known,
+            None => fence >= self.highest_fence,
+        }
     }
 
     /// Follows the newest claim.
@@ -50,6 +65,7 @@
         fx: &mut Vec<MemberEffect>,
     ) {
         self.stand_down(fx);
+        self.highest_fence = self.highest_fence.max(fence);
         fx.push(MemberEffect::Log(PassLine::Decider {
             instance: claim.instance.clone(),
             fence,
@@ -107,6 +123,10 @@
 
     /// Returns when the claims are read, if nothing is heard until then.
     pub(super) fn claim_due_at(&self) -> Option<Instant> {
+        if let (Some(decider), false) = (&self.decider, self.reading_claim) {
+            let doubt_after = self.settings.limits.doubt_after;
+            return Some((decider.whole_at() + doubt_after).max(self.claim_at));
+        }
         let follows = self.decider.is_some() || self.reading_claim || self.report.is_none();
         let suspect_at = if self.holder.is_some() {
             self.suspect_at()
--- a/crates/egretstage_passes/src/member/event.rs
+++ b/crates/egretstage_passes/src/member/event.rs
@@ -44,6 +44,8 @@
         claim: Option<(DeciderClaim, u64)>,
         /// End of the claims.
         end: u64,
+        /// Least fencing number of a claim that is written there.
+        least_fence: u64,
     },
     /// The claims can't be read or written.
     ClaimFailed,
@@ -78,8 +80,8 @@
     Send(SocketAddr, Box<PassMessage>),
     /// Reads the newest claim of a group.
     ReadClaim(CompactString),
-    /// Writes a claim if the claims still end there.
-    WriteClaim(Box<DeciderClaim>, u64),
+    /// Writes a claim with its fencing number, if the claims still end there.
+    WriteClaim(Box<DeciderClaim>, u64, u64),
     /// Writes a log line.
     Log(PassLine),
 }
--- a/crates/egretstage_passes/tests/switches/main.rs
+++ b/crates/egretstage_passes/tests/switches/main.rs
@@ -94,6 +94,41 @@
     assert!(taken_back > 0, "no instance froze before all were armed");
 }
 
+/// Load pattern: the store comes back from a copy that lacks the newest claims,
+/// while their decider lives. It goes on, its successors have higher fencing
+/// numbers, and one that was replaced decides no more.
+#[test]
+fn a_store_that_lost_claims_revives_no_decider() {
+    for lost in 0..4 {
+        let mut world = World::new(6, false, false);
+        world.run_for(2 * SECOND);
+        let first = world.decider().expect("a decider");
+        world.kill(first);
+        world.run_for(2 * SECOND);
+        let second = world.decider().expect("a successor");
+        assert_ne!(first, second, "no successor of a dead decider");
+        world.restart(first);
+        world.run_for(SECOND);
+        let (_, fence) = world.claims.last().cloned().expect("a claim");
+        let claims = world.claims.len();
+        world.fall_back(lost);
+        let switches = world.group.switches;
+        world.group.shift(9);
+        world.run_for(3 * SECOND);
+        assert!(
+            world.group.switches > switches,
+            "no switch after the fall back"
+        );
+        let left = claims - lost.min(claims);
+        assert_eq!(world.claims.len(), left, "a takeover while it lives");
+        world.kill(second);
+        world.run_for(2 * SECOND);
+        let (_, next) = world.claims.last().cloned().expect("a claim");
+        assert!(next > fence, "{next} after {fence}, {lost} claims lost");
+        assert_eq!(world.claims.len(), left + 1, "claims that nobody follows");
+    }
+}
+
 /// Load pattern: whole maps fill the queue of the decider's link and are lost.
 /// Ranks that know the map in use are told its changes.
 #[test]
@@ -226,6 +261,9 @@
         if let Some(decider) = frozen {
             world.freeze_instance(decider);
         }
+        if rng.random_bool(0.3) {
+            world.fall_back(rng.random_range(0..3));
+        }
         let other = rng.random_range(0..4);
         match rng.random_range(0..4) {
             0 => world.restart(other),
@@ -269,11 +307,12 @@
             .decider()
             .filter(|_| rng.random_bool(0.6))
             .unwrap_or(rank);
-        match rng.random_range(0..5) {
+        match rng.random_range(0..6) {
             0 => world.kill(target),
             1 => world.freeze(target),
             2 => world.group.reform(),
             3 => world.freeze_instance(target),
+            4 => world.fall_back(rng.random_range(0..3)),
             _ => {}
         }
         world.run_for(Duration::from_millis(rng.random_range(50..3_000)));
--- a/crates/egretstage_passes/tests/switches/world.rs
+++ b/crates/egretstage_passes/tests/switches/world.rs
@@ -59,7 +59,9 @@
     /// The links of the instances; without, datagrams take no room.
     pub(crate) link: Option<Link>,
     companions: Vec<Companion>,
-    pub(crate) claims: Vec<DeciderClaim>,
+    pub(crate) claims: Vec<(DeciderClaim, u64)>,
+    /// Times that the store came back from a copy.
+    era: u64,
     /// Datagrams on their way.
     sent: Vec<Sent>,
     rng: ChaCha8Rng,
@@ -72,6 +74,9 @@
     event: MemberEvent,
 }
 
+/// Fencing numbers from one era of the store to the next.
+const FENCES_PER_ERA: u64 = 1 << 20;
+
 /// Longest time of a datagram on its way, several times the usual one between
 /// availability zones; others overtake it.
 const MAX_DELAY: Duration = Duration::from_millis(15);
@@ -92,6 +97,7 @@
             faults: Faults::default(),
             companions: Vec::new(),
             claims: Vec::new(),
+            era: 0,
             sent: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
@@ -135,7 +141,7 @@
 
     /// Returns the rank whose claim is the newest.
     pub(crate) fn decider(&self) -> Option<usize> {
-        let claim = self.claims.last()?;
+        let (claim, _) = self.claims.last()?;
         let mut ranks = 0..self.companions.len();
         ranks.find(|rank| claim.address == address_of(*rank, 1))
     }
@@ -145,6 +151,12 @@
         self.companions[rank].inbox.clear();
     }
 
+    /// Lets the store come back from a copy that lacks the newest claims.
+    pub(crate) fn fall_back(&mut self, lost: usize) {
+        self.claims.truncate(self.claims.len().saturating_sub(lost));
+        self.era += 1;
+    }
+
     /// Silences what a companion sends, or what it receives.
     pub(crate) fn cut(&mut self, rank: usize, sends: bool) {
         let companion = &mut self.companions[rank];
@@ -278,12 +290,12 @@
                 None
             }
             MemberEffect::ReadClaim(_) => Some(self.read_claim()),
-            MemberEffect::WriteClaim(claim, end) => {
+            MemberEffect::WriteClaim(claim, fence, end) => {
                 if self.faults.store_down {
                     return Some(MemberEvent::ClaimFailed);
                 }
                 if self.claims.len() as u64 == end {
-                    self.claims.push(*claim);
+                    self.claims.push((*claim, fence));
                 }
                 Some(self.read_claim())
             }
@@ -344,8 +356,11 @@
             return MemberEvent::ClaimFailed;
         }
         let end = self.claims.len() as u64;
-        let claim = self.claims.last().cloned().map(|claim| (claim, end));
-        MemberEvent::ClaimRead { claim, end }
+        MemberEvent::ClaimRead {
+            claim: self.claims.last().cloned(),
+            end,
+            least_fence: self.era * FENCES_PER_ERA + end + 1,
+        }
     }
 }
 
--- a/crates/egretstage_platform/src/http.rs
+++ b/crates/egretstage_platform/src/http.rs
@@ -42,22 +42,65 @@
     url: &str,
     result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
 ) -> Result<Vec<u8>, PlatformError> {
+    answer(url, result)?.into_success()
+}
+
+fn answer(
+    url: &str,
+    result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+) -> Result<Answer, PlatformError> {
     let no_answer = |e: ureq::Error| PlatformError::NoAnswer {
         url: url.to_owned(),
         reason: e.to_string(),
     };
     let mut resp = result.map_err(no_answer)?;
-    let status = resp.status().as_u16();
     let body = resp.body_mut().with_config().limit(MAX_ANSWER_BYTES);
     let body = body.read_to_vec().map_err(no_answer)?;
-    if !(200..300).contains(&status) {
-        return Err(PlatformError::Refused {
-            url: url.to_owned(),
-            status,
-            body: String::from_utf8_lossy(&body).into_owned(),
-        });
+    Ok(Answer {
+        url: url.to_owned(),
+        status: resp.status().as_u16(),
+        headers: resp.headers().clone(),
+        body,
+    })
+}
+
+/// An answer, whatever its status.
+#[derive(Debug)]
+pub struct Answer {
+    url: String,
+    status: u16,
+    headers: ureq::http::HeaderMap,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    /// Returns the URL that was called.
+    #[must_use]
+    pub fn url(&self) -> &str {
+        &self.url
+    }
+
+    /// Returns a header's value, if there is one and it is text.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns the body.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PlatformError::Refused`] unless the answer is a success.
+    pub fn into_success(self) -> Result<Vec<u8>, PlatformError> {
+        if (200..300).contains(&self.status) {
+            return Ok(self.body);
+        }
+        Err(PlatformError::Refused {
+            url: self.url,
+            status: self.status,
+            body: String::from_utf8_lossy(&self.body).into_owned(),
+        })
     }
-    Ok(body)
 }
 
 /// Calls a service of the platform whose bodies are not all JSON.
@@ -98,10 +141,19 @@
     ///
     /// Returns an error without an answer, or with one that isn't a success.
     pub fn get(&self, path: &str, wait: Duration) -> Result<Vec<u8>, PlatformError> {
+        self.get_answer(path, wait)?.into_success()
+    }
+
+    /// Gets a path and returns the answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error without an answer.
+    pub fn get_answer(&self, path: &str, wait: Duration) -> Result<Answer, PlatformError> {
         let url = format!("{}{path}", self.base);
         let timeout = Some(self.answer_timeout + wait);
         let req = self.agent.get(&url).config().timeout_global(timeout);
-        read(&url, req.build().call())
+        answer(&url, req.build().call())
     }
 
     /// Posts bytes to a path.
@@ -116,10 +168,24 @@
         content_type: &str,
         body: &[u8],
     ) -> Result<Vec<u8>, PlatformError> {
+        self.post_answer(path, content_type, body)?.into_success()
+    }
+
+    /// Posts bytes to a path and returns the answer, whatever its status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error without an answer; the call may have taken effect.
+    pub fn post_answer(
+        &self,
+        path: &str,
+        content_type: &str,
+        body: &[u8],
+    ) -> Result<Answer, PlatformError> {
         let url = format!("{}{path}", self.base);
         let timeout = Some(self.answer_timeout);
         let req = self.agent.post(&url).config().timeout_global(timeout);
         let req = req.build().header("content-type", content_type);
-        read(&url, req.send(body))
+        answer(&url, req.send(body))
     }
 }
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -1,6 +1,6 @@
 //! Follows a keyed topic: first the newest records, then each change.
 
-use crate::{Changes, KeyedRecord, KeyedStore, KeyedTopic, PlatformError};
+use crate::{Changes, KeyedRecord, KeyedStore, KeyedTopic, NewestPage, PlatformError, StoreEra};
 use compact_str::CompactString;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -9,6 +9,10 @@
 /// its writer needs about two seconds to write it again.
 const RETURN_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time for which a key that has gone is remembered: a copy of the store's
+/// records that is at most so old may show it again.
+const COPY_AGE: Duration = Duration::from_mins(1);
+
 /// What has changed in a topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KeyedChange {
@@ -34,6 +38,8 @@
         /// since the pages together are no snapshot.
         end: Option<u64>,
         seen: HashSet<CompactString>,
+        /// The era of the first page.
+        era: Option<StoreEra>,
     },
     /// Changes are read from an offset on.
     Tail(u64),
@@ -51,6 +57,10 @@
     /// first one after it, since the store came back between them.
     failed_at: Option<Instant>,
     missing: HashMap<CompactString, Instant>,
+    /// The era in which the newest records were last read.
+    era: Option<StoreEra>,
+    /// Keys that have gone, and when.
+    gone: HashMap<CompactString, Instant>,
 }
 
 impl KeyedFollower {
@@ -64,6 +74,8 @@
             failing: false,
             failed_at: None,
             missing: HashMap::new(),
+            era: None,
+            gone: HashMap::new(),
         }
     }
 
@@ -89,6 +101,12 @@
         }
     }
 
+    /// Returns the era in which the newest records were last read.
+    #[must_use]
+    pub fn era(&self) -> Option<StoreEra> {
+        self.era
+    }
+
     /// Makes one call and returns what has changed.
     ///
     /// `wait` is how long the store may wait for the first change.
@@ -125,33 +143,58 @@
         after: Option<&str>,
     ) -> Result<Vec<KeyedChange>, PlatformError> {
         let page = store.newest(self.topic, after)?;
-        let last = page.records.last().map(|record| record.key.clone());
-        let Position::Newest { end, seen, .. } = &mut self.position else {
+        let Position::Newest { end, seen, era, .. } = &mut self.position else {
             return Ok(Vec::new());
         };
         let end = *end.get_or_insert(page.end);
+        if *era.get_or_insert(page.era) != page.era {
+            // The pages before were those of another copy.
+            self.position = start();
+            return Ok(Vec::new());
+        }
         let mut seen = std::mem::take(seen);
         seen.extend(page.records.iter().map(|record| record.key.clone()));
+        let last = page.records.last().map(|record| record.key.clone());
+        let (more, era) = (page.more, page.era);
         let mut changes = Vec::new();
-        for record in page.records {
-            self.apply(now, record, &mut changes);
-        }
-        if page.more && last.is_some() {
+        self.apply_page(now, page, &mut changes);
+        if more && last.is_some() {
             self.position = Position::Newest {
                 after: last,
                 end: Some(end),
                 seen,
+                era: Some(era),
             };
             return Ok(changes);
         }
         self.position = Position::Tail(end);
-        let gone: Vec<_> = self.known.difference(&seen).cloned().collect();
-        for key in gone {
+        self.era = Some(era);
+        let lapsed: Vec<_> = self.known.difference(&seen).cloned().collect();
+        for key in lapsed {
             self.removed(now, key, &mut changes);
         }
         Ok(changes)
     }
 
+    /// Takes over a page of the newest records.
+    ///
+    /// A store that has come back from a copy shows some records as they were
+    /// before: what is known is newer, and what has gone stays so until its
+    /// writer writes again. What it lacks has its time to return.
+    fn apply_page(&mut self, now: Instant, page: NewestPage, changes: &mut Vec<KeyedChange>) {
+        let is_copy = self.era.is_some_and(|era| era < page.era);
+        if is_copy {
+            self.failed_at = Some(now);
+        }
+        for record in page.records {
+            let is_newer_here =
+                self.known.contains(&record.key) || self.gone.contains_key(&record.key);
+            if !is_copy || !is_newer_here {
+                self.apply(now, record, changes);
+            }
+        }
+    }
+
     fn read_tail(
         &mut self,
         now: Instant,
@@ -161,7 +204,11 @@
     ) -> Result<Vec<KeyedChange>, PlatformError> {
         let mut changes = Vec::new();
         match store.changes(self.topic, from, wait)? {
-            Changes::Records { records, next } => {
+            Changes::Records { era, .. } if self.era.is_some_and(|known| known < era) => {
+                // The offset is one of another copy, and so are the records.
+                self.position = start();
+            }
+            Changes::Records { records, next, .. } => {
                 self.position = Position::Tail(next);
                 for record in records {
                     self.apply(now, record, &mut changes);
@@ -178,6 +225,7 @@
             Some(value) => {
                 self.known.insert(key.clone());
                 self.missing.remove(&key);
+                self.gone.remove(&key);
                 changes.push(KeyedChange::Put { key, value, offset });
             }
             None => self.removed(now, key, changes),
@@ -189,7 +237,14 @@
         let believed_at = self.failed_at.map(|at| at + RETURN_GRACE);
         if let Some(at) = believed_at.filter(|at| now < *at) {
             self.missing.entry(key).or_insert(at);
-        } else if self.known.remove(&key) {
+        } else {
+            self.forget(now, key, changes);
+        }
+    }
+
+    fn forget(&mut self, now: Instant, key: CompactString, changes: &mut Vec<KeyedChange>) {
+        if self.known.remove(&key) {
+            self.gone.insert(key.clone(), now);
             changes.push(KeyedChange::Removed(key));
         }
     }
@@ -199,10 +254,10 @@
         let gone: Vec<CompactString> = self.missing.iter().filter_map(due).collect();
         for key in gone {
             self.missing.remove(&key);
-            if self.known.remove(&key) {
-                changes.push(KeyedChange::Removed(key));
-            }
+            self.forget(now, key, changes);
         }
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < COPY_AGE;
+        self.gone.retain(|_, at| is_recent(at));
     }
 }
 
@@ -211,5 +266,6 @@
         after: None,
         end: None,
         seen: HashSet::new(),
+        era: None,
     }
 }
--- a/crates/egretstage_platform/src/keyed_store.rs
+++ b/crates/egretstage_platform/src/keyed_store.rs
@@ -1,6 +1,6 @@
 //! The platform's store of keyed records: the newest record of each key lasts.
 
-use crate::PlatformError;
+use crate::{PlatformError, StoreEra};
 use compact_str::CompactString;
 use std::time::Duration;
 
@@ -47,6 +47,8 @@
     pub more: bool,
     /// Offset that the next record will get.
     pub end: u64,
+    /// The era in which the page was read.
+    pub era: StoreEra,
 }
 
 /// Records from an offset on.
@@ -58,6 +60,8 @@
         records: Vec<KeyedRecord>,
         /// Where to read on.
         next: u64,
+        /// The era in which they were read.
+        era: StoreEra,
     },
     /// Records at the offset have expired: the newest must be read again.
     Expired,
@@ -84,12 +88,12 @@
         wait: Duration,
     ) -> Result<Changes, PlatformError>;
 
-    /// Appends a record.
+    /// Appends a record, and returns the era in which it stands.
     ///
     /// # Errors
     ///
     /// [`PlatformError::NoAnswer`] leaves open whether the record was written.
-    fn put(&self, topic: KeyedTopic, record: &KeyedRecord) -> Result<(), PlatformError>;
+    fn put(&self, topic: KeyedTopic, record: &KeyedRecord) -> Result<StoreEra, PlatformError>;
 
     /// Appends a record if the topic still ends at an offset.
     ///
--- a/crates/egretstage_platform/tests/keyed_follower.rs
+++ b/crates/egretstage_platform/tests/keyed_follower.rs
@@ -2,7 +2,7 @@
 
 use egretstage_platform::{
     Changes, KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, NewestPage,
-    PlatformError, PutAt,
+    PlatformError, PutAt, StoreEra,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -16,6 +16,7 @@
     first: u64,
     down: bool,
     page: usize,
+    era: u64,
 }
 
 #[derive(Clone, Default)]
@@ -32,6 +33,14 @@
         });
     }
 
+    /// Comes back from a copy that holds so many records.
+    fn fall_back(&self, records: usize) {
+        self.change(|store| {
+            store.log.truncate(records);
+            store.era += 1;
+        });
+    }
+
     fn change(&self, change: impl FnOnce(&mut Store)) {
         change(&mut self.0.lock().expect("one thread"));
     }
@@ -66,6 +75,7 @@
             more: newest.len() > page,
             records: newest.into_values().take(page).collect(),
             end: store.log.len() as u64,
+            era: StoreEra(store.era),
         })
     }
 
@@ -74,17 +84,18 @@
         if store.down {
             return Err(down());
         }
-        if from < store.first {
+        if from < store.first || from > store.log.len() as u64 {
             return Ok(Changes::Expired);
         }
         let new = store.log.iter().filter(|record| record.offset >= from);
         Ok(Changes::Records {
             records: new.cloned().collect(),
             next: store.log.len() as u64,
+            era: StoreEra(store.era),
         })
     }
 
-    fn put(&self, _: KeyedTopic, _: &KeyedRecord) -> Result<(), PlatformError> {
+    fn put(&self, _: KeyedTopic, _: &KeyedRecord) -> Result<StoreEra, PlatformError> {
         Err(down())
     }
 
@@ -210,3 +221,81 @@
     reader.now += Duration::from_millis(400);
     assert_eq!(reader.poll().expect("changes"), ["-a"]);
 }
+
+/// Fault: the store comes back from a copy, and others have written as much as
+/// was lost before this reader calls again, so its offset exists.
+#[test]
+fn records_that_stand_at_offsets_given_out_again_are_not_missed() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1"));
+    reader.store.put("b", Some("1"));
+    reader.store.put("b", Some("2"));
+    reader.poll().expect("a page");
+    reader.store.fall_back(1);
+    for key in ["c", "d", "e"] {
+        reader.store.put(key, Some("1"));
+    }
+    assert_eq!(reader.poll().expect("nothing yet"), [""; 0]);
+    assert_eq!(reader.poll().expect("a page"), ["c=1", "d=1", "e=1"]);
+    // The writer of the record that was lost has its time to write it again.
+    reader.now += Duration::from_secs(3);
+    assert_eq!(reader.poll().expect("changes"), ["-b"]);
+}
+
+/// Fault: the copy shows a record as it was, and one that has gone.
+#[test]
+fn a_copy_takes_nothing_back_and_revives_nothing() {
+    let mut reader = Reader::new();
+    for key in ["a", "left"] {
+        reader.store.put(key, Some("ready"));
+    }
+    reader.poll().expect("a page");
+    reader.store.put("a", Some("draining"));
+    reader.store.put("left", None);
+    assert_eq!(reader.poll().expect("changes"), ["a=draining", "-left"]);
+    reader.store.fall_back(2);
+    assert_eq!(reader.poll().expect("nothing yet"), [""; 0]);
+    assert_eq!(reader.poll().expect("a page"), [""; 0]);
+    // What its writer writes again counts.
+    reader.store.put("left", Some("ready again"));
+    assert_eq!(reader.poll().expect("changes"), ["left=ready again"]);
+}
+
+/// Fault: a second fall back comes while the pages of the first are read.
+#[test]
+fn pages_of_two_copies_are_not_mixed() {
+    let mut reader = Reader::new();
+    for key in ["a", "b"] {
+        reader.store.put(key, Some("1"));
+    }
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.page = 1);
+    reader.store.fall_back(2);
+    reader.store.put("c", Some("1"));
+    reader.poll().expect("nothing yet");
+    reader.poll().expect("the first page");
+    reader.store.fall_back(2);
+    reader.store.put("d", Some("1"));
+    let mut changes = Vec::new();
+    for _ in 0..8 {
+        changes.extend(reader.poll().expect("pages"));
+    }
+    assert!(reader.follower.is_caught_up());
+    assert_eq!(changes, ["d=1"]);
+}
+
+/// Fault: the copy is older than a page, so the reader's offset isn't there.
+#[test]
+fn an_offset_beyond_the_copy_starts_over() {
+    let mut reader = Reader::new();
+    for value in ["1", "2", "3"] {
+        reader.store.put("a", Some(value));
+    }
+    reader.poll().expect("a page");
+    reader.store.fall_back(1);
+    assert_eq!(reader.poll().expect("nothing yet"), [""; 0]);
+    assert_eq!(reader.poll().expect("a page"), [""; 0]);
+    reader.store.put("a", Some("4"));
+    assert_eq!(reader.poll().expect("changes"), ["a=4"]);
+    assert_eq!(reader.follower.era(), Some(StoreEra(1)));
+}
--- a/crates/egretstage_rank_companion/src/claims.rs
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -5,10 +5,11 @@
 use egretstage_gateway::RecordDecoder;
 use egretstage_passes::{DeciderClaim, GroupShape, MemberEvent};
 use egretstage_platform::{
-    KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, PlatformError, PutAt,
+    KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, PlatformError, PutAt, StoreEra,
 };
 use egretstage_runtime::EventSender;
 use egretstage_wire::ServiceName;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -23,7 +24,8 @@
 #[derive(Debug)]
 pub(crate) enum ClaimCall {
     Read(CompactString),
-    Write(Box<DeciderClaim>, u64),
+    /// A claim, its fencing number, and where the claims shall still end.
+    Write(Box<DeciderClaim>, u64, u64),
 }
 
 /// Makes the calls to the store, one after the other.
@@ -114,7 +116,7 @@
     for call in rx {
         let done = match &call {
             ClaimCall::Read(group) => read(store, group),
-            ClaimCall::Write(claim, end) => write(store, claim, *end),
+            ClaimCall::Write(claim, fence, end) => write(store, claim, *fence, *end),
         };
         events.send(done.unwrap_or_else(|e| {
             log::warn!(dependency = "store", error:display = e; "a claim can't be read or written");
@@ -136,14 +138,29 @@
         after = page.records.last().map(|record| record.key.clone());
         if !page.more || after.is_none() {
             let end = page.end;
-            return Ok(MemberEvent::ClaimRead { claim, end });
+            let least_fence = least_fence(page.era, end);
+            return Ok(MemberEvent::ClaimRead {
+                claim,
+                end,
+                least_fence,
+            });
         }
     }
 }
 
+/// A claim as it stands in the store.
+///
+/// It holds its fencing number, which offsets can't tell: they are given out
+/// again when the store comes back from a copy.
+#[derive(Serialize, Deserialize)]
+struct StoredClaim {
+    claim: DeciderClaim,
+    fence: u64,
+}
+
 fn decode(record: &KeyedRecord) -> Option<(DeciderClaim, u64)> {
     match ciborium::from_reader(record.value.as_deref()?) {
-        Ok(claim) => Some((claim, fence(record.offset))),
+        Ok(StoredClaim { claim, fence }) => Some((claim, fence)),
         Err(e) => {
             log::error!(key = record.key.as_str(), error:display = e; "a claim is not readable");
             None
@@ -151,18 +168,28 @@
     }
 }
 
-/// Returns the fencing number of a claim; 0 stands for none.
-fn fence(offset: u64) -> u64 {
-    offset + 1
+/// Fencing numbers from one era of the store to the next: more claims than are
+/// lost when it comes back from a copy.
+const FENCES_PER_ERA: u64 = 1 << 20;
+
+/// Returns the least fencing number of a claim that is written at the end of
+/// the claims: no other claim of this era has it, and none of an earlier one.
+fn least_fence(era: StoreEra, end: u64) -> u64 {
+    era.0 * FENCES_PER_ERA + end + 1
 }
 
 fn write(
     store: &dyn KeyedStore,
     claim: &DeciderClaim,
+    fence: u64,
     end: u64,
 ) -> Result<MemberEvent, PlatformError> {
     let mut value = Vec::new();
-    ciborium::into_writer(claim, &mut value).map_err(|e| PlatformError::Malformed {
+    let stored = StoredClaim {
+        claim: claim.clone(),
+        fence,
+    };
+    ciborium::into_writer(&stored, &mut value).map_err(|e| PlatformError::Malformed {
         url: claim.group.to_string(),
         reason: e.to_string(),
     })?;
@@ -173,8 +200,9 @@
     };
     match store.put_at(KeyedTopic::Deciders, &record, end)? {
         PutAt::Written(offset) => Ok(MemberEvent::ClaimRead {
-            claim: Some((claim.clone(), fence(offset))),
+            claim: Some((claim.clone(), fence)),
             end: offset + 1,
+            least_fence: fence + 1,
         }),
         PutAt::Moved(_) => read(store, &claim.group),
     }
--- a/crates/egretstage_rank_companion/src/daemon.rs
+++ b/crates/egretstage_rank_companion/src/daemon.rs
@@ -156,8 +156,8 @@
             }
             MemberEffect::Send(to, message) => datagrams::send(&self.socket, to, &message),
             MemberEffect::ReadClaim(group) => self.claims.call(ClaimCall::Read(group)),
-            MemberEffect::WriteClaim(claim, end) => {
-                self.claims.call(ClaimCall::Write(claim, end));
+            MemberEffect::WriteClaim(claim, fence, end) => {
+                self.claims.call(ClaimCall::Write(claim, fence, end));
             }
             MemberEffect::Log(line) => {
                 let message: &'static str = (&line).into();
