--- a/crates/egretstage_passes/src/member/claims.rs
+++ b/crates/egretstage_passes/src/member/claims.rs
@@ -15,9 +15,11 @@
         self.reading_claim = false;
         self.claim_at = now + self.settings.limits.claims_interval;
         let newest = claim.as_ref().map_or(0, |(_, fence)| *fence);
+        let of_earlier_start = claim.as_ref().is_some_and(|(c, _)| self.was_own(c));
         if let Some((claim, fence)) = claim
             && self.is_newer(fence)
             && self.retired != Some(fence)
+            && !of_earlier_start
         {
             return self.follow(now, claim, fence, fx);
         }
@@ -25,7 +27,7 @@
             self.claim_at = now + self.settings.limits.doubt_after;
             return;
         }
-        if !self.suspects(now) {
+        if !self.suspects(now) && !of_earlier_start {
             return;
         }
         let Some(report) = self.report.as_ref().filter(|_| self.shape.is_some()) else {
@@ -46,6 +48,12 @@
         fx.push(MemberEffect::WriteClaim(Box::new(claim), fence, end));
     }
 
+    /// Tells whether a claim is of an earlier start of this companion: nobody
+    /// needs to wait for that one.
+    fn was_own(&self, claim: &DeciderClaim) -> bool {
+        claim.address == self.settings.address && claim.incarnation != self.settings.incarnation
+    }
+
     /// Tells whether a claim is newer than the one that is followed, and none
     /// newer was ever known: a store that has come back from a copy shows claims
     /// of deciders that were replaced.
--- a/crates/egretstage_passes/tests/switches/main.rs
+++ b/crates/egretstage_passes/tests/switches/main.rs
@@ -94,6 +94,31 @@
     assert!(taken_back > 0, "no instance froze before all were armed");
 }
 
+/// Load pattern: all companions are killed at one moment and start again. The
+/// claim names the earlier start of one of them, which needn't wait for it.
+#[test]
+fn companions_that_start_together_have_a_decider_at_once() {
+    let mut world = World::new(8, true, false);
+    world.run_for(2 * SECOND);
+    let claims = world.claims.len();
+    for rank in 0..4 {
+        world.kill(rank);
+    }
+    world.run_for(SECOND);
+    for rank in 0..4 {
+        world.restart(rank);
+    }
+    world.run_for(SECOND / 5);
+    assert_eq!(world.claims.len(), claims + 1, "claims after the start");
+    let switches = world.group.switches;
+    world.group.shift(9);
+    world.run_for(SECOND);
+    assert!(
+        world.group.switches > switches,
+        "the demand is not followed"
+    );
+}
+
 /// Load pattern: the store comes back from a copy that lacks the newest claims,
 /// while their decider lives. It goes on, its successors have higher fencing
 /// numbers, and one that was replaced decides no more.
