Name a switch by one type, and take it back in a module of its own

Cause: a newcomer met tuples of (version, pass) and (holder, since) in four places, and the survey of a whole group beside the conclusions about one that isn't whole.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -6,6 +6,7 @@
 mod phases;
 mod rank_view;
 mod survey;
+mod take_back;
 
 use crate::member::state_interval;
 use crate::{
@@ -18,7 +19,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use survey::Predecessor;
+use take_back::Predecessor;
 
 /// Limits of a decider.
 #[derive(Clone, Copy, Debug)]
@@ -127,6 +128,16 @@
     changes: Option<Rc<MapChanges>>,
 }
 
+/// A change of the map whose copies are complete.
+#[derive(Clone, Copy, Debug)]
+struct Switch {
+    version: u64,
+    /// The pass that is held, and that begins with the map.
+    pass: u64,
+    /// The rank that holds the group.
+    holder: u16,
+}
+
 /// How far a change of the map is.
 #[derive(Clone, Debug, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -142,19 +153,9 @@
         since: Instant,
     },
     /// A rank shall hold the group before a pass.
-    Holding {
-        version: u64,
-        pass: u64,
-        holder: u16,
-        since: Instant,
-    },
+    Holding { switch: Switch, since: Instant },
     /// The group is held; all ranks shall switch at that pass.
-    Arming {
-        version: u64,
-        pass: u64,
-        /// The rank that holds the group.
-        holder: u16,
-    },
+    Arming(Switch),
     /// The group is held; no rank shall switch at that pass.
     Disarming,
     /// No rank shall hold the group any longer.
@@ -384,17 +385,8 @@
                 map,
                 since,
             } => self.prepare(now, &reports, version, &map, since, out),
-            Phase::Holding {
-                version,
-                pass,
-                holder,
-                since,
-            } => self.hold(now, &reports, (version, pass), (holder, since), out),
-            Phase::Arming {
-                version,
-                pass,
-                holder,
-            } => self.arm(now, &reports, (version, pass), holder, out),
+            Phase::Holding { switch, since } => self.hold(now, &reports, switch, since, out),
+            Phase::Arming(switch) => self.arm(now, &reports, switch, out),
             Phase::Disarming => self.disarm(now, &reports, out),
             Phase::Releasing => self.release(now, &reports, out),
         }
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -1,6 +1,6 @@
 //! What a decider does in each phase of a change of the map.
 
-use super::{MapDecider, NextMap, Phase, RankOutput, VERSIONS_PER_FENCE};
+use super::{MapDecider, NextMap, Phase, RankOutput, Switch, VERSIONS_PER_FENCE};
 use crate::{EngineReport, ExpertsByRank, MapChanges, PassLine, PassOrder};
 use egretstage_balance::{EvenMap, WaveLimits, plan_wave};
 use std::rc::Rc;
@@ -139,13 +139,13 @@
         if reports.iter().all(|r| r.prepared == Some(version)) {
             let pass = self.next_pass(reports);
             self.switched_to = Some((version, Rc::clone(&map.layers)));
-            let holding = Phase::Holding {
+            let switch = Switch {
                 version,
                 pass,
                 holder: self.next_holder(now),
-                since: now,
             };
-            self.enter(holding, out);
+            let since = now;
+            self.enter(Phase::Holding { switch, since }, out);
             return self.wake(now, out);
         }
         let copies = self.shape.copy_time * u32::from(self.copies_per_rank());
@@ -202,20 +202,20 @@
         &mut self,
         now: Instant,
         reports: &[EngineReport],
-        (version, pass): (u64, u64),
-        (holder, since): (u16, Instant),
+        switch: Switch,
+        since: Instant,
         out: &mut Vec<RankOutput>,
     ) {
+        let Switch {
+            version,
+            pass,
+            holder,
+        } = switch;
         let Some(report) = reports.get(usize::from(holder)) else {
             return;
         };
         if report.held == Some(pass) {
-            let arming = Phase::Arming {
-                version,
-                pass,
-                holder,
-            };
-            self.enter(arming, out);
+            self.enter(Phase::Arming(switch), out);
             return self.wake(now, out);
         }
         if report.held.is_some() || reports.iter().any(|r| r.prepared != Some(version)) {
@@ -229,12 +229,8 @@
         // What is known of the passes is old: each refusal takes a later one.
         let refusals = self.refusals_of(holder);
         let pass = pass.max(report.pass + self.limits.lead + refusals);
-        self.phase = Phase::Holding {
-            version,
-            pass,
-            holder,
-            since,
-        };
+        let switch = Switch { pass, ..switch };
+        self.phase = Phase::Holding { switch, since };
         self.order_engine(now, holder, PassOrder::Hold { pass }, out);
     }
 
@@ -247,10 +243,14 @@
         &mut self,
         now: Instant,
         reports: &[EngineReport],
-        (version, pass): (u64, u64),
-        holder: u16,
+        switch: Switch,
         out: &mut Vec<RankOutput>,
     ) {
+        let Switch {
+            version,
+            pass,
+            holder,
+        } = switch;
         if reports.iter().all(|r| r.armed == Some(version)) {
             self.enter(Phase::Releasing, out);
             return self.wake(now, out);
@@ -265,7 +265,7 @@
         // There is no other way back from here: an order to arm that has no
         // answer may still be carried out, so the group is released only when
         // all are armed, or when it is formed again.
-        for rank in self.due_to_arm(now, reports, version, holder) {
+        for rank in self.due_to_arm(now, reports, switch) {
             self.order(now, rank, PassOrder::Arm { version, pass }, out);
         }
     }
@@ -277,13 +277,10 @@
     /// rank. So as long as the companion of the holder says that its rank isn't
     /// armed, neither is the decider's, and no order is on its way to an engine
     /// of which no companion knows.
-    fn due_to_arm(
-        &self,
-        now: Instant,
-        reports: &[EngineReport],
-        version: u64,
-        holder: u16,
-    ) -> Vec<u16> {
+    fn due_to_arm(&self, now: Instant, reports: &[EngineReport], switch: Switch) -> Vec<u16> {
+        let Switch {
+            version, holder, ..
+        } = switch;
         let own = self.own_rank;
         let missing = reports.iter().filter(|r| r.armed != Some(version));
         let missing: Vec<u16> = missing.map(|report| report.rank).collect();
@@ -293,12 +290,15 @@
             .filter(is_other)
             .partition(|rank| self.is_companion_heard(now, **rank));
         let holder_is_missing = holder != own && missing.contains(&holder);
-        match (heard.is_empty(), holder_is_missing, silent.is_empty()) {
-            (false, _, _) => heard,
-            (true, true, _) if self.is_companion_heard(now, holder) => vec![holder],
-            (true, true, _) => Vec::new(),
-            (true, false, false) => silent,
-            (true, false, true) => vec![own],
+        if !heard.is_empty() {
+            heard
+        } else if holder_is_missing {
+            let is_heard = self.is_companion_heard(now, holder);
+            is_heard.then_some(holder).into_iter().collect()
+        } else if !silent.is_empty() {
+            silent
+        } else {
+            vec![own]
         }
     }
 
