Look again when the held pass has begun while ranks are being armed

A decider was lost while its order to lift the hold had no answer. Its successor read some ranks before that order took effect and some after it, went on to arm for a pass that had begun, and was refused for ever; the group stepped on, but never changed its map again.

Change: a report of that pass, or a later one, ends the arming and begins a new survey. Orders for a pass that has begun have no effect, so nothing is left behind.

--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -255,11 +255,13 @@
             self.enter(Phase::Releasing, out);
             return self.wake(now, out);
         }
+        // An order of a decider before this one takes the switch back, or lifts
+        // the hold.
         let is_forbidden = |report: &EngineReport| {
             report.rank == holder && report.armed.is_none() && report.prepared != Some(version)
         };
-        if reports.iter().any(is_forbidden) {
-            // A decider before this one takes the switch back.
+        let has_begun = |report: &EngineReport| report.pass >= pass;
+        if reports.iter().any(|r| is_forbidden(r) || has_begun(r)) {
             return self.enter(Phase::Surveying, out);
         }
         // There is no other way back from here: an order to arm that has no
