Name the upstream in the line of a call's end

The line didn't say whether a caller left while its call waited or while an upstream ran it. With the upstream's name it does, which tells the hypotheses of the GONE reports apart: a request that arrives after the line was held back on its way to the upstream, one that arrives before the line, or without one, was sent although the caller had left.

--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -352,12 +352,15 @@
         if whole {
             self.record_stream(now, key);
         }
-        self.release_upstream(key);
+        let upstream = self.release_upstream(key);
+        let upstream = upstream.and_then(|upstream| self.upstreams.get(upstream));
+        let instance = upstream.map(|upstream| upstream.listed.instance.clone());
         if let Some(call) = self.remove_call(key) {
             let has_pauses = call.longest_pause > Duration::ZERO;
             fx.push(DispatchEffect::Log(Box::new(DecisionLine {
                 verb: "end",
                 request: Some(call.head.request),
+                upstream: instance,
                 reason: Some(if whole { "whole" } else { "caller-gone" }),
                 attempts: Some(call.attempts),
                 age_ms: Some(millis(now.saturating_duration_since(call.arrived))),
