Reset connections to upstreams instead of closing them

Callers saw 504, and their request ran seconds later. Cause: an abandoned attempt closed its socket in the ordinary way, so the kernel went on to deliver what the upstream hadn't acknowledged. Cancelling the task didn't cancel its effect.

Connections to upstreams now reset on close, at the entry and at the companion, which discards the send queue, also when the process ends. Nothing else is lost: an idle connection has nothing in transit, and the answer to an abandoned attempt isn't wanted. Links between own processes keep the ordinary close, since they carry answers.

A lost reset is not retransmitted; the upstream then ends at its next event, or finishes a plain request.

--- a/crates/egretstage_companion/src/connections.rs
+++ b/crates/egretstage_companion/src/connections.rs
@@ -2,6 +2,7 @@
 
 use crate::UpstreamFailure;
 use crate::write_gate::{GatedStream, WriteGate};
+use egretstage_runtime::reset_on_close;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -35,7 +36,12 @@
         let Ok(Ok(tcp)) = connected else {
             return Err(UpstreamFailure::NotSent);
         };
-        let _ = tcp.set_nodelay(true);
+        if let Err(e) = tcp.set_nodelay(true).and_then(|()| reset_on_close(&tcp)) {
+            log::warn!(
+                address:display, error:display = e;
+                "socket options of the upstream's connection can't be set"
+            );
+        }
         let gate = WriteGate::new();
         let stream = GatedStream::new(tcp, gate.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/egretstage_gateway/src/upstream_pool.rs
+++ b/crates/egretstage_gateway/src/upstream_pool.rs
@@ -5,6 +5,7 @@
 //! open.
 
 use egretstage_dispatch::NotRunCause;
+use egretstage_runtime::reset_on_close;
 use egretstage_wire::InstanceId;
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -198,6 +199,7 @@
 
 fn set_socket_options(tcp: &TcpStream) -> std::io::Result<()> {
     tcp.set_nodelay(true)?;
+    reset_on_close(tcp)?;
     let socket = SockRef::from(tcp);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
