Notice a caller's close behind bytes that it sent ahead

A caller that sent a part of its next request and left was served all the same: its waiting call was placed and sent up to 1.4 s later. Cause: the HTTP library looks for the end of a connection only while its read buffer is empty.

egretstage_caller_io splits a caller's connection into the stream that the library uses and a watch that reads up to 16 KiB ahead on its own. Both servers of callers, that of the gateway and that of the entry, end a connection when the watch reports its end. A caller that sends more than that ahead isn't noticed.

Evidence: a_caller_that_sent_ahead_and_left_while_waiting_is_not_served failed before and passes now.

--- /dev/null
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -0,0 +1,158 @@
+//! Callers' connections that report when the caller closes them.
+//!
+//! An HTTP server looks for the end of a connection only while its read buffer is
+//! empty. Bytes that a caller sends ahead of its next request hide the end, and the
+//! running call goes on for a caller that has left. [`watch_caller`] splits a
+//! connection into the stream that the server reads and writes, and a [`CallerWatch`]
+//! that reads ahead on its own.
+//!
+//! Load pattern: callers send requests one after the other without waiting, and
+//! leave while the first one waits or runs.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+
+/// Maximum number of bytes that are read ahead of the server. While that many are
+/// unread, the end of the connection isn't noticed.
+const MAX_READ_AHEAD_BYTES: usize = 16 * 1024;
+
+/// Size of one read ahead of the server, in bytes.
+const READ_BYTES: usize = 1024;
+
+/// The read direction of a connection, which the stream and the watch share.
+#[derive(Debug)]
+struct ReadSide {
+    half: OwnedReadHalf,
+    /// Bytes that were read ahead of the server.
+    ahead: Vec<u8>,
+    /// Whether the connection has ended after the bytes in `ahead`.
+    is_ended: bool,
+}
+
+impl ReadSide {
+    /// Reads bytes ahead of the server, or the end of the connection.
+    fn poll_read_ahead(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut bytes = [0; READ_BYTES];
+        let mut buf = ReadBuf::new(&mut bytes);
+        ready!(Pin::new(&mut self.half).poll_read(cx, &mut buf))?;
+        self.is_ended = buf.filled().is_empty();
+        self.ahead.extend_from_slice(buf.filled());
+        Poll::Ready(Ok(()))
+    }
+
+    /// Moves bytes that were read ahead into the server's buffer.
+    fn take_ahead(&mut self, buf: &mut ReadBuf<'_>) {
+        let count = self.ahead.len().min(buf.remaining());
+        buf.put_slice(&self.ahead[..count]);
+        self.ahead.drain(..count);
+    }
+}
+
+/// A caller's connection, for the HTTP server.
+#[derive(Debug)]
+pub struct CallerStream {
+    read: Arc<Mutex<ReadSide>>,
+    write: OwnedWriteHalf,
+}
+
+/// Reports when the caller closes its connection.
+#[derive(Debug)]
+pub struct CallerWatch {
+    read: Arc<Mutex<ReadSide>>,
+}
+
+/// Splits a caller's connection into a stream and a watch.
+///
+/// Both must be polled by the same task: the watch wakes it when it has read bytes
+/// that the stream's reader may wait for.
+#[must_use]
+pub fn watch_caller(tcp: TcpStream) -> (CallerStream, CallerWatch) {
+    let (half, write) = tcp.into_split();
+    let read = Arc::new(Mutex::new(ReadSide {
+        half,
+        ahead: Vec::new(),
+        is_ended: false,
+    }));
+    let watch = CallerWatch {
+        read: Arc::clone(&read),
+    };
+    (CallerStream { read, write }, watch)
+}
+
+impl CallerWatch {
+    /// Waits until the caller has closed the connection or the connection has failed.
+    pub async fn closed(&self) {
+        std::future::poll_fn(|cx| self.poll_closed(cx)).await;
+    }
+
+    fn poll_closed(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut read = self.read.lock().unwrap_or_else(PoisonError::into_inner);
+        if read.is_ended {
+            return Poll::Ready(());
+        }
+        if read.ahead.len() >= MAX_READ_AHEAD_BYTES {
+            return Poll::Pending;
+        }
+        match ready!(read.poll_read_ahead(cx)) {
+            Ok(()) if !read.is_ended => {
+                // The server may wait for these bytes, and the socket won't wake it.
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Ok(()) | Err(_) => Poll::Ready(()),
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut read = self.read.lock().unwrap_or_else(PoisonError::into_inner);
+        if !read.ahead.is_empty() {
+            read.take_ahead(buf);
+            return Poll::Ready(Ok(()));
+        }
+        if read.is_ended {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut read.half).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.write).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.write).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.write.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.write).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.write).poll_shutdown(cx)
+    }
+}
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -6,6 +6,7 @@
     AnswerPart, CallKey, CallRequest, EntryEvent, InvalidRequest, RawRequest, Refusal, RefusalKind,
     RequestLimits,
 };
+use egretstage_caller_io::watch_caller;
 use egretstage_runtime::EventSender;
 use egretstage_wire::{Incarnation, RequestId};
 use http_body_util::BodyExt;
@@ -186,6 +187,7 @@
 
     async fn serve_connection(self: Arc<Self>, tcp: TcpStream, mut stop: watch::Receiver<bool>) {
         let _ = tcp.set_nodelay(true);
+        let (stream, watch) = watch_caller(tcp);
         let service = service_fn(|req| {
             let server = Arc::clone(&self);
             async move { Ok::<_, Infallible>(server.handle_request(req).await) }
@@ -195,13 +197,23 @@
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(MAX_HEADER_BYTES)
             .max_headers(MAX_HEADERS)
-            .serve_connection(TokioIo::new(tcp), service);
+            .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            () = stop_requested(&mut stop) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+        let closed = watch.closed();
+        tokio::pin!(closed);
+        let mut is_stopping = false;
+        let ended = loop {
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => break ended,
+                () = closed.as_mut() => {
+                    log::debug!("a caller has closed its connection");
+                    return;
+                }
+                () = stop_requested(&mut stop), if !is_stopping => {
+                    connection.as_mut().graceful_shutdown();
+                    is_stopping = true;
+                }
             }
         };
         if let Err(e) = ended {
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP server.
 
 use crate::exchange::Gateway;
+use egretstage_caller_io::watch_caller;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
@@ -58,6 +59,7 @@
             limits.map_or(DEFAULT_MAX_HEADER_BYTES, |l| l.max_header_bytes),
         )
     };
+    let (stream, watch) = watch_caller(tcp);
     let mut closing = gateway.closing.clone();
     let service = service_fn(move |req| {
         let gateway = Rc::clone(&gateway);
@@ -67,13 +69,23 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(max_header_bytes.max(DEFAULT_MAX_HEADER_BYTES))
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|closing| *closing) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+    let closed = watch.closed();
+    tokio::pin!(closed);
+    let mut is_closing = false;
+    let ended = loop {
+        tokio::select! {
+            biased;
+            ended = connection.as_mut() => break ended,
+            () = closed.as_mut() => {
+                log::debug!("a caller has closed its connection");
+                return;
+            }
+            _ = closing.wait_for(|closing| *closing), if !is_closing => {
+                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+            }
         }
     };
     if let Err(e) = ended {
