Tell an upstream's end from a lost connection in the log

After an attempt of a call with prompt parts has lost its connection, the entry now tries a new one: a refused one means that the upstream's process has ended, an open one goes to the pool.

--- a/crates/egretstage_dispatch/src/call.rs
+++ b/crates/egretstage_dispatch/src/call.rs
@@ -2,6 +2,8 @@
 
 use compact_str::CompactString;
 use egretstage_wire::RequestId;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// Identifies a call within an entry; never reused.
@@ -20,6 +22,27 @@
     pub expected_output: Option<u32>,
 }
 
+/// Identifies a part of a prompt: a hash of the identifier that the caller states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PromptPart(pub u64);
+
+impl From<&str> for PromptPart {
+    fn from(identifier: &str) -> Self {
+        Self(rapidhash::v3::rapidhash_v3(identifier.as_bytes()))
+    }
+}
+
+impl std::fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// The parts of a prompt, in order. The last one belongs to the request or to its
+/// session alone.
+pub type PromptParts = SmallVec<[PromptPart; 4]>;
+
 /// The properties of a caller's request that decisions use.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallHead {
@@ -35,4 +58,6 @@
     pub budget: Duration,
     /// Size of the prompt, if the call has one.
     pub prompt: Option<Prompt>,
+    /// Parts of the prompt, empty if the caller states none.
+    pub prompt_parts: PromptParts,
 }
--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -26,6 +26,10 @@
     /// The upstream.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub upstream: Option<InstanceId>,
+    /// Hashes of the prompt's parts, on the lines of attempts that an upstream's end has
+    /// cut off.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub prompt_parts: Option<CompactString>,
     /// The model group.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub group: Option<CompactString>,
--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -137,6 +137,9 @@
 pub enum UnknownCause {
     /// The connection ended before the answer was complete.
     ConnectionLost,
+    /// The connection ended before the answer was complete, and the upstream's address
+    /// refuses connections: its process has ended.
+    UpstreamEnded,
     /// The answer belongs to another request or another upstream.
     ForeignAnswer,
     /// The upstream sent nothing for too long.
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -44,7 +44,7 @@
 pub mod waiting;
 
 pub use admission::StreamLimits;
-pub use call::{CallHead, CallKey, Prompt};
+pub use call::{CallHead, CallKey, Prompt, PromptPart, PromptParts};
 pub use decision_line::DecisionLine;
 pub use event::{
     Attempt, AttemptEnd, DispatchEffect, DispatchEvent, NotRunCause, Refusal, RefusalKind,
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -7,6 +7,7 @@
     AttemptEnd, CallHead, CallKey, DecisionLine, DispatchEffect, NotRunCause, Refusal, RefusalKind,
     UnknownCause,
 };
+use compact_str::format_compact;
 use egretstage_wire::RequestId;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,12 @@
 /// callers' returns are spread over its last quarter.
 const MAX_BACK_OFF_OVERRUN: Duration = Duration::from_millis(400);
 
+/// Returns whether the upstream ended while it ran the call.
+fn is_upstream_ended(end: AttemptEnd) -> bool {
+    let cause = UnknownCause::UpstreamEnded;
+    end == AttemptEnd::Unknown { cause }
+}
+
 /// Returns the share of the longest retry delay that a caller gets, derived from a
 /// hash of its request's identifier.
 fn retry_delay_share(request: &RequestId) -> f32 {
@@ -47,6 +54,10 @@
             upstream: called_upstream.map(|upstream| upstream.listed.instance.clone()),
             reason: Some(end.reason()),
             attempts: Some(call.attempts),
+            prompt_parts: is_upstream_ended(end).then(|| {
+                let parts = call.head.prompt_parts.iter();
+                parts.map(|part| format_compact!("{part} ")).collect()
+            }),
             ..DecisionLine::default()
         })));
         if let AttemptEnd::NotSent { .. } = end {
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -2,8 +2,8 @@
 
 use egretstage_dispatch::{
     Attempt, CallHead, CallKey, CallerLimits, DispatchEffect, DispatchEvent, DispatchLimits,
-    Dispatcher, EngineProfile, GroupMembership, ListedUpstream, Organisation, Prompt, Refusal,
-    Route, RouteKind, RoutingTable, ServiceProfile, UpstreamState, WeightedService,
+    Dispatcher, EngineProfile, GroupMembership, ListedUpstream, Organisation, Prompt, PromptParts,
+    Refusal, Route, RouteKind, RoutingTable, ServiceProfile, UpstreamState, WeightedService,
 };
 use egretstage_runtime::VirtualLoop;
 use smallvec::smallvec;
@@ -19,6 +19,8 @@
 pub(crate) struct Harness {
     pub(crate) sim: VirtualLoop<Dispatcher>,
     next_call: u64,
+    /// Parts of the prompts of the calls that arrive from now on.
+    pub(crate) prompt_parts: PromptParts,
 }
 
 fn route(name: &str, kind: RouteKind, service: &str, timeout_ms: u64) -> Route {
@@ -113,6 +115,7 @@
         Self {
             sim: VirtualLoop::new(dispatcher),
             next_call: 0,
+            prompt_parts: PromptParts::new(),
         }
     }
 
@@ -185,6 +188,7 @@
             api_key: Some(api_key.into()),
             budget: Duration::from_millis(budget_ms),
             prompt: Some(prompt),
+            prompt_parts: self.prompt_parts.clone(),
         });
         (call, self.sim.event(DispatchEvent::Arrived { call, head }))
     }
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -2,14 +2,13 @@
 
 use crate::answers::{AnswerBody, full_body, own_answer, refusal_answer};
 use crate::attempt::strip_connection_headers;
-use crate::attempt::{BufferedRequest, CompleteAnswer, OpenAnswer, SendOutcome, read_to_end, send};
+use crate::attempt::{BufferedRequest, CompleteAnswer, OpenAnswer, SendOutcome};
+use crate::attempt::{lost_connection_cause, read_to_end, send};
 use crate::dialect::HttpDialect;
 use crate::driver::{Command, Driver};
 use crate::relay;
 use crate::upstream_pool::UpstreamPool;
-use egretstage_dispatch::{
-    Attempt, AttemptEnd, CallKey, DispatchEvent, RoutingTable, UnknownCause,
-};
+use egretstage_dispatch::{Attempt, AttemptEnd, CallKey, DispatchEvent, RoutingTable};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response};
@@ -92,6 +91,7 @@
             Err(resp) => return resp,
         };
         let request = call_head.request.clone();
+        let has_prompt_parts = !call_head.prompt_parts.is_empty();
         let (call, commands) = self.driver.open_call();
         let guard = CallGuard::new(&self.driver, call);
         let boxed_head = Box::new(call_head);
@@ -103,6 +103,7 @@
             request,
             head,
             body,
+            has_prompt_parts,
         };
         self.run(guard, commands, req).await
     }
@@ -195,7 +196,7 @@
             SendOutcome::Open(open) => match read_to_end(&self.pool, attempt, open).await {
                 Some(answer) => AttemptOutcome::Complete(Box::new(answer)),
                 None => AttemptOutcome::Ended(AttemptEnd::Unknown {
-                    cause: UnknownCause::ConnectionLost,
+                    cause: lost_connection_cause(&self.pool, req, attempt).await,
                 }),
             },
             SendOutcome::Failed(answer) => AttemptOutcome::Failed(answer),
--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -2,7 +2,8 @@
 //! another upstream if it is interrupted.
 
 use crate::answers::{AnswerAborted, AnswerBody, ChannelBody};
-use crate::attempt::{BufferedRequest, OpenAnswer, SendOutcome, send, strip_connection_headers};
+use crate::attempt::{BufferedRequest, OpenAnswer, SendOutcome};
+use crate::attempt::{lost_connection_cause, send, strip_connection_headers};
 use crate::driver::Command;
 use crate::events::{EventSplitter, StreamEvent};
 use crate::exchange::{CallGuard, Gateway};
@@ -94,6 +95,12 @@
                 RelayEnd::Stopped => return self.abort().await,
                 RelayEnd::Broken(cause) => {
                     drop((body, connection));
+                    let cause = match cause {
+                        UnknownCause::ConnectionLost => {
+                            lost_connection_cause(&self.gateway.pool, &self.req, &attempt).await
+                        }
+                        cause => cause,
+                    };
                     let end = AttemptEnd::Unknown { cause };
                     self.gateway.report_attempt_end(self.guard.call, end);
                 }
--- a/crates/egretstage_gateway/src/upstream_pool.rs
+++ b/crates/egretstage_gateway/src/upstream_pool.rs
@@ -15,6 +15,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -25,6 +26,10 @@
 /// zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait for a connection that shows whether an upstream has ended: its callers
+/// wait for it.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time without an acknowledgement after which the kernel closes a connection:
 /// shorter than the time after which callers give up.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -92,6 +97,31 @@
 }
 
 impl UpstreamPool {
+    /// Returns whether an upstream's address refuses connections, as it does once the
+    /// upstream's process has ended. A connection that can be opened is kept.
+    pub(crate) async fn refuses_connections(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddr,
+    ) -> bool {
+        match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(tcp)) => {
+                if let Ok(connection) = handshake(address, tcp).await {
+                    self.put_back(instance, connection);
+                }
+                false
+            }
+            Ok(Err(e)) => {
+                let kind = e.kind();
+                matches!(
+                    kind,
+                    ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+                )
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Starts to count the bytes of one answer.
     pub(crate) fn buffered_bytes(&self) -> BufferedBytes {
         BufferedBytes {
@@ -172,6 +202,11 @@
             return Err(NotRunCause::NoConnection);
         }
     };
+    handshake(address, tcp).await
+}
+
+/// Starts HTTP on a connection.
+async fn handshake(address: SocketAddr, tcp: TcpStream) -> Result<Connection, NotRunCause> {
     if let Err(e) = set_socket_options(&tcp) {
         log::warn!(
             address:display, error:display = e;
