--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod broken_groups;
 mod peers;
+mod prompt_parts;
 mod slow_ranks;
 mod stalled_groups;
 mod support;
