Don't take a copy of a refusal for a new answer

Reported by operators of similar systems: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran. Two ways led there. A refusal that names no request was accepted on a connection that had carried another one. And a call that was refused and sent again to the same upstream on the same connection accepted a copy, since its id is the same.

A refusal without an id now counts only on a connection's first request, and a call isn't sent again on a connection on which it was refused.

--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -69,7 +69,10 @@
     resume_after: Option<CompactString>,
 ) -> SendOutcome {
     let pool = &gateway.pool;
-    let mut connection = match pool.checkout(&attempt.instance, attempt.address).await {
+    let mut connection = match pool
+        .checkout(&attempt.instance, attempt.address, &req.request)
+        .await
+    {
         Ok(connection) => connection,
         Err(cause) => return SendOutcome::Ended(AttemptEnd::NotSent { cause }),
     };
@@ -123,7 +126,7 @@
     gateway: &Gateway,
     req: &BufferedRequest,
     attempt: &Attempt,
-    answer: OpenAnswer,
+    mut answer: OpenAnswer,
 ) -> SendOutcome {
     let parsed = gateway.dialect.parse_answer_head(&answer.head);
     let status = answer.head.status;
@@ -131,7 +134,12 @@
     if parsed.request.as_ref().is_some_and(|id| *id != req.request) {
         return foreign_answer();
     }
+    // A refusal that names no request may be a copy of one to an earlier request.
+    if parsed.not_run.is_some() && parsed.request.is_none() && answer.connection.is_reused {
+        return foreign_answer();
+    }
     if let Some(cause) = parsed.not_run {
+        answer.connection.record_refusal(req.request.clone());
         drain(Rc::clone(&gateway.pool), attempt, answer);
         return SendOutcome::Ended(AttemptEnd::NotRun { cause });
     }
--- a/crates/egretstage_gateway/src/upstream_pool.rs
+++ b/crates/egretstage_gateway/src/upstream_pool.rs
@@ -6,12 +6,13 @@
 
 use egretstage_dispatch::NotRunCause;
 use egretstage_runtime::reset_on_close;
-use egretstage_wire::InstanceId;
+use egretstage_wire::{InstanceId, RequestId};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper_util::rt::TokioIo;
+use smallvec::SmallVec;
 use socket2::{SockRef, TcpKeepalive};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -46,6 +47,9 @@
 /// states no idle timeout.
 const DEFAULT_MAX_IDLE: Duration = Duration::from_secs(15);
 
+/// Maximum number of refused requests that are remembered for a connection.
+const MAX_REFUSED: usize = 8;
+
 /// Largest head of an answer and largest read-ahead of its body, in bytes. It
 /// limits the memory that an endless head takes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -56,6 +60,11 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Idle time after which the connection is no longer reused.
     max_idle: Duration,
+    /// Whether it has carried a request before the present one.
+    pub(crate) is_reused: bool,
+    /// Requests that the upstream refused on it, the newest last. A copy of such a
+    /// refusal may still arrive.
+    refused: SmallVec<[RequestId; 1]>,
 }
 
 #[derive(Debug)]
@@ -107,7 +116,7 @@
         match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(tcp)) => {
                 if let Ok(connection) = handshake(address, tcp).await {
-                    self.put_back(instance, connection);
+                    self.add_idle(instance, connection);
                 }
                 false
             }
@@ -130,19 +139,21 @@
         }
     }
 
-    /// Returns an idle connection, or opens a new one if there is none.
+    /// Returns an idle connection on which the request wasn't refused before, or opens a
+    /// new one if there is none.
     pub(crate) async fn checkout(
         &self,
         instance: &InstanceId,
         address: SocketAddr,
+        request: &RequestId,
     ) -> Result<Connection, NotRunCause> {
-        match self.take_idle(instance) {
+        match self.take_idle(instance, request) {
             Some(connection) => Ok(connection),
             None => connect(address).await,
         }
     }
 
-    fn take_idle(&self, instance: &InstanceId) -> Option<Connection> {
+    fn take_idle(&self, instance: &InstanceId, request: &RequestId) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(instance)?;
         let now = Instant::now();
@@ -150,14 +161,20 @@
             let age = now.saturating_duration_since(idle.since);
             !idle.connection.sender.is_closed() && age < idle.connection.max_idle
         });
-        let newest = connections
-            .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
+        let newest = connections.iter().rposition(|idle| {
+            let connection = &idle.connection;
+            connection.sender.is_ready() && !connection.refused.contains(request)
+        })?;
         Some(connections.remove(newest).connection)
     }
 
     /// Puts back a connection whose last answer was read to its end.
-    pub(crate) fn put_back(&self, instance: &InstanceId, connection: Connection) {
+    pub(crate) fn put_back(&self, instance: &InstanceId, mut connection: Connection) {
+        connection.is_reused = true;
+        self.add_idle(instance, connection);
+    }
+
+    fn add_idle(&self, instance: &InstanceId, connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
@@ -174,6 +191,14 @@
 }
 
 impl Connection {
+    /// Records that the upstream refused a request on this connection.
+    pub(crate) fn record_refusal(&mut self, request: RequestId) {
+        if self.refused.len() == MAX_REFUSED {
+            self.refused.remove(0);
+        }
+        self.refused.push(request);
+    }
+
     /// Applies the idle timeout that the upstream states in its `Keep-Alive`
     /// header.
     pub(crate) fn apply_keep_alive(&mut self, headers: &HeaderMap) {
@@ -229,6 +254,8 @@
     Ok(Connection {
         sender,
         max_idle: DEFAULT_MAX_IDLE,
+        is_reused: false,
+        refused: SmallVec::new(),
     })
 }
 
