Pass nothing but events of the same kind on in a resumed stream

Reported by operators of similar systems: after a stream broke off, callers found an error's text or its whole head in the middle of it. An answer with an error status was not joined here.

A stream is resumed only by an answer of its media type, and an event has to consist of the format's fields or comments. Anything else breaks the attempt off, and the stream resumes elsewhere or ends incomplete.

--- a/crates/egretstage_gateway/src/events.rs
+++ b/crates/egretstage_gateway/src/events.rs
@@ -6,6 +6,9 @@
 /// memory, since an entry buffers the partial events of hundreds of streams.
 const MAX_EVENT_BYTES: usize = 128 * 1024;
 
+/// Names of the fields of the event stream format.
+const FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+
 /// One complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -16,6 +19,34 @@
 }
 
 impl StreamEvent {
+    /// Returns whether the bytes are an event: a field of the event stream format or
+    /// nothing but comments, and no head of an HTTP answer.
+    ///
+    /// ```
+    /// # use egretstage_gateway::EventSplitter;
+    /// let mut splitter = EventSplitter::default();
+    /// let bytes = b"id: 1\ndata: a\n\n: idle\n\nHTTP/1.1 503 Busy\r\n\r\n";
+    /// let events = splitter.push(bytes).unwrap();
+    /// let valid: Vec<bool> = events.iter().map(|event| event.is_valid()).collect();
+    /// assert_eq!(valid, [true, true, false]);
+    /// ```
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let lines = || {
+            let lines = self.bytes.split(|byte| *byte == b'\n');
+            lines
+                .map(<[u8]>::trim_ascii_end)
+                .filter(|line| !line.is_empty())
+        };
+        let name = |line: &[u8]| line.split(|byte| *byte == b':').next().map(<[u8]>::to_vec);
+        let is_field = |line: &[u8]| {
+            let name = name(line);
+            name.is_some_and(|name| FIELDS.contains(&name.as_slice()))
+        };
+        let is_head = lines().any(|line| line.starts_with(b"HTTP/"));
+        !is_head && (lines().any(is_field) || lines().all(|line| line.starts_with(b":")))
+    }
+
     /// Returns whether the event carries data; a comment only keeps the
     /// connection open.
     #[must_use]
--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -13,7 +13,8 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::http::response;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel};
@@ -51,6 +52,8 @@
     /// it.
     last_id: Option<CompactString>,
     last_event_at: Option<Instant>,
+    /// Media type of the first answer. An answer of another type doesn't continue it.
+    media_type: Option<CompactString>,
 }
 
 /// Starts the relay of a stream and returns the answer to the caller.
@@ -68,6 +71,7 @@
         body,
         connection,
     } = open;
+    let media_type = media_type(&head);
     strip_connection_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let stream_relay = StreamRelay {
@@ -78,11 +82,19 @@
         chunk_tx,
         last_id: None,
         last_event_at: None,
+        media_type,
     };
     tokio::task::spawn_local(stream_relay.run(attempt, body, connection));
     Response::from_parts(head, ChannelBody(chunk_rx).boxed_unsync())
 }
 
+/// Returns the media type of an answer, without parameters.
+fn media_type(head: &response::Parts) -> Option<CompactString> {
+    let value = head.headers.get(CONTENT_TYPE)?.to_str().ok()?;
+    let (media_type, _) = value.split_once(';').unwrap_or((value, ""));
+    Some(media_type.trim().to_ascii_lowercase().into())
+}
+
 impl StreamRelay {
     async fn run(mut self, mut attempt: Attempt, mut body: Incoming, mut connection: Connection) {
         loop {
@@ -154,6 +166,13 @@
                 silence.as_mut().reset(next_check);
             }
             for event in complete_events {
+                if !event.is_valid() {
+                    log::warn!(
+                        request:display = self.req.request, bytes = event.bytes.len();
+                        "an upstream's stream contains bytes that are no event"
+                    );
+                    return RelayEnd::Broken(UnknownCause::ForeignAnswer);
+                }
                 self.report_event();
                 self.last_id = event.id.or(self.last_id.take());
                 if self
@@ -214,7 +233,13 @@
                 sent = sending => sent,
             };
             let end = match sent {
-                SendOutcome::Open(open) => return Some((*attempt, open.body, open.connection)),
+                SendOutcome::Open(open) if media_type(&open.head) == self.media_type => {
+                    return Some((*attempt, open.body, open.connection));
+                }
+                SendOutcome::Open(_) => {
+                    let cause = UnknownCause::ForeignAnswer;
+                    AttemptEnd::Unknown { cause }
+                }
                 SendOutcome::Failed(answer) => AttemptEnd::Failure {
                     status: answer.status().as_u16(),
                 },
