Watch the caller while its stream waits to be resumed

A caller that left while its broken stream waited kept its place in the queue for up to 1.4 s: the relay waited for the dispatcher's next command alone. Nothing was sent for it, but a place, and at the end a retry, was taken from others. The relay now watches the caller too, and drops the upstream's connection before it aborts the answer to a caller that reads slowly.

Evidence: a_caller_that_left_while_its_stream_waits_keeps_no_place failed before (the log had no line for the caller's leaving) and passes now. The order of the drop has no test of its own.

--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -104,7 +104,11 @@
                     self.guard.mark_completed();
                     return;
                 }
-                RelayEnd::Stopped => return self.abort().await,
+                RelayEnd::Stopped => {
+                    // A caller that reads slowly may delay the abort.
+                    drop((body, connection));
+                    return self.abort().await;
+                }
                 RelayEnd::Broken(cause) => {
                     drop((body, connection));
                     let cause = match cause {
@@ -210,7 +214,12 @@
     /// Resumes the stream at another upstream if the dispatcher chooses one.
     async fn resume(&mut self) -> Option<(Attempt, Incoming, Connection)> {
         loop {
-            let attempt = match self.commands.recv().await {
+            let command = tokio::select! {
+                biased;
+                command = self.commands.recv() => command,
+                () = self.chunk_tx.closed() => return None,
+            };
+            let attempt = match command {
                 Some(Command::Send(attempt)) => attempt,
                 // The dispatcher sent this before it received the end of the
                 // attempt.
