Don't count an unframed stream without events as complete

A stream that has neither a length nor chunks ends with its connection. An upstream that ended before the first event left an answer that looked complete, and the caller's ended as complete too. Such an attempt now counts as broken off: it is resumed elsewhere, and the end of the upstream is evidence against the parts of its prompt.

Evidence: a_stream_that_ends_before_its_first_event_is_not_complete failed before and passes now; a chunked stream without events is still complete. A resumed stream that had nothing left and is unframed now ends incomplete.

--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::http::response;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -54,6 +54,8 @@
     last_event_at: Option<Instant>,
     /// Media type of the first answer. An answer of another type doesn't continue it.
     media_type: Option<CompactString>,
+    /// Whether the present answer ends with its connection.
+    is_unframed: bool,
 }
 
 /// Starts the relay of a stream and returns the answer to the caller.
@@ -71,7 +73,7 @@
         body,
         connection,
     } = open;
-    let media_type = media_type(&head);
+    let (media_type, is_unframed) = (media_type(&head), is_unframed(&head));
     strip_connection_headers(&mut head.headers);
     head.headers.remove(CONTENT_LENGTH);
     let stream_relay = StreamRelay {
@@ -83,6 +85,7 @@
         last_id: None,
         last_event_at: None,
         media_type,
+        is_unframed,
     };
     tokio::task::spawn_local(stream_relay.run(attempt, body, connection));
     Response::from_parts(head, ChannelBody(chunk_rx).boxed_unsync())
@@ -95,6 +98,12 @@
     Some(media_type.trim().to_ascii_lowercase().into())
 }
 
+/// Returns whether an answer has neither a length nor chunks.
+fn is_unframed(head: &response::Parts) -> bool {
+    let headers = &head.headers;
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 impl StreamRelay {
     async fn run(mut self, mut attempt: Attempt, mut body: Incoming, mut connection: Connection) {
         loop {
@@ -132,6 +141,7 @@
     /// ends.
     async fn relay_events(&mut self, body: &mut Incoming, repeatable: bool) -> RelayEnd {
         let mut events = EventSplitter::default();
+        let mut has_event = false;
         let silence = tokio::time::sleep(SILENCE_TIMEOUT);
         tokio::pin!(silence);
         loop {
@@ -152,7 +162,8 @@
                 }
             };
             let data = match frame {
-                None if events.has_partial_event() => {
+                // An upstream that ends before the first event leaves such an answer, too.
+                None if events.has_partial_event() || (self.is_unframed && !has_event) => {
                     return RelayEnd::Broken(UnknownCause::ConnectionLost);
                 }
                 None => return RelayEnd::Complete,
@@ -177,6 +188,7 @@
                     );
                     return RelayEnd::Broken(UnknownCause::ForeignAnswer);
                 }
+                has_event = true;
                 self.report_event();
                 self.last_id = event.id.or(self.last_id.take());
                 if self
@@ -243,6 +255,7 @@
             };
             let end = match sent {
                 SendOutcome::Open(open) if media_type(&open.head) == self.media_type => {
+                    self.is_unframed = is_unframed(&open.head);
                     return Some((*attempt, open.body, open.connection));
                 }
                 SendOutcome::Open(_) => {
