State when a verdict on a prompt part ends, and share the loop of callers' connections

The time that refused callers were told was counted from the newest end, but a verdict ends as soon as too few ends are left: up to the time between the ends earlier. Ends in reports have named fields.

The two servers of callers share run_until_closed instead of a loop each. No change of behaviour there.

--- a/crates/egretstage_caller_io/src/lib.rs
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -9,6 +9,7 @@
 //! Load pattern: callers send requests one after the other without waiting, and
 //! leave while the first one waits or runs.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -109,6 +110,29 @@
     }
 }
 
+/// Runs a server's connection until it ends; returns `None` if the caller closes it first.
+///
+/// Calls `shut_down` once when `stop` completes, and runs the connection on.
+pub async fn run_until_closed<C: Future>(
+    mut connection: Pin<&mut C>,
+    watch: &CallerWatch,
+    stop: impl Future<Output = ()>,
+    shut_down: impl FnOnce(Pin<&mut C>),
+) -> Option<C::Output> {
+    tokio::pin!(stop);
+    tokio::select! {
+        biased;
+        output = connection.as_mut() => return Some(output),
+        () = watch.closed() => return None,
+        () = stop.as_mut() => shut_down(connection.as_mut()),
+    }
+    tokio::select! {
+        biased;
+        output = connection => Some(output),
+        () = watch.closed() => None,
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/egretstage_dispatch/src/harmful_parts.rs
+++ b/crates/egretstage_dispatch/src/harmful_parts.rs
@@ -9,8 +9,8 @@
 //! the last part, which belongs to one request, and for parts that are cleared: some
 //! upstream has generated on them and went on. Ends that resets, cuts and planned stops
 //! cause don't count, and several ends at one moment may have a common cause. A part that
-//! stays suspect over [`MIN_ENDS`] ends at [`MIN_MOMENTS`] moments, or over [`MAX_ENDS`]
-//! ends, in [`MIN_PROMPTS`] prompts, is harmful for [`END_LIFETIME`].
+//! stays suspect over [`MIN_ENDS`] ends at [`MIN_MOMENTS`] moments, or over [`MIN_ENDS_AT_ONE_MOMENT`]
+//! ends at any, in [`MIN_PROMPTS`] prompts, is harmful for [`END_LIFETIME`].
 //!
 //! Each entry repeats all ends that it knows in its load reports. An end is identified by its
 //! upstream, so it counts once, whoever reports it and however often.
@@ -28,7 +28,7 @@
 pub const MIN_MOMENTS: usize = 2;
 
 /// Number of ends from which a part is harmful even if all occurred at one moment.
-pub const MAX_ENDS: usize = 5;
+pub const MIN_ENDS_AT_ONE_MOMENT: usize = 5;
 
 /// Minimum number of prompts in which the part was suspect: repeats of one request
 /// aren't evidence against the parts that it shares.
@@ -68,22 +68,26 @@
     }
 }
 
-/// Identifies a prompt by its last part, which no other prompt shares.
-type PromptTag = u32;
-
 fn high_half(bytes: &[u8]) -> u32 {
     u32::try_from(rapidhash::v3::rapidhash_v3(bytes) >> 32).unwrap_or(u32::MAX)
 }
 
-/// An end under a suspect part, as an entry reports it: the part, the upstream's end, the
-/// prompt and the age of the end in milliseconds.
+/// An end under a suspect part, as an entry reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectEnd(
-    pub PromptPart,
-    pub UpstreamEnd,
-    pub(crate) PromptTag,
-    pub(crate) u32,
-);
+pub struct SuspectEnd {
+    /// The part.
+    #[serde(rename = "p")]
+    pub part: PromptPart,
+    /// The upstream that ended.
+    #[serde(rename = "u")]
+    pub upstream: UpstreamEnd,
+    /// Hash of the prompt's last part, which no other prompt shares.
+    #[serde(rename = "l")]
+    pub prompt: u32,
+    /// Age of the end, in milliseconds.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+}
 
 /// What an entry reports of suspect parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -107,7 +111,8 @@
 #[derive(Clone, Copy, Debug)]
 struct End {
     upstream: UpstreamEnd,
-    prompt: PromptTag,
+    /// Hash of the prompt's last part.
+    prompt: u32,
     at: Instant,
 }
 
@@ -128,19 +133,16 @@
     }
 
     fn is_harmful(&self) -> bool {
-        let times = self.0.iter().map(|end| end.at);
-        let mut moments = 0;
-        let mut moment: Option<Instant> = None;
-        for at in times {
-            if moment.is_none_or(|start| at.saturating_duration_since(start) > MOMENT) {
-                moments += 1;
-                moment = Some(at);
-            }
-        }
-        let prompts: HashSet<PromptTag> = self.0.iter().map(|end| end.prompt).collect();
-        let ends = self.0.len();
-        let are_enough = ends >= MAX_ENDS || (ends >= MIN_ENDS && moments >= MIN_MOMENTS);
-        are_enough && prompts.len() >= MIN_PROMPTS
+        are_harmful(&self.0)
+    }
+
+    /// Returns until when the part is harmful: as its ends expire, too few are left at
+    /// some point.
+    fn harmful_until(&self) -> Option<Instant> {
+        let mut oldest_first = self.0.iter().enumerate();
+        let last_needed = oldest_first.find(|(index, _)| !are_harmful(&self.0[index + 1..]));
+        let (_, end) = last_needed.filter(|_| self.is_harmful())?;
+        Some(end.at + END_LIFETIME)
     }
 
     fn newest(&self) -> Option<Instant> {
@@ -148,6 +150,23 @@
     }
 }
 
+/// Returns whether these ends, the oldest first, are enough for a part to be harmful.
+fn are_harmful(ends: &[End]) -> bool {
+    let mut moments = 0;
+    let mut moment: Option<Instant> = None;
+    for End { at, .. } in ends {
+        if moment.is_none_or(|start| at.saturating_duration_since(start) > MOMENT) {
+            moments += 1;
+            moment = Some(*at);
+        }
+    }
+    let prompts: HashSet<u32> = ends.iter().map(|end| end.prompt).collect();
+    let count = ends.len();
+    let are_enough =
+        count >= MIN_ENDS_AT_ONE_MOMENT || (count >= MIN_ENDS && moments >= MIN_MOMENTS);
+    are_enough && prompts.len() >= MIN_PROMPTS
+}
+
 /// Returns the parts of a prompt that other prompts may share.
 fn shared_parts(parts: &PromptParts) -> &[PromptPart] {
     parts.split_last().map_or(&[], |(_, shared)| shared)
@@ -253,9 +272,10 @@
         }
         let suspects = shared_parts(parts).iter();
         let suspects = suspects.filter_map(|part| self.suspects.get(part));
-        let harmful = suspects.filter(|suspect| suspect.is_harmful());
-        let newest = harmful.filter_map(Suspect::newest).max()?;
-        Some((newest + END_LIFETIME).saturating_duration_since(now))
+        let until = suspects.filter_map(Suspect::harmful_until).max()?;
+        until
+            .checked_duration_since(now)
+            .filter(|time| !time.is_zero())
     }
 
     /// Applies another entry's report; returns the parts that have become harmful.
@@ -268,7 +288,13 @@
             self.clear_part(*part);
         }
         let mut harmful = SmallVec::new();
-        for SuspectEnd(part, upstream, prompt, age_ms) in &report.ends {
+        for SuspectEnd {
+            part,
+            upstream,
+            prompt,
+            age_ms,
+        } in &report.ends
+        {
             if self.cleared.contains(part) {
                 self.contest(now, *part);
                 continue;
@@ -317,7 +343,12 @@
             suspect.0.iter().map(|end| {
                 let age = now.saturating_duration_since(end.at).as_millis();
                 let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-                SuspectEnd(*part, end.upstream, end.prompt, age_ms)
+                SuspectEnd {
+                    part: *part,
+                    upstream: end.upstream,
+                    prompt: end.prompt,
+                    age_ms,
+                }
             })
         });
         let report = SuspectReport {
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -7,7 +7,6 @@
     AttemptEnd, CallHead, CallKey, DecisionLine, DispatchEffect, NotRunCause, Refusal, RefusalKind,
     UnknownCause,
 };
-use compact_str::format_compact;
 use egretstage_wire::RequestId;
 use std::time::{Duration, Instant};
 
@@ -56,7 +55,8 @@
             attempts: Some(call.attempts),
             prompt_parts: is_upstream_ended(end).then(|| {
                 let parts = call.head.prompt_parts.iter();
-                parts.map(|part| format_compact!("{part} ")).collect()
+                let parts: Vec<String> = parts.map(ToString::to_string).collect();
+                parts.join(" ").into()
             }),
             ..DecisionLine::default()
         })));
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -6,12 +6,13 @@
     AnswerPart, CallKey, CallRequest, EntryEvent, InvalidRequest, RawRequest, Refusal, RefusalKind,
     RequestLimits,
 };
-use egretstage_caller_io::watch_caller;
+use egretstage_caller_io::{run_until_closed, watch_caller};
 use egretstage_runtime::EventSender;
 use egretstage_wire::{Incarnation, RequestId};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::server::conn::http1::Connection;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -199,25 +200,12 @@
             .max_headers(MAX_HEADERS)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let closed = watch.closed();
-        tokio::pin!(closed);
-        let mut is_stopping = false;
-        let ended = loop {
-            tokio::select! {
-                biased;
-                ended = connection.as_mut() => break ended,
-                () = closed.as_mut() => {
-                    log::debug!("a caller has closed its connection");
-                    return;
-                }
-                () = stop_requested(&mut stop), if !is_stopping => {
-                    connection.as_mut().graceful_shutdown();
-                    is_stopping = true;
-                }
-            }
-        };
-        if let Err(e) = ended {
-            log::debug!("a caller's connection failed: {e}");
+        let stop = stop_requested(&mut stop);
+        let run = run_until_closed(connection, &watch, stop, Connection::graceful_shutdown);
+        match run.await {
+            Some(Ok(())) => {}
+            Some(Err(e)) => log::debug!("a caller's connection failed: {e}"),
+            None => log::debug!("a caller has closed its connection"),
         }
     }
 
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -1,7 +1,8 @@
 //! The callers' HTTP server.
 
 use crate::exchange::Gateway;
-use egretstage_caller_io::watch_caller;
+use egretstage_caller_io::{run_until_closed, watch_caller};
+use hyper::server::conn::http1::Connection;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
@@ -71,24 +72,15 @@
         .max_buf_size(max_header_bytes.max(DEFAULT_MAX_HEADER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let closed = watch.closed();
-    tokio::pin!(closed);
-    let mut is_closing = false;
-    let ended = loop {
-        tokio::select! {
-            biased;
-            ended = connection.as_mut() => break ended,
-            () = closed.as_mut() => {
-                log::debug!("a caller has closed its connection");
-                return;
-            }
-            _ = closing.wait_for(|closing| *closing), if !is_closing => {
-                connection.as_mut().graceful_shutdown();
-                is_closing = true;
-            }
-        }
+    let stop = async {
+        // An error means that the process ends.
+        drop(closing.wait_for(|closing| *closing).await);
     };
-    if let Err(e) = ended {
-        log::debug!(error:display = e; "a caller's connection ended with an error");
+    match run_until_closed(connection, &watch, stop, Connection::graceful_shutdown).await {
+        Some(Ok(())) => {}
+        Some(Err(e)) => {
+            log::debug!(error:display = e; "a caller's connection ended with an error");
+        }
+        None => log::debug!("a caller has closed its connection"),
     }
 }
