--- a/crates/egretstage_dispatch/src/reducer/group_status.rs
+++ b/crates/egretstage_dispatch/src/reducer/group_status.rs
@@ -15,11 +15,11 @@
 #[derive(Clone, Copy, Debug, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 enum GroupStatusReason {
-    /// A rank's record says that the group takes no calls: the circuit opens.
+    /// A rank's record states that the group takes no calls: the circuit opens.
     Broken,
     /// Its ranks refused calls: the circuit opens.
     Refuses,
-    /// A rank's record says that the group has re-formed: the circuit closes.
+    /// A rank's record states that the group has re-formed: the circuit closes.
     Formed,
     /// One of its ranks answers a call: the circuit closes.
     Answers,
@@ -41,7 +41,7 @@
 }
 
 impl Dispatcher {
-    /// Returns whether a rank's record says that its group takes calls; `None`
+    /// Returns whether a rank's record states that its group takes calls; `None`
     /// if the upstream is unknown or has no group.
     pub(super) fn record_accepts_calls(&self, instance: &InstanceId) -> Option<bool> {
         let membership = self.upstreams.find(instance)?.listed.membership.as_ref()?;
