--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -62,6 +62,9 @@
     /// Delay after which the caller may retry, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// Calls per second that the upstream takes from all entries together.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit_per_s: Option<f64>,
     /// Version of the configuration that the decision used.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub configuration: Option<u64>,
--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -1,7 +1,8 @@
 //! Events and effects of a dispatcher.
 
 use crate::{
-    CallHead, CallKey, DecisionLine, ListedUpstream, LoadReport, RoutingTable, UpstreamKey,
+    CallHead, CallKey, CallRate, DecisionLine, ListedUpstream, LoadReport, RoutingTable,
+    UpstreamKey,
 };
 use egretstage_wire::{InstanceId, OrganisationName, SlowRanks};
 use std::net::SocketAddr;
@@ -78,6 +79,9 @@
     Leaving,
     /// It asks this entry for no calls for a time.
     BackOff(Duration),
+    /// It takes no more calls than this from all entries together; `None` if it names no
+    /// limit.
+    Limit(Option<CallRate>),
 }
 
 /// End of an attempt that gave no answer to pass on.
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod admission;
 pub mod attempts;
 mod call;
+mod call_rate;
 pub mod circuit_breaker;
 mod decision_line;
 mod event;
@@ -47,6 +48,7 @@
 
 pub use admission::StreamLimits;
 pub use call::{CallHead, CallKey, Prompt, PromptPart, PromptParts};
+pub use call_rate::{CallRate, InvalidCallRate};
 pub use decision_line::DecisionLine;
 pub use event::{
     Attempt, AttemptEnd, DispatchEffect, DispatchEvent, NotRunCause, Refusal, RefusalKind,
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -9,9 +9,9 @@
 use crate::slow_ranks::SlowRanksReports;
 use crate::waiting::RouteBudgets;
 use crate::{
-    CallKey, DecisionLine, DispatchEffect, DispatchEvent, GroupTag, HarmfulParts, ListedUpstream,
-    LoadReport, PeerLoads, RoutingTable, UpstreamKey, UpstreamLoad, UpstreamSignal, UpstreamState,
-    UpstreamTag, Upstreams,
+    CallKey, CallRate, DecisionLine, DispatchEffect, DispatchEvent, GroupTag, HarmfulParts,
+    ListedUpstream, LoadReport, PeerLoads, RoutingTable, UpstreamKey, UpstreamLoad, UpstreamSignal,
+    UpstreamState, UpstreamTag, Upstreams,
 };
 use calls::Call;
 use compact_str::CompactString;
@@ -229,6 +229,20 @@
                 upstream.signals.record_back_off(now, time);
                 fx.push(upstream_line(instance, "says-busy"));
             }
+            UpstreamSignal::Limit(limit) if upstream.signals.set_limit(limit) => {
+                fx.push(DispatchEffect::Log(Box::new(DecisionLine {
+                    verb: "upstream",
+                    upstream: Some(instance),
+                    reason: Some(if limit.is_some() {
+                        "says-limited"
+                    } else {
+                        "says-unlimited"
+                    }),
+                    limit_per_s: limit.map(CallRate::per_second),
+                    ..DecisionLine::default()
+                })));
+            }
+            UpstreamSignal::Limit(_) => {}
         }
     }
 
--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a call to an upstream once.
 
-use crate::dialect::{AnswerHead, ForwardHead, HttpDialect};
+use crate::dialect::{AnswerHead, ForwardHead, HttpDialect, NamedLimit};
 use crate::exchange::Gateway;
 use crate::upstream_pool::{Connection, UpstreamPool};
 use compact_str::CompactString;
@@ -130,7 +130,7 @@
 ) -> SendOutcome {
     let parsed = gateway.dialect.parse_answer_head(&answer.head);
     let status = answer.head.status;
-    report_upstream_signals(gateway, attempt, &parsed);
+    report_upstream_signals(gateway, req, attempt, &parsed);
     if parsed.request.as_ref().is_some_and(|id| *id != req.request) {
         return foreign_answer();
     }
@@ -171,14 +171,27 @@
 /// Reports to the dispatcher what the upstream states about itself.
 ///
 /// An answer from another upstream at the same address is ignored.
-fn report_upstream_signals(gateway: &Gateway, attempt: &Attempt, parsed: &AnswerHead) {
+fn report_upstream_signals(
+    gateway: &Gateway,
+    req: &BufferedRequest,
+    attempt: &Attempt,
+    parsed: &AnswerHead,
+) {
     if parsed.not_run == Some(NotRunCause::OtherUpstream) {
         return;
     }
+    // Only an answer to the request shows that the upstream names no limit any more: a copy
+    // of an earlier answer may be older than the limit.
+    let is_own_answer = parsed.request.as_ref() == Some(&req.request);
     let leaving = parsed.leaving.then_some(UpstreamSignal::Leaving);
     let back_off = parsed.back_off.map(UpstreamSignal::BackOff);
+    let limit = match parsed.limit {
+        NamedLimit::Rate(rate) => Some(UpstreamSignal::Limit(Some(rate))),
+        NamedLimit::None if is_own_answer => Some(UpstreamSignal::Limit(None)),
+        NamedLimit::None | NamedLimit::Invalid => None,
+    };
     let upstream = attempt.upstream;
-    for signal in leaving.into_iter().chain(back_off) {
+    for signal in leaving.into_iter().chain(back_off).chain(limit) {
         let event = DispatchEvent::SignalReceived { upstream, signal };
         gateway.driver.handle_event(event);
     }
--- a/crates/egretstage_gateway/src/dialect.rs
+++ b/crates/egretstage_gateway/src/dialect.rs
@@ -2,7 +2,7 @@
 //! store records, and the store.
 
 use compact_str::CompactString;
-use egretstage_dispatch::{CallHead, ListedUpstream, NotRunCause, RoutingTable};
+use egretstage_dispatch::{CallHead, CallRate, ListedUpstream, NotRunCause, RoutingTable};
 use egretstage_platform::KeyedStore;
 use egretstage_wire::{InstanceId, OrganisationName, RequestId};
 use hyper::HeaderMap;
@@ -50,6 +50,20 @@
     pub leaving: bool,
     /// Time for which the upstream asks this entry to send no calls.
     pub back_off: Option<Duration>,
+    /// Limit that the upstream names for the calls of all entries together.
+    pub limit: NamedLimit,
+}
+
+/// Limit on the calls of all entries together, as an answer names it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum NamedLimit {
+    /// The answer names none.
+    #[default]
+    None,
+    /// The answer names this rate.
+    Rate(CallRate),
+    /// What the answer names is no rate.
+    Invalid,
 }
 
 /// Translates the heads of HTTP messages.
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -29,7 +29,8 @@
 
 pub use announcement::decode_entry_address;
 pub use dialect::{
-    AnswerHead, CallError, DecodeError, ForwardHead, HttpDialect, Platform, RecordDecoder,
+    AnswerHead, CallError, DecodeError, ForwardHead, HttpDialect, NamedLimit, Platform,
+    RecordDecoder,
 };
 pub use events::{EventSplitter, StreamEvent};
 pub use settings::GatewaySettings;
