Give the tag of an upstream's start a type of its own

Limits of upstreams need the tag that identified ends so far. UpstreamEnd becomes UpstreamStart, beside the other tags; the bytes of load reports stay as they were.

--- a/crates/egretstage_dispatch/src/harmful_parts.rs
+++ b/crates/egretstage_dispatch/src/harmful_parts.rs
@@ -15,7 +15,8 @@
 //! Each entry repeats all ends that it knows in its load reports. An end is identified by its
 //! upstream, so it counts once, whoever reports it and however often.
 
-use crate::{ListedUpstream, PromptPart, PromptParts};
+use crate::peers::hash32;
+use crate::{PromptPart, PromptParts, UpstreamStart};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -55,23 +56,6 @@
 /// Time between two reports of the same ends.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Identifies an end: a hash of the upstream's name and start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct UpstreamEnd(u32);
-
-impl From<&ListedUpstream> for UpstreamEnd {
-    fn from(upstream: &ListedUpstream) -> Self {
-        let mut bytes = upstream.instance.as_str().as_bytes().to_vec();
-        bytes.extend(upstream.started_ms.unwrap_or(0).to_be_bytes());
-        Self(high_half(&bytes))
-    }
-}
-
-fn high_half(bytes: &[u8]) -> u32 {
-    u32::try_from(rapidhash::v3::rapidhash_v3(bytes) >> 32).unwrap_or(u32::MAX)
-}
-
 /// An end under a suspect part, as an entry reports it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectEnd {
@@ -80,7 +64,7 @@
     pub part: PromptPart,
     /// The upstream that ended.
     #[serde(rename = "u")]
-    pub upstream: UpstreamEnd,
+    pub upstream: UpstreamStart,
     /// Hash of the prompt's last part, which no other prompt shares.
     #[serde(rename = "l")]
     pub prompt: u32,
@@ -110,7 +94,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct End {
-    upstream: UpstreamEnd,
+    upstream: UpstreamStart,
     /// Hash of the prompt's last part.
     prompt: u32,
     at: Instant,
@@ -191,11 +175,11 @@
     pub fn record_end(
         &mut self,
         now: Instant,
-        upstream: UpstreamEnd,
+        upstream: UpstreamStart,
         parts: &PromptParts,
     ) -> SmallVec<[PromptPart; 1]> {
         let own = parts.last().map_or(0, |part| part.0);
-        let prompt = high_half(&own.to_be_bytes());
+        let prompt = hash32(&own.to_be_bytes());
         let end = End {
             upstream,
             prompt,
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -58,7 +58,7 @@
 pub use harmful_parts::{HarmfulParts, SuspectReport};
 pub use peers::{
     ChangedUpstreams, GroupCost, GroupTag, LoadReport, PeerLoads, PeerSum, UpstreamLoad,
-    UpstreamLoads, UpstreamTag,
+    UpstreamLoads, UpstreamStart, UpstreamTag,
 };
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
--- a/crates/egretstage_dispatch/src/peers.rs
+++ b/crates/egretstage_dispatch/src/peers.rs
@@ -4,7 +4,7 @@
 //! counts of the others, all would fill the same upstream, and the bound of a
 //! group would apply to each entry separately.
 
-use crate::SuspectReport;
+use crate::{ListedUpstream, SuspectReport};
 use egretstage_wire::InstanceId;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -21,11 +21,29 @@
 
 impl From<&InstanceId> for UpstreamTag {
     fn from(instance: &InstanceId) -> Self {
-        let hash = rapidhash::v3::rapidhash_v3(instance.as_str().as_bytes());
-        Self(u32::try_from(hash >> 32).unwrap_or(u32::MAX))
+        Self(hash32(instance.as_str().as_bytes()))
     }
 }
 
+/// Identifies one start of an upstream in load reports: a hash of its name and the time of
+/// its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct UpstreamStart(u32);
+
+impl From<&ListedUpstream> for UpstreamStart {
+    fn from(upstream: &ListedUpstream) -> Self {
+        let mut bytes = upstream.instance.as_str().as_bytes().to_vec();
+        bytes.extend(upstream.started_ms.unwrap_or(0).to_be_bytes());
+        Self(hash32(&bytes))
+    }
+}
+
+/// Returns the upper half of a hash, which fits into the rows of reports.
+pub(crate) fn hash32(bytes: &[u8]) -> u32 {
+    u32::try_from(rapidhash::v3::rapidhash_v3(bytes) >> 32).unwrap_or(u32::MAX)
+}
+
 /// An entry's calls at one upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UpstreamLoad {
@@ -102,8 +120,7 @@
 
 impl From<&str> for GroupTag {
     fn from(group: &str) -> Self {
-        let hash = rapidhash::v3::rapidhash_v3(group.as_bytes());
-        Self(u32::try_from(hash >> 32).unwrap_or(u32::MAX))
+        Self(hash32(group.as_bytes()))
     }
 }
 
--- a/crates/egretstage_dispatch/src/reducer/harmful.rs
+++ b/crates/egretstage_dispatch/src/reducer/harmful.rs
@@ -1,9 +1,9 @@
 //! Refuses calls whose prompts have a harmful part.
 
 use super::Dispatcher;
-use crate::harmful_parts::UpstreamEnd;
 use crate::{
-    CallKey, DecisionLine, DispatchEffect, PromptPart, RefusalKind, UpstreamKey, UpstreamState,
+    CallKey, DecisionLine, DispatchEffect, PromptPart, RefusalKind, UpstreamKey, UpstreamStart,
+    UpstreamState,
 };
 use compact_str::ToCompactString;
 use smallvec::SmallVec;
@@ -27,7 +27,7 @@
         if is_leaving {
             return;
         }
-        let end = UpstreamEnd::from(&upstream.listed);
+        let end = UpstreamStart::from(&upstream.listed);
         let parts = call.prompt_parts();
         let harmful = self.harmful_parts.record_end(now, end, parts);
         self.refuse_harmful(now, &harmful, fx);
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -1,10 +1,9 @@
 //! Load reports of other entries, and the sums of the reported calls.
 
 use crate::support::Harness;
-use egretstage_dispatch::harmful_parts::UpstreamEnd;
 use egretstage_dispatch::{
     DispatchEffect, DispatchEvent, HarmfulParts, LoadReport, PeerLoads, PromptPart, SuspectReport,
-    UpstreamLoad, UpstreamTag,
+    UpstreamLoad, UpstreamStart, UpstreamTag,
 };
 use egretstage_wire::InstanceId;
 use rand::{Rng, SeedableRng};
@@ -157,7 +156,7 @@
     let mut parts = HarmfulParts::default();
     let now = Instant::now();
     let prompt = ["shared", "own"].map(PromptPart::from);
-    let end = UpstreamEnd::from(&crate::support::upstream("i-1", "drafting", None));
+    let end = UpstreamStart::from(&crate::support::upstream("i-1", "drafting", None));
     parts.record_end(now, end, &prompt.into_iter().collect());
     report.suspects = parts.take_report(now);
     assert!(!report.suspects.is_empty());
