Keep the limits that upstreams name, over all entries together

Callers saw nothing of it; an upstream in need got twice the calls that it had said it takes (LIMIT), since no entry read the limit. The class: a bound over all entries that each would keep alone, from its own answers.

One entry, which a hash ranks first for the upstream, hands out the starts by demand, in its load reports; without a grant, nothing is sent there. Grants expire, so starts don't accumulate with the number of entries; a partition splits the rate by the number of entries, and an entry that has just started hands out none. A rank without starts counts in its group's bound with the calls that it runs. Where all upstreams are limited, what can't start in time is refused at once.

Before, with the mechanism off, 4 of the tests of limits failed: 33 calls in four seconds where 17 are allowed, 32 of 20 with cuts and lost reports, 23 of 11 with 34 entries. The tests of the share of a partition and of the delay after a start failed with these off. With equal shares instead, 32 of 60 starts were used, and two tests failed.

--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 //! | when a refused caller returns | [`retry_slots`] |
 //! | whether a failed call is sent again | [`attempts`] |
 //! | which prompt parts end upstreams, so that no call with them is sent | [`harmful_parts`] |
+//! | which entry starts a call at an upstream that limits them | [`start_limits`] |
 //! | whether an upstream has signalled that it takes no calls | `signals` |
 //! | whether a model group has stalled, or a single stream of it | `group_activity` |
 
@@ -43,6 +44,7 @@
 mod signals;
 pub mod slow_passes;
 mod slow_ranks;
+pub mod start_limits;
 mod upstream;
 pub mod waiting;
 
@@ -66,6 +68,7 @@
     RoutingTableError, ServiceProfile, WeightedService,
 };
 pub use signals::UpstreamSignals;
+pub use start_limits::{LimitReport, StartLimits};
 pub use upstream::{GroupMembership, ListedUpstream, UpstreamKey, UpstreamState, Upstreams};
 
 /// The items that most users of this crate need.
--- a/crates/egretstage_dispatch/src/peers.rs
+++ b/crates/egretstage_dispatch/src/peers.rs
@@ -4,7 +4,7 @@
 //! counts of the others, all would fill the same upstream, and the bound of a
 //! group would apply to each entry separately.
 
-use crate::{ListedUpstream, SuspectReport};
+use crate::{LimitReport, ListedUpstream, SuspectReport};
 use egretstage_wire::InstanceId;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -13,7 +13,7 @@
 
 /// Age at which an entry's report no longer counts: several reports were lost,
 /// or the entry has failed and its callers have left.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+pub(crate) const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
 /// Identifies an upstream in load reports: a four-byte hash of its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -31,6 +31,13 @@
 #[serde(transparent)]
 pub struct UpstreamStart(u32);
 
+impl UpstreamStart {
+    /// Returns the bytes of the tag.
+    pub(crate) fn to_bytes(self) -> [u8; 4] {
+        self.0.to_be_bytes()
+    }
+}
+
 impl From<&ListedUpstream> for UpstreamStart {
     fn from(upstream: &ListedUpstream) -> Self {
         let mut bytes = upstream.instance.as_str().as_bytes().to_vec();
@@ -111,6 +118,10 @@
     /// neither send nor read it.
     #[serde(rename = "p", default, skip_serializing_if = "SuspectReport::is_empty")]
     pub suspects: SuspectReport,
+    /// Limits of upstreams, and starts at them. Entries of older releases neither send nor
+    /// read it.
+    #[serde(rename = "t", default, skip_serializing_if = "LimitReport::is_empty")]
+    pub limits: LimitReport,
 }
 
 /// Identifies a model group in load reports: a hash of its name.
@@ -172,10 +183,7 @@
     ///
     /// A report that isn't newer than the stored one is ignored.
     pub fn apply_report(&mut self, now: Instant, report: LoadReport) -> ChangedUpstreams {
-        let outdated = self.reports.get(&report.entry).is_some_and(|last| {
-            last.report.incarnation == report.incarnation && last.report.number >= report.number
-        });
-        if outdated {
+        if self.is_outdated(&report) {
             return ChangedUpstreams::new();
         }
         let entry = report.entry.clone();
@@ -192,6 +200,14 @@
         self.replace_loads(&previous, &loads)
     }
 
+    /// Returns whether a report isn't newer than the stored one of its entry.
+    #[must_use]
+    pub fn is_outdated(&self, report: &LoadReport) -> bool {
+        self.reports.get(&report.entry).is_some_and(|last| {
+            last.report.incarnation == report.incarnation && last.report.number >= report.number
+        })
+    }
+
     /// Removes expired reports; returns the upstreams whose calls have changed.
     pub fn remove_expired(&mut self, now: Instant) -> ChangedUpstreams {
         let is_expired = |last: &ReceivedReport| {
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -3,20 +3,22 @@
 mod calls;
 mod group_status;
 mod harmful;
+mod limits;
 mod service;
 mod stop;
 
 use crate::slow_ranks::SlowRanksReports;
 use crate::waiting::RouteBudgets;
 use crate::{
-    CallKey, CallRate, DecisionLine, DispatchEffect, DispatchEvent, GroupTag, HarmfulParts,
-    ListedUpstream, LoadReport, PeerLoads, RoutingTable, UpstreamKey, UpstreamLoad, UpstreamSignal,
+    CallKey, DecisionLine, DispatchEffect, DispatchEvent, GroupTag, HarmfulParts, ListedUpstream,
+    LoadReport, PeerLoads, RoutingTable, StartLimits, UpstreamKey, UpstreamLoad, UpstreamSignal,
     UpstreamState, UpstreamTag, Upstreams,
 };
 use calls::Call;
 use compact_str::CompactString;
 use egretstage_runtime::Reducer;
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
+use limits::limit_line;
 use service::ServiceState;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -90,6 +92,7 @@
     peers: PeerLoads,
     slow_ranks: SlowRanksReports,
     harmful_parts: HarmfulParts,
+    start_limits: StartLimits,
     calls: HashMap<CallKey, Call>,
     services: HashMap<ServiceName, ServiceState>,
     /// Time budgets of the callers, by route.
@@ -119,6 +122,7 @@
         limits: DispatchLimits,
     ) -> Self {
         Self {
+            start_limits: StartLimits::new(now, entry.clone(), incarnation),
             entry,
             zone,
             incarnation,
@@ -229,20 +233,18 @@
                 upstream.signals.record_back_off(now, time);
                 fx.push(upstream_line(instance, "says-busy"));
             }
-            UpstreamSignal::Limit(limit) if upstream.signals.set_limit(limit) => {
-                fx.push(DispatchEffect::Log(Box::new(DecisionLine {
-                    verb: "upstream",
-                    upstream: Some(instance),
-                    reason: Some(if limit.is_some() {
+            UpstreamSignal::Limit(limit) => {
+                let start = upstream.start();
+                if self.start_limits.record_answer(now, start, limit) {
+                    self.load_changed = true;
+                    let reason = if limit.is_some() {
                         "says-limited"
                     } else {
                         "says-unlimited"
-                    }),
-                    limit_per_s: limit.map(CallRate::per_second),
-                    ..DecisionLine::default()
-                })));
+                    };
+                    fx.push(limit_line(instance, reason, limit));
+                }
             }
-            UpstreamSignal::Limit(_) => {}
         }
     }
 
@@ -253,6 +255,9 @@
         fx: &mut Vec<DispatchEffect>,
     ) {
         if report.entry != self.entry {
+            if !self.peers.is_outdated(&report) {
+                self.apply_reported_limits(now, &report, fx);
+            }
             let harmful = self.harmful_parts.apply_report(now, &report.suspects);
             self.refuse_harmful(now, &harmful, fx);
             let changed = self.peers.apply_report(now, report);
@@ -339,6 +344,7 @@
                 .flat_map(|s| s.groups.recent_costs(now))
                 .collect(),
             suspects: self.harmful_parts.take_report(now),
+            limits: self.start_limits.report(now, self.report_count),
         })));
     }
 
@@ -356,6 +362,7 @@
             self.update_peer_calls(&changed);
             self.update_peer_costs(now);
             self.check_stalled_groups(now, fx);
+            self.hand_out_starts(now);
             self.move_streams_off_slow_ranks(now, fx);
             self.check_waiting_calls(now, fx);
         }
@@ -416,7 +423,8 @@
         let has_waiting = self.services.values().any(|s| !s.waiting.is_empty());
         let expiry = self.expiries.first().map(|(at, _)| *at);
         let has_streams = self.calls.values().any(|call| call.last_event().is_some());
-        let check = (has_waiting || has_streams).then_some(self.next_check);
+        let has_limits = !self.start_limits.is_empty();
+        let check = (has_waiting || has_streams || has_limits).then_some(self.next_check);
         let report = self.load_changed.then_some(self.next_report);
         let stop = self.stopping.as_ref().map(|_| self.next_check);
         [expiry, check, report, stop, Some(self.next_idle_report)]
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -80,6 +80,14 @@
         &self.service
     }
 
+    pub(super) fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    pub(super) fn class(&self) -> QueueClass {
+        self.class
+    }
+
     pub(super) fn prompt_parts(&self) -> &PromptParts {
         &self.head.prompt_parts
     }
@@ -141,6 +149,7 @@
         };
         let call = self.new_call(now, key, head, admission);
         let service = call.service.clone();
+        self.service(&service).arrivals.record(now);
         let refusal_kind = self.early_refusal(now, &call);
         self.expiries.insert((call.expires, key));
         self.calls.insert(key, call);
@@ -251,6 +260,12 @@
             return Some(RefusalKind::TooSlow);
         }
         let max_wait = self.max_wait(call);
+        if self
+            .wait_for_limited_start(now, call)
+            .is_some_and(|wait| wait > max_wait)
+        {
+            return Some(RefusalKind::NoRoom);
+        }
         let (priority, class) = (call.priority, call.class);
         let service = self.service(&call.service);
         let ahead = service.waiting.ahead_of(priority, class);
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -232,9 +232,15 @@
         let max_delay = remaining.mul_f32(MAX_RETRY_DELAY_SHARE);
         match kind {
             RefusalKind::NoRoom | RefusalKind::ExpiredNotRun => {
+                let limited_wait = self.wait_for_limited_start(now, call);
+                let limited_interval = self.limited_start_interval(now, &call.service);
                 let service = self.service(&call.service);
-                let interval = service.start_rate.time_for(now, 1);
-                Some(service.retry_slots.assign(now, interval, max_delay))
+                let interval = limited_interval.or_else(|| service.start_rate.time_for(now, 1));
+                // The actual delay, even if it is longer than callers accept.
+                let earliest = limited_wait.unwrap_or_default();
+                let max_delay = max_delay.max(earliest);
+                let slots = &mut service.retry_slots;
+                Some(slots.assign(now, interval, earliest, max_delay))
             }
             RefusalKind::NoUpstream if self.back_off_until(now, &call.service).is_some() => {
                 // The actual delay, even if it is longer than callers accept.
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -69,10 +69,14 @@
         now: Instant,
         service: &ServiceName,
     ) -> SmallVec<[GroupLoad; 4]> {
-        match self.services.get(service) {
-            Some(state) => state.groups.loads(now, &self.upstreams, service),
-            None => SmallVec::new(),
+        let Some(state) = self.services.get(service) else {
+            return SmallVec::new();
+        };
+        let mut loads = state.groups.loads(now, &self.upstreams, service);
+        for load in &mut loads {
+            self.apply_limits(now, service, load);
         }
+        loads
     }
 
     /// Returns the number of calls that a service runs and that it may run, over
@@ -113,7 +117,7 @@
                 &call.tried,
                 |upstream| {
                     let max_calls = upstream.listed.slots + max_queue;
-                    if upstream.group() == load.group {
+                    if upstream.group() == load.group && self.may_start_at(now, upstream) {
                         max_calls
                     } else {
                         0
@@ -149,6 +153,7 @@
             return;
         };
         target.own_calls += 1;
+        let start = target.start();
         self.load_changed = true;
         call.phase = Phase::Running {
             upstream,
@@ -190,6 +195,7 @@
             state.retry_budget.record_request();
         }
         state.groups.record_sent(now, &group);
+        self.take_start(now, start);
         fx.push(DispatchEffect::Log(Box::new(line)));
         fx.push(DispatchEffect::Send { call: key, attempt });
     }
--- a/crates/egretstage_dispatch/src/reducer/service.rs
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -7,7 +7,7 @@
 use crate::waiting::{StartRate, WaitingCalls};
 use crate::{FirstByteLatency, ServiceProfile};
 use egretstage_routing::{RetryBudget, RetryLimits};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time over which the starts of waiting calls are counted.
 const START_WINDOW: Duration = Duration::from_secs(2);
@@ -18,12 +18,51 @@
     max_stream: Duration::from_secs(8),
 };
 
+/// Time constant with which arrivals stop counting as recent.
+const ARRIVAL_TIME_CONSTANT: Duration = Duration::from_secs(2);
+
+/// Number of calls that arrived recently.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RecentArrivals {
+    count: f32,
+    updated_at: Option<Instant>,
+}
+
+impl RecentArrivals {
+    fn decay(&mut self, now: Instant) {
+        let elapsed = self
+            .updated_at
+            .replace(now)
+            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let constants = elapsed.as_secs_f32() / ARRIVAL_TIME_CONSTANT.as_secs_f32();
+        self.count *= (-constants).exp();
+    }
+
+    /// Records an arrival.
+    pub(super) fn record(&mut self, now: Instant) {
+        self.decay(now);
+        self.count += 1.0;
+    }
+
+    /// Returns the number of recent arrivals, rounded to the nearest whole one.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the conversion saturates"
+    )]
+    pub(super) fn recent(&mut self, now: Instant) -> u32 {
+        self.decay(now);
+        self.count.round() as u32
+    }
+}
+
 /// State of a service at this entry.
 #[derive(Clone, Debug)]
 pub(super) struct ServiceState {
     pub(super) waiting: WaitingCalls,
     pub(super) first_byte_latency: FirstByteLatency,
     pub(super) start_rate: StartRate,
+    pub(super) arrivals: RecentArrivals,
     pub(super) retry_slots: RetrySlots,
     pub(super) retry_budget: RetryBudget,
     /// Its model groups, each with a bound on its streams.
@@ -36,6 +75,7 @@
             waiting: WaitingCalls::default(),
             first_byte_latency: FirstByteLatency::default(),
             start_rate: StartRate::new(START_WINDOW),
+            arrivals: RecentArrivals::default(),
             retry_slots: RetrySlots::new(RetrySlotLimits::default()),
             retry_budget: RetryBudget::new(RetryLimits {
                 retries_per_thousand: limits.retries_per_thousand,
--- a/crates/egretstage_dispatch/src/reducer/stop.rs
+++ b/crates/egretstage_dispatch/src/reducer/stop.rs
@@ -24,6 +24,7 @@
             connections_closed: false,
             completed: false,
         });
+        self.start_limits.set_stopping();
         fx.push(DispatchEffect::Log(Box::new(DecisionLine {
             verb: "stop",
             waiting: Some(self.calls.len()),
--- a/crates/egretstage_dispatch/src/retry_slots.rs
+++ b/crates/egretstage_dispatch/src/retry_slots.rs
@@ -42,14 +42,16 @@
     /// Assigns the next slot and returns the delay until then, at most
     /// `max_delay`.
     ///
-    /// `interval` is the time between two starts of waiting calls.
+    /// `interval` is the time between two starts of waiting calls, and `earliest` the time
+    /// until the first one that no waiting call takes.
     pub fn assign(
         &mut self,
         now: Instant,
         interval: Option<Duration>,
+        earliest: Duration,
         max_delay: Duration,
     ) -> Duration {
-        let earliest = now + self.limits.min_delay;
+        let earliest = now + self.limits.min_delay.max(earliest);
         let at = self.next.map_or(earliest, |next| next.max(earliest));
         let delay = at.saturating_duration_since(now);
         if delay > max_delay {
--- a/crates/egretstage_dispatch/src/signals.rs
+++ b/crates/egretstage_dispatch/src/signals.rs
@@ -6,7 +6,7 @@
 //! Signals belong to one start of an upstream: another start under the same name
 //! or address has sent none.
 
-use crate::{CallRate, ListedUpstream};
+use crate::ListedUpstream;
 use egretstage_wire::InstanceId;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -24,16 +24,9 @@
 pub struct UpstreamSignals {
     leaving: bool,
     back_off_until: Option<Instant>,
-    limit: Option<CallRate>,
 }
 
 impl UpstreamSignals {
-    /// Sets the rate of calls to which the upstream limits all entries together; returns
-    /// whether it has changed.
-    pub fn set_limit(&mut self, limit: Option<CallRate>) -> bool {
-        std::mem::replace(&mut self.limit, limit) != limit
-    }
-
     /// Records that the upstream is leaving; returns whether that is new.
     pub fn set_leaving(&mut self) -> bool {
         !std::mem::replace(&mut self.leaving, true)
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -1,7 +1,7 @@
 //! The upstreams that an entry may call.
 
-use crate::UpstreamTag;
 use crate::signals::{RetainedSignals, UpstreamSignals};
+use crate::{UpstreamStart, UpstreamTag};
 use compact_str::CompactString;
 use egretstage_routing::Ewma;
 use egretstage_wire::{InstanceId, ServiceName, SlowRanks, Slowdown, ZoneName};
@@ -126,6 +126,12 @@
         }
     }
 
+    /// Returns the tag of its start.
+    #[must_use]
+    pub fn start(&self) -> UpstreamStart {
+        UpstreamStart::from(&self.listed)
+    }
+
     /// Returns the calls of all entries that it runs.
     #[must_use]
     pub fn calls(&self) -> u32 {
--- /dev/null
+++ b/crates/egretstage_dispatch/tests/dispatch/fleet.rs
@@ -0,0 +1,269 @@
+//! Test harness: several entries in virtual time that share upstreams and exchange reports.
+
+use crate::support::{table, upstream};
+use egretstage_dispatch::{
+    CallHead, CallKey, CallRate, DispatchEffect, DispatchEvent, DispatchLimits, Dispatcher,
+    ListedUpstream, LoadReport, PromptParts, Refusal, UpstreamKey, UpstreamSignal,
+};
+use egretstage_runtime::VirtualLoop;
+use egretstage_wire::InstanceId;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+/// Resolution of the virtual time.
+const STEP: Duration = Duration::from_millis(10);
+
+/// Time from a call's start to the head of its answer.
+const HEAD_DELAY: Duration = Duration::from_millis(20);
+
+/// Time from a call's start to the end of its answer.
+const ANSWER_DELAY: Duration = Duration::from_millis(400);
+
+/// Something that happens at an entry after a delay.
+enum Later {
+    Head(CallKey, UpstreamKey, InstanceId),
+    End(CallKey),
+    Report(Box<LoadReport>),
+}
+
+struct FleetEntry {
+    sim: VirtualLoop<Dispatcher>,
+    name: InstanceId,
+    /// Number of the start, from which all pending events of earlier ones are ignored.
+    incarnation: u64,
+    is_cut_off: bool,
+}
+
+/// Gives each upstream an address of its own.
+fn with_addresses(upstreams: impl Iterator<Item = ListedUpstream>) -> Vec<ListedUpstream> {
+    let mut upstreams: Vec<ListedUpstream> = upstreams.collect();
+    for (port, listed) in (1_000..).zip(&mut upstreams) {
+        listed.address.set_port(port);
+    }
+    upstreams
+}
+
+/// Entries that share upstreams.
+pub(crate) struct Fleet {
+    entries: Vec<FleetEntry>,
+    upstreams: Vec<ListedUpstream>,
+    now: Instant,
+    rng: ChaCha8Rng,
+    later: BTreeMap<(Instant, u64), (usize, u64, Later)>,
+    next_event: u64,
+    next_call: u64,
+    /// Share of the reports that are lost, in percent.
+    pub(crate) lost_reports: u32,
+    /// Limits that upstreams name.
+    pub(crate) limits: HashMap<InstanceId, CallRate>,
+    /// When calls arrived at each upstream.
+    pub(crate) arrivals: HashMap<InstanceId, Vec<Instant>>,
+    /// The refusals, each with the time since the call's arrival.
+    pub(crate) refusals: Vec<(Refusal, Duration)>,
+    pub(crate) arrived: HashMap<CallKey, Instant>,
+    pub(crate) completed: usize,
+}
+
+impl Fleet {
+    /// Creates entries and the upstreams of both services: `ranks` ranks of one group, and
+    /// three upstreams without a group.
+    pub(crate) fn new(seed: u64, entries: usize, ranks: usize) -> Self {
+        let ranks = (0..ranks).map(|rank| upstream(&format!("rank-{rank}"), "drafting", Some("g")));
+        let desks = (0..3).map(|desk| upstream(&format!("desk-{desk}"), "booking", None));
+        let mut fleet = Self {
+            entries: Vec::new(),
+            upstreams: with_addresses(ranks.chain(desks)),
+            now: Instant::now(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            later: BTreeMap::new(),
+            next_event: 0,
+            next_call: 0,
+            lost_reports: 0,
+            limits: HashMap::new(),
+            arrivals: HashMap::new(),
+            refusals: Vec::new(),
+            arrived: HashMap::new(),
+            completed: 0,
+        };
+        for index in 0..entries {
+            let entry = fleet.start_entry(index, 1);
+            fleet.entries.push(entry);
+        }
+        fleet
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.now
+    }
+
+    fn start_entry(&self, index: usize, incarnation: u64) -> FleetEntry {
+        let name: InstanceId = format!("entry-{index}")
+            .as_str()
+            .try_into()
+            .expect("a name");
+        let zone = "west".try_into().expect("valid name");
+        let limits = DispatchLimits::default();
+        let seed = incarnation * 1_000 + index as u64;
+        let dispatcher = Dispatcher::new(self.now, name.clone(), zone, seed, limits);
+        let mut sim = VirtualLoop::starting_at(self.now, dispatcher);
+        sim.event(DispatchEvent::Configured(table(1, "key")));
+        for listed in &self.upstreams {
+            sim.event(DispatchEvent::Listed(Box::new(listed.clone())));
+        }
+        FleetEntry {
+            sim,
+            name,
+            incarnation,
+            is_cut_off: false,
+        }
+    }
+
+    /// Restarts an entry; its calls are gone.
+    pub(crate) fn restart(&mut self, index: usize) {
+        let incarnation = self.entries[index].incarnation + 1;
+        self.entries[index] = self.start_entry(index, incarnation);
+    }
+
+    /// Cuts an entry off from the others, or connects it again.
+    pub(crate) fn set_cut_off(&mut self, index: usize, is_cut_off: bool) {
+        self.entries[index].is_cut_off = is_cut_off;
+    }
+
+    /// Restarts an upstream under the name that it had.
+    pub(crate) fn restart_upstream(&mut self, name: &str) {
+        let known = self.upstreams.iter_mut();
+        let mut known = known.filter(|u| u.instance.as_str() == name);
+        let listed = known.next().expect("an upstream");
+        listed.started_ms = listed.started_ms.map(|at| at + 1);
+        let listed = listed.clone();
+        for index in 0..self.entries.len() {
+            let event = DispatchEvent::Listed(Box::new(listed.clone()));
+            let effects = self.entries[index].sim.event(event);
+            self.carry_out(index, effects);
+        }
+    }
+
+    fn add_later(&mut self, delay: Duration, entry: usize, later: Later) {
+        let incarnation = self.entries[entry].incarnation;
+        self.next_event += 1;
+        let key = (self.now + delay, self.next_event);
+        self.later.insert(key, (entry, incarnation, later));
+    }
+
+    /// Lets calls arrive for a time, at each entry at this rate per second, and passes on all
+    /// events.
+    pub(crate) fn run(&mut self, time: Duration, path: &str, rates: &[f64]) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for index in 0..self.entries.len() {
+                let effects = self.entries[index].sim.advance(STEP);
+                self.carry_out(index, effects);
+                if self
+                    .rng
+                    .random_bool(rates[index % rates.len()] * STEP.as_secs_f64())
+                {
+                    self.arrive(index, path);
+                }
+            }
+            while let Some(next) = self.later.first_entry().filter(|e| e.key().0 <= self.now) {
+                let (index, incarnation, later) = next.remove();
+                if self.entries[index].incarnation == incarnation {
+                    self.happen(index, later);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize, path: &str) {
+        let call = CallKey(self.next_call);
+        self.next_call += 1;
+        self.arrived.insert(call, self.now);
+        let request = format!("r{}", call.0);
+        let head = Box::new(CallHead {
+            request: request.as_str().try_into().expect("valid request id"),
+            host: "desk.example".into(),
+            path: path.into(),
+            api_key: Some("key".into()),
+            budget: Duration::from_secs(if path.starts_with("/draft") { 8 } else { 3 }),
+            prompt: None,
+            prompt_parts: PromptParts::new(),
+        });
+        let event = DispatchEvent::Arrived { call, head };
+        let effects = self.entries[index].sim.event(event);
+        self.carry_out(index, effects);
+    }
+
+    fn happen(&mut self, index: usize, later: Later) {
+        let sim = &mut self.entries[index].sim;
+        let effects = match later {
+            Later::Head(call, upstream, instance) => {
+                let limit = self.limits.get(&instance).copied();
+                let signal = UpstreamSignal::Limit(limit);
+                let mut effects = sim.event(DispatchEvent::SignalReceived { upstream, signal });
+                effects.extend(sim.event(DispatchEvent::FirstByte { call }));
+                effects
+            }
+            Later::End(call) => {
+                self.completed += 1;
+                sim.event(DispatchEvent::Ended { call, whole: true })
+            }
+            Later::Report(report) => sim.event(DispatchEvent::PeerReported(report)),
+        };
+        self.carry_out(index, effects);
+    }
+
+    fn carry_out(&mut self, index: usize, effects: Vec<DispatchEffect>) {
+        for effect in effects {
+            match effect {
+                DispatchEffect::Send { call, attempt } => {
+                    let instance = attempt.instance.clone();
+                    let arrivals = self.arrivals.entry(instance.clone()).or_default();
+                    arrivals.push(self.now);
+                    let head = Later::Head(call, attempt.upstream, instance);
+                    self.add_later(HEAD_DELAY, index, head);
+                    self.add_later(ANSWER_DELAY, index, Later::End(call));
+                }
+                DispatchEffect::Refuse { call, refusal } => {
+                    let waited = self.now - self.arrived[&call];
+                    self.refusals.push((refusal, waited));
+                }
+                DispatchEffect::Report(report) => self.spread(index, &report),
+                _ => {}
+            }
+        }
+    }
+
+    fn spread(&mut self, from: usize, report: &LoadReport) {
+        for to in 0..self.entries.len() {
+            let is_cut = self.entries[from].is_cut_off || self.entries[to].is_cut_off;
+            if to == from || is_cut || self.rng.random_range(0..100) < self.lost_reports {
+                continue;
+            }
+            self.add_later(STEP, to, Later::Report(Box::new(report.clone())));
+        }
+    }
+
+    /// Returns the name of an entry.
+    pub(crate) fn name(&self, index: usize) -> &InstanceId {
+        &self.entries[index].name
+    }
+
+    /// Returns the largest number of calls that arrived at an upstream within any window,
+    /// from a time on.
+    pub(crate) fn most_arrivals(&self, name: &str, window: Duration, from: Instant) -> usize {
+        let arrivals = self.arrivals.iter();
+        let mut arrivals = arrivals.filter(|(instance, _)| instance.as_str() == name);
+        let Some((_, times)) = arrivals.next() else {
+            return 0;
+        };
+        let windows = times.iter().enumerate().filter(|(_, at)| **at >= from);
+        let counts = windows.map(|(index, start)| {
+            let later = times[index..].iter();
+            later.take_while(|at| **at < *start + window).count()
+        });
+        counts.max().unwrap_or(0)
+    }
+}
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -3,6 +3,8 @@
 mod admission;
 mod at_most_once;
 mod broken_groups;
+mod fleet;
+mod limits;
 mod peers;
 mod prompt_parts;
 mod slow_ranks;
--- a/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
@@ -173,6 +173,7 @@
                 loads: UpstreamLoads::default(),
                 costs: smallvec![GroupCost(GroupTag::from("g"), *cost)],
                 suspects: SuspectReport::default(),
+                limits: egretstage_dispatch::LimitReport::default(),
             };
             harness
                 .sim
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{Harness, refused, sent, sent_calls, upstream};
 use egretstage_dispatch::{
-    CallKey, DispatchEffect, DispatchEvent, LoadReport, RefusalKind, SuspectReport, UpstreamLoad,
-    UpstreamState, UpstreamTag,
+    CallKey, DispatchEffect, DispatchEvent, LimitReport, LoadReport, RefusalKind, SuspectReport,
+    UpstreamLoad, UpstreamState, UpstreamTag,
 };
 use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet};
@@ -146,6 +146,7 @@
             loads: loads.into_iter().collect(),
             costs: SmallVec::new(),
             suspects: SuspectReport::default(),
+            limits: LimitReport::default(),
         }))
     };
     harness.sim.event(report(2));
