--- a/crates/egretstage_dispatch/src/harmful_parts.rs
+++ b/crates/egretstage_dispatch/src/harmful_parts.rs
@@ -16,10 +16,11 @@
 //! upstream, so it counts once, whoever reports it and however often.
 
 use crate::peers::hash32;
+use crate::recent_set::RecentSet;
 use crate::{PromptPart, PromptParts, UpstreamStart};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// Minimum number of ends for a part to be harmful.
@@ -157,18 +158,27 @@
 }
 
 /// Suspect, harmful and cleared parts, as far as an entry knows.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct HarmfulParts {
     suspects: HashMap<PromptPart, Suspect>,
-    cleared: HashSet<PromptPart>,
-    /// The cleared parts, the oldest first.
-    cleared_order: VecDeque<PromptPart>,
+    cleared: RecentSet<PromptPart>,
     /// Cleared parts that another entry has reported as suspect.
     contested: SmallVec<[PromptPart; 4]>,
     /// When the ends are reported next.
     next_report: Option<Instant>,
 }
 
+impl Default for HarmfulParts {
+    fn default() -> Self {
+        Self {
+            suspects: HashMap::new(),
+            cleared: RecentSet::new(MAX_CLEARED),
+            contested: SmallVec::new(),
+            next_report: None,
+        }
+    }
+}
+
 impl HarmfulParts {
     /// Records that an upstream ended while it ran a prompt; returns the parts that have
     /// become harmful.
@@ -186,7 +196,7 @@
             at: now,
         };
         let suspects = shared_parts(parts).iter();
-        let suspects = suspects.filter(|part| !self.cleared.contains(part));
+        let suspects = suspects.filter(|part| !self.cleared.contains(**part));
         let suspects: PromptParts = suspects.copied().collect();
         suspects
             .into_iter()
@@ -230,22 +240,14 @@
 
     fn clear_part(&mut self, part: PromptPart) {
         self.suspects.remove(&part);
-        if !self.cleared.insert(part) {
-            return;
-        }
-        self.cleared_order.push_back(part);
-        if self.cleared_order.len() > MAX_CLEARED
-            && let Some(oldest) = self.cleared_order.pop_front()
-        {
-            self.cleared.remove(&oldest);
-        }
+        self.cleared.insert(part);
     }
 
     /// Returns whether a prompt has a part that isn't cleared and that others may share.
     #[must_use]
     pub fn is_suspect(&self, parts: &PromptParts) -> bool {
         let mut shared = shared_parts(parts).iter();
-        shared.any(|part| !self.cleared.contains(part))
+        shared.any(|part| !self.cleared.contains(*part))
     }
 
     /// Returns how long a prompt's harmful part counts as harmful, `None` if it has none.
@@ -279,7 +281,7 @@
             age_ms,
         } in &report.ends
         {
-            if self.cleared.contains(part) {
+            if self.cleared.contains(*part) {
                 self.contest(now, *part);
                 continue;
             }
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod harmful_parts;
 mod peers;
 pub mod placement;
+mod recent_set;
 mod reducer;
 pub mod retry_slots;
 mod routes;
