Collect the ends of upstreams in a type that isn't bound to prompt parts

HarmfulParts keeps its thresholds; suspects, cleared keys, what is contested and what is reported move to Evidence, which the requests that end upstreams need too.

--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod circuit_breaker;
 mod decision_line;
 mod event;
+mod evidence;
 mod first_byte_latency;
 mod group_activity;
 mod groups;
--- a/crates/egretstage_dispatch/src/start_limits.rs
+++ b/crates/egretstage_dispatch/src/start_limits.rs
@@ -20,6 +20,7 @@
 //! else. A limit of less than [`MIN_RATE`] counts as that, since nobody would notice its end
 //! otherwise.
 
+use crate::evidence::age_ms;
 use crate::peers::{REPORT_LIFETIME, hash32};
 use crate::{CallRate, LoadReport, UpstreamStart};
 use egretstage_wire::InstanceId;
@@ -473,10 +474,6 @@
     /// limits, each report has others.
     #[must_use]
     pub fn report(&self, now: Instant, number: u64) -> LimitReport {
-        let age_ms = |at: Instant| {
-            let age = now.saturating_duration_since(at).as_millis();
-            u32::try_from(age).unwrap_or(u32::MAX)
-        };
         let mut upstreams: Vec<_> = self.limits.iter().collect();
         upstreams.sort_unstable_by_key(|(upstream, _)| **upstream);
         if upstreams.len() > MAX_REPORTED {
@@ -488,11 +485,11 @@
             .map(|(upstream, limited)| ReportedLimit {
                 upstream: *upstream,
                 rate: limited.rate,
-                age_ms: age_ms(limited.named_at),
+                age_ms: age_ms(now, limited.named_at),
                 demand: limited.demand,
             });
         let grants = self.grants.iter().map(|(grant, at)| Grant {
-            age_ms: age_ms(*at),
+            age_ms: age_ms(now, *at),
             ..*grant
         });
         LimitReport {
