Pass no interim answer of an upstream on as the final one

Report: a runner stopped in the middle of its answer's head, and clients got a success framed as whole. Tests cut the head after each byte, of plain answers and streams, on new and kept connections, through egret-platform-entry and through egret-entry and egret-companion: no caller got a success before this change either. Two Content-Length that differ, a head whose last line lacks its end, and 103 without a final answer were refused, too.

What failed: a 101, which nobody had asked for, was passed on to the caller, by both ways; the product's own path called it completed. Interim answers now count as no answer.

--- a/crates/egretstage_companion/src/upstream.rs
+++ b/crates/egretstage_companion/src/upstream.rs
@@ -115,6 +115,11 @@
         let req = self.build_request(req).ok_or(UpstreamFailure::NotSent)?;
         let mut connection = self.connections.acquire(repeatable).await?;
         let resp = connection.send(req, not_after).await?;
+        // Nobody asked the upstream for another protocol, and other interim answers aren't
+        // final.
+        if resp.status().is_informational() {
+            return Err(UpstreamFailure::Broken);
+        }
         let content_type = resp
             .headers()
             .get(CONTENT_TYPE)
--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -140,6 +140,10 @@
         }
         return foreign_answer();
     }
+    // Nobody asked the upstream for another protocol, and other interim answers aren't final.
+    if status.is_informational() {
+        return foreign_answer();
+    }
     let implies_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
     match read_to_end(&gateway.pool, attempt, answer).await {
         // The status would indicate to the caller that the request didn't run, but the
