Refuse calls that may outlast a planned stop, and answer those that are left

Report: in a planned stop of one entry, requests that came late in the grace were taken, passed on and cut at its end without an answer, among them some that may not be repeated. It could happen here: only streams were refused late in a stop, and the calls that still ran at its end were dropped with the process.

After the time from which no stream is started, a call is refused as not run if it expires after the stop's end; another entry takes it at once. What is left at the end is answered: 504 if it may have run, 503 if not.

--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -91,6 +91,14 @@
         self.class
     }
 
+    pub(super) fn is_stream(&self) -> bool {
+        self.route.kind.is_stream()
+    }
+
+    pub(super) fn expires(&self) -> Instant {
+        self.expires
+    }
+
     pub(super) fn content(&self) -> RequestHash {
         self.content
     }
@@ -252,7 +260,7 @@
 
     /// Returns the refusal for a new call that can't be served in time.
     fn early_refusal(&mut self, now: Instant, call: &Call) -> Option<RefusalKind> {
-        if call.route.kind.is_stream() && self.is_too_late_for_streams(now) {
+        if self.is_too_late(now, call) {
             return Some(RefusalKind::Stopping);
         }
         if let Some((kind, _)) = self.harmful_refusal(now, call) {
--- a/crates/egretstage_dispatch/src/reducer/stop.rs
+++ b/crates/egretstage_dispatch/src/reducer/stop.rs
@@ -1,7 +1,9 @@
 //! A planned stop, which lets accepted calls end first.
 
 use super::Dispatcher;
-use crate::{DecisionLine, DispatchEffect};
+use super::calls::Call;
+use crate::{CallKey, DecisionLine, DispatchEffect, RefusalKind};
+use smallvec::SmallVec;
 use std::time::Instant;
 
 /// Progress of a stop.
@@ -32,11 +34,17 @@
         })));
     }
 
-    /// Returns whether a stream that starts now might not end before the process
-    /// ends.
-    pub(super) fn is_too_late_for_streams(&self, now: Instant) -> bool {
-        let limit = self.limits.refuse_streams_after;
-        self.stopping.is_some_and(|stop| now >= stop.since + limit)
+    /// Returns whether a call that arrives now might not end before the process does.
+    ///
+    /// Calls that arrive soon after the stop request are accepted: the platform's balancer
+    /// still sends some then, and most of them end long before they expire.
+    pub(super) fn is_too_late(&self, now: Instant, call: &Call) -> bool {
+        let is_too_late = |stop: Stopping| {
+            let end = stop.since + self.limits.stop_within;
+            now >= stop.since + self.limits.refuse_streams_after
+                && (call.is_stream() || call.expires() > end)
+        };
+        self.stopping.is_some_and(is_too_late)
     }
 
     pub(super) fn continue_stop(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
@@ -51,7 +59,26 @@
         let is_idle = self.calls.is_empty() && elapsed >= self.limits.refuse_streams_after;
         if !stop.completed && (is_idle || elapsed >= self.limits.stop_within) {
             stop.completed = true;
+            self.end_remaining_calls(now, fx);
             fx.push(DispatchEffect::Stopped);
         }
     }
+
+    /// Ends the calls that are left at the end of the stop, so that each has an answer before
+    /// the process ends.
+    fn end_remaining_calls(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        let calls = self.calls.iter();
+        let calls = calls.map(|(key, call)| (call.maybe_runs(), *key));
+        let mut calls: SmallVec<[(bool, CallKey); 8]> = calls.collect();
+        // The waiting ones come first: a call that ends starts the next one.
+        calls.sort_unstable();
+        for (maybe_runs, key) in calls {
+            let kind = if maybe_runs {
+                RefusalKind::ExpiredUnknown
+            } else {
+                RefusalKind::Stopping
+            };
+            self.refuse(now, key, kind, fx);
+        }
+    }
 }
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod broken_groups;
 mod fleet;
 mod harmful_requests;
+mod late_in_stop;
 mod limits;
 mod peers;
 mod prompt_parts;
