Show that late requests on kept connections aren't read in the product's own stop

egret-entry closes kept connections when it stops listening, so a request that comes later in the grace is closed unread, and its caller may send it again.

--- a/tests/invariants/planned_stop_cuts_off_no_request.rs
+++ b/tests/invariants/planned_stop_cuts_off_no_request.rs
@@ -4,6 +4,8 @@
 use egretstage_standins::prelude::*;
 use egretstage_standins::programs;
 use egretstage_standins::scenario::{self, booking, drafting, wait_for_route};
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -20,6 +22,12 @@
     }
 }
 
+/// Time between the stop signal and the end of listening, as the entries of the fleet are set.
+const NOT_READY_GRACE: Duration = Duration::from_secs(1);
+
+/// Time in which all bytes of an answer have arrived.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Sends a draft as the platform's balancer would, to an entry that reports
 /// itself ready, and checks that its answer is complete.
 fn send_draft(
@@ -164,3 +172,47 @@
     let bookings = calls.filter(|call| call.path == "/bookings").count();
     assert_eq!(bookings, answers.len());
 }
+
+/// Sends a request on a connection that stays open; returns the answer's first line, empty if
+/// the connection is closed without one.
+fn ask_on(tcp: &mut TcpStream) -> String {
+    let head = format!(
+        "GET /services/booking/ping HTTP/1.1\r\nHost: entry\r\n\
+         Authorization: Bearer {}\r\n\r\n",
+        scenario::DESK_TOKEN
+    );
+    if tcp.write_all(head.as_bytes()).is_err() {
+        return String::new();
+    }
+    tcp.set_read_timeout(Some(ANSWER_TIME)).expect("a timeout");
+    let (mut text, mut buf) = (String::new(), [0; 4096]);
+    while let Ok(size @ 1..) = tcp.read(&mut buf) {
+        text.push_str(&String::from_utf8_lossy(&buf[..size]));
+    }
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+/// Report: requests that came late in the grace on kept connections were passed on and cut.
+/// Here they aren't read any more.
+#[test]
+fn of_an_entry_with_late_requests_on_kept_connections() {
+    let fleet = scenario::start_fleet(programs!());
+    let (service, upstream) = fleet.plain_service(PlainServiceOptions::default());
+    let _companion = fleet.companion(&booking("ledger-1", "west", upstream));
+    let mut entry = fleet.entry("entry-1", "west");
+    let ping = CallerRequest::plain("GET", "/services/booking/ping", "");
+    wait_for_route(&entry, &ping);
+    let connect = || TcpStream::connect(entry.address).expect("a connection");
+    let mut connections = [(); 2].map(|()| connect());
+    for tcp in &mut connections {
+        assert!(ask_on(tcp).contains(" 200 "));
+    }
+    let [mut early, mut late] = connections;
+    entry.terminate();
+    assert!(ask_on(&mut early).contains(" 200 "), "still answered");
+    std::thread::sleep(NOT_READY_GRACE + Duration::from_millis(300));
+    let executed = service.executed_calls().len();
+    assert_eq!(ask_on(&mut late), "", "closed without having been read");
+    assert_eq!(service.executed_calls().len(), executed);
+    assert!(entry.wait().success());
+}
