--- a/crates/egretstage_dispatch/src/reducer/limits.rs
+++ b/crates/egretstage_dispatch/src/reducer/limits.rs
@@ -36,6 +36,7 @@
 
     /// Hands out starts at the upstreams whose starts this entry distributes.
     pub(super) fn hand_out_starts(&mut self, now: Instant) {
+        self.start_limits.remove_expired(now);
         if self.start_limits.is_empty() {
             return;
         }
--- a/crates/egretstage_dispatch/src/start_limits.rs
+++ b/crates/egretstage_dispatch/src/start_limits.rs
@@ -367,7 +367,6 @@
     /// Hands out the starts that have become due at the upstreams whose starts this entry
     /// distributes.
     pub fn hand_out(&mut self, now: Instant) -> HandOut {
-        self.remove_expired(now);
         let mut handed_out = HandOut::default();
         let mut upstreams: Vec<UpstreamStart> = self.limits.keys().copied().collect();
         upstreams.sort_unstable();
@@ -454,7 +453,8 @@
         count(heard) / count(known)
     }
 
-    fn remove_expired(&mut self, now: Instant) {
+    /// Forgets starts, grants, limits and entries that no longer count.
+    pub fn remove_expired(&mut self, now: Instant) {
         let age = |at: Instant| now.saturating_duration_since(at);
         self.limits.retain(|_, limited| {
             limited.starts.retain(|s| s.expire > now && s.count > 0);
