Serve connections that are accepted late in a planned stop

The requests had not been read: the HTTP library closes a connection on which it has read nothing when it is told to shut down, which was the case for each connection accepted in that part of a stop. These connections now serve one request instead.

--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -62,17 +62,23 @@
     };
     let (stream, watch) = watch_caller(tcp);
     let mut closing = gateway.closing.clone();
+    // A graceful shutdown would close a connection on which nothing has been read yet.
+    let is_closing = *closing.borrow();
     let service = service_fn(move |req| {
         let gateway = Rc::clone(&gateway);
         async move { Ok::<_, Infallible>(gateway.serve(req).await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(!is_closing)
         .header_read_timeout(idle_timeout)
         .max_buf_size(max_header_bytes.max(DEFAULT_MAX_HEADER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let stop = async {
+        if is_closing {
+            std::future::pending::<()>().await;
+        }
         // An error means that the process ends.
         drop(closing.wait_for(|closing| *closing).await);
     };
