--- a/crates/egretstage_dispatch/src/start_limits.rs
+++ b/crates/egretstage_dispatch/src/start_limits.rs
@@ -20,11 +20,14 @@
 //! else. A limit of less than [`MIN_RATE`] counts as that, since nobody would notice its end
 //! otherwise.
 
+mod report;
+
 use crate::evidence::age_ms;
 use crate::peers::{REPORT_LIFETIME, hash32};
 use crate::{CallRate, LoadReport, UpstreamStart};
 use egretstage_wire::InstanceId;
-use serde::{Deserialize, Serialize};
+pub use report::LimitReport;
+use report::{EntryStart, ReportedLimit, StartGrant};
 use smallvec::SmallVec;
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -54,75 +57,6 @@
 /// Maximum number of limits, and of grants, in one report.
 const MAX_REPORTED: usize = 64;
 
-/// Identifies one start of an entry in load reports: a hash of its name and its
-/// incarnation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(transparent)]
-struct EntryStart(u32);
-
-impl EntryStart {
-    fn new(entry: &InstanceId, incarnation: u64) -> Self {
-        let mut bytes = entry.as_str().as_bytes().to_vec();
-        bytes.extend(incarnation.to_be_bytes());
-        Self(hash32(&bytes))
-    }
-}
-
-/// What an entry reports of upstreams with limits.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitReport {
-    /// Whether the entry may distribute starts.
-    #[serde(rename = "h", default, skip_serializing_if = "std::ops::Not::not")]
-    hands_out: bool,
-    /// What upstreams named last.
-    #[serde(rename = "l", default, skip_serializing_if = "SmallVec::is_empty")]
-    limits: SmallVec<[ReportedLimit; 0]>,
-    /// The starts that the entry has handed out and that haven't expired.
-    #[serde(rename = "g", default, skip_serializing_if = "SmallVec::is_empty")]
-    grants: SmallVec<[Grant; 0]>,
-}
-
-impl LimitReport {
-    /// Returns whether there is nothing to report.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        !self.hands_out && self.limits.is_empty() && self.grants.is_empty()
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct ReportedLimit {
-    #[serde(rename = "u")]
-    upstream: UpstreamStart,
-    /// The limit, `None` if the upstream has named none since.
-    #[serde(rename = "r")]
-    rate: Option<CallRate>,
-    /// Age of the answer that named it, in milliseconds.
-    #[serde(rename = "a")]
-    age_ms: u32,
-    /// Calls that the entry could send there.
-    #[serde(rename = "d")]
-    demand: u32,
-}
-
-/// Starts that an entry hands out to another one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-struct Grant {
-    #[serde(rename = "e")]
-    entry: EntryStart,
-    #[serde(rename = "u")]
-    upstream: UpstreamStart,
-    /// Number of the grant among those of the distributor, in ascending order.
-    #[serde(rename = "n")]
-    number: u32,
-    /// Number of starts.
-    #[serde(rename = "c")]
-    count: u32,
-    /// Age in milliseconds.
-    #[serde(rename = "a")]
-    age_ms: u32,
-}
-
 /// Starts that this entry may use.
 #[derive(Clone, Copy, Debug)]
 struct Starts {
@@ -191,7 +125,7 @@
     peers: HashMap<InstanceId, Peer>,
     last_grant: u32,
     /// Grants to other entries, the oldest first.
-    grants: VecDeque<(Grant, Instant)>,
+    grants: VecDeque<(StartGrant, Instant)>,
 }
 
 impl StartLimits {
@@ -415,7 +349,7 @@
                 continue;
             }
             self.last_grant = self.last_grant.wrapping_add(1);
-            let grant = Grant {
+            let grant = StartGrant {
                 entry,
                 upstream,
                 number: self.last_grant,
@@ -488,7 +422,7 @@
                 age_ms: age_ms(now, limited.named_at),
                 demand: limited.demand,
             });
-        let grants = self.grants.iter().map(|(grant, at)| Grant {
+        let grants = self.grants.iter().map(|(grant, at)| StartGrant {
             age_ms: age_ms(now, *at),
             ..*grant
         });
--- a/crates/egretstage_dispatch/tests/dispatch/harmful_requests.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/harmful_requests.rs
@@ -1,10 +1,10 @@
 //! Requests that end each upstream which begins to run them.
 
-use crate::support::{Harness, refused, sent, upstream};
+use crate::support::{Harness, receive, refused, reports, sent, upstream};
 use egretstage_dispatch::harmful_requests::{END_LIFETIME, MIN_ENDS};
 use egretstage_dispatch::{
-    Attempt, AttemptEnd, CallKey, DispatchEffect, DispatchEvent, LoadReport, RefusalKind,
-    RequestHash, UnknownCause, UpstreamState,
+    Attempt, AttemptEnd, CallKey, DispatchEffect, DispatchEvent, RefusalKind, RequestHash,
+    UnknownCause, UpstreamState,
 };
 use std::time::Duration;
 
@@ -66,26 +66,6 @@
     harness.sim.event(DispatchEvent::Ended { call, whole });
 }
 
-/// Returns the entry's reports of the next second.
-fn reports(harness: &mut Harness) -> Vec<LoadReport> {
-    let effects = harness.sim.advance(Duration::from_secs(1));
-    let reports = effects.into_iter().filter_map(|effect| match effect {
-        DispatchEffect::Report(report) => Some(*report),
-        _ => None,
-    });
-    reports.collect()
-}
-
-/// Passes reports to an entry.
-fn receive(harness: &mut Harness, reports: &[LoadReport]) {
-    for report in reports {
-        let mut report = report.clone();
-        report.entry = "another".try_into().expect("valid name");
-        let event = DispatchEvent::PeerReported(Box::new(report));
-        harness.sim.event(event);
-    }
-}
-
 /// Load pattern of the second BUDGET incident: a request ends one upstream after the other and
 /// comes again.
 #[test]
--- a/crates/egretstage_dispatch/tests/dispatch/prompt_parts.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/prompt_parts.rs
@@ -1,10 +1,10 @@
 //! Calls whose prompts share a part that ends each upstream which generates on it.
 
-use crate::support::{Harness, refused, sent, upstream};
+use crate::support::{Harness, receive, refused, reports, sent, upstream};
 use egretstage_dispatch::harmful_parts::{END_LIFETIME, MIN_ENDS};
 use egretstage_dispatch::{
-    AttemptEnd, CallKey, DispatchEffect, DispatchEvent, LoadReport, PromptPart, PromptParts,
-    UnknownCause, UpstreamState,
+    AttemptEnd, CallKey, DispatchEffect, DispatchEvent, PromptPart, PromptParts, UnknownCause,
+    UpstreamState,
 };
 use std::time::Duration;
 
@@ -91,26 +91,6 @@
     harness.sim.event(DispatchEvent::Ended { call, whole });
 }
 
-/// Returns the entry's reports of the next second.
-fn reports(harness: &mut Harness) -> Vec<LoadReport> {
-    let effects = harness.sim.advance(Duration::from_secs(1));
-    let reports = effects.into_iter().filter_map(|effect| match effect {
-        DispatchEffect::Report(report) => Some(*report),
-        _ => None,
-    });
-    reports.collect()
-}
-
-/// Passes reports to an entry.
-fn receive(harness: &mut Harness, reports: &[LoadReport]) {
-    for report in reports {
-        let mut report = report.clone();
-        report.entry = "another".try_into().expect("valid name");
-        let event = DispatchEvent::PeerReported(Box::new(report));
-        harness.sim.event(event);
-    }
-}
-
 /// Load pattern of the BUDGET incident: one rank after the other ends under calls that
 /// share a part.
 #[test]
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -2,9 +2,9 @@
 
 use egretstage_dispatch::{
     Attempt, CallHead, CallKey, CallerLimits, DispatchEffect, DispatchEvent, DispatchLimits,
-    Dispatcher, EngineProfile, GroupMembership, ListedUpstream, Organisation, Prompt, PromptParts,
-    Refusal, RequestHash, Route, RouteKind, RoutingTable, ServiceProfile, UpstreamState,
-    WeightedService,
+    Dispatcher, EngineProfile, GroupMembership, ListedUpstream, LoadReport, Organisation, Prompt,
+    PromptParts, Refusal, RequestHash, Route, RouteKind, RoutingTable, ServiceProfile,
+    UpstreamState, WeightedService,
 };
 use egretstage_runtime::VirtualLoop;
 use smallvec::smallvec;
@@ -228,3 +228,23 @@
         _ => None,
     })
 }
+
+/// Returns the entry's reports of the next second.
+pub(crate) fn reports(harness: &mut Harness) -> Vec<LoadReport> {
+    let effects = harness.sim.advance(Duration::from_secs(1));
+    let reports = effects.into_iter().filter_map(|effect| match effect {
+        DispatchEffect::Report(report) => Some(*report),
+        _ => None,
+    });
+    reports.collect()
+}
+
+/// Passes reports to an entry.
+pub(crate) fn receive(harness: &mut Harness, reports: &[LoadReport]) {
+    for report in reports {
+        let mut report = report.clone();
+        report.entry = "another".try_into().expect("valid name");
+        let event = DispatchEvent::PeerReported(Box::new(report));
+        harness.sim.event(event);
+    }
+}
