Word start_limits in the field's terms, and share a check of report tests

Cause: entries "heard" of each other in new code, and two tests of report bytes repeated their last lines. Wire names stay.

--- a/crates/egretstage_dispatch/src/start_limits.rs
+++ b/crates/egretstage_dispatch/src/start_limits.rs
@@ -12,7 +12,7 @@
 //! don't accumulate, however many entries there are. Without a grant, an entry sends a
 //! limited upstream nothing.
 //!
-//! An entry that has been silent may still act. Until [`SILENT_ENTRY_RETENTION`] has passed,
+//! An entry without recent reports may still send calls. Until [`SILENT_ENTRY_RETENTION`] has passed,
 //! each side of a partition therefore hands out only its share by the number of entries, and
 //! an entry that has just started hands out nothing for [`JOIN_DELAY`].
 //!
@@ -94,7 +94,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     start: EntryStart,
-    heard_at: Instant,
+    reported_at: Instant,
     hands_out: bool,
     demand: HashMap<UpstreamStart, u32>,
     /// Number of the last grant that was read.
@@ -196,7 +196,7 @@
         let limited = self.limits.get(&upstream)?;
         let own = f64::from(limited.demand.max(1));
         let peers = self
-            .heard(now)
+            .reporting(now)
             .filter_map(|peer| peer.demand.get(&upstream));
         let total = own + peers.map(|demand| f64::from(*demand)).sum::<f64>();
         Some(limited.rate()? * own / total)
@@ -263,7 +263,7 @@
         let demand = limits.limits.iter().filter(|limit| limit.demand > 0);
         let peer = Peer {
             start,
-            heard_at: now,
+            reported_at: now,
             hands_out: limits.hands_out,
             demand: demand.map(|limit| (limit.upstream, limit.demand)).collect(),
             last_grant: limits
@@ -314,8 +314,8 @@
 
     fn hand_out_at(&mut self, now: Instant, upstream: UpstreamStart, handed_out: &mut HandOut) {
         let share = self.share_of_entries(now);
-        let heard = self.heard(now);
-        let demand = heard.filter_map(|peer| Some((peer.start, *peer.demand.get(&upstream)?)));
+        let reporting = self.reporting(now);
+        let demand = reporting.filter_map(|peer| Some((peer.start, *peer.demand.get(&upstream)?)));
         let mut demand: Vec<(EntryStart, u32)> = demand.collect();
         let room = MAX_REPORTED.saturating_sub(self.grants.len());
         let Some(limited) = self.limits.get_mut(&upstream) else {
@@ -365,7 +365,7 @@
     fn is_distributor(&self, now: Instant, upstream: UpstreamStart) -> bool {
         let own_rank = distributor_rank(&self.entry, upstream);
         let others = self.peers.iter();
-        let mut others = others.filter(|(_, peer)| peer.hands_out && is_heard(now, peer));
+        let mut others = others.filter(|(_, peer)| peer.hands_out && is_reporting(now, peer));
         self.hands_out(now) && others.all(|(entry, _)| distributor_rank(entry, upstream) < own_rank)
     }
 
@@ -374,17 +374,19 @@
         now >= self.joined_at && !self.is_stopping
     }
 
-    fn heard(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |peer| is_heard(now, peer))
+    fn reporting(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        self.peers
+            .values()
+            .filter(move |peer| is_reporting(now, peer))
     }
 
-    /// Returns the share of the entries that this one hears, itself included, of those that
+    /// Returns the share of the entries with recent reports, this one included, of those that
     /// may distribute starts.
     fn share_of_entries(&self, now: Instant) -> f64 {
         let count = |peers: usize| f64::from(u32::try_from(peers + 1).unwrap_or(u32::MAX));
-        let heard = self.heard(now).filter(|peer| peer.hands_out).count();
+        let reporting = self.reporting(now).filter(|peer| peer.hands_out).count();
         let known = self.peers.values().filter(|peer| peer.hands_out).count();
-        count(heard) / count(known)
+        count(reporting) / count(known)
     }
 
     /// Forgets starts, grants, limits and entries that no longer count.
@@ -400,7 +402,7 @@
             age(limited.named_at) < retention
         });
         self.peers
-            .retain(|_, peer| age(peer.heard_at) < SILENT_ENTRY_RETENTION);
+            .retain(|_, peer| age(peer.reported_at) < SILENT_ENTRY_RETENTION);
         self.grants.retain(|(_, at)| age(*at) < GRANT_LIFETIME);
     }
 
@@ -434,8 +436,8 @@
     }
 }
 
-fn is_heard(now: Instant, peer: &Peer) -> bool {
-    now.saturating_duration_since(peer.heard_at) < REPORT_LIFETIME
+fn is_reporting(now: Instant, peer: &Peer) -> bool {
+    now.saturating_duration_since(peer.reported_at) < REPORT_LIFETIME
 }
 
 /// Returns the rank of an entry as the distributor of an upstream's starts; the highest one
--- a/crates/egretstage_dispatch/src/start_limits/report.rs
+++ b/crates/egretstage_dispatch/src/start_limits/report.rs
@@ -1,4 +1,4 @@
-//! What entries tell each other of limits and starts.
+//! The fields of load reports for limits and starts.
 
 use crate::peers::hash32;
 use crate::{CallRate, UpstreamStart};
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -150,6 +150,17 @@
     assert_eq!(written, bytes, "without limits, nothing has changed");
 }
 
+/// Asserts that a report of `entry-7` with number 12 is read by an older release, and that
+/// this one reads what it has written.
+fn assert_read_by_both_releases(report: &LoadReport) {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(report, &mut bytes).expect("encodable");
+    let older: OlderLoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
+    assert_eq!((older.entry.as_str(), older.number), ("entry-7", 12));
+    let read: LoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
+    assert_eq!(read, *report);
+}
+
 #[test]
 fn a_report_with_limits_is_read_by_an_older_release() {
     let mut report = report(7, 12, &[(1, 5)]);
@@ -160,12 +171,7 @@
     limits.record_answer(now, UpstreamStart::from(&upstream), Some(rate));
     report.limits = limits.report(now + JOIN_DELAY, 1);
     assert!(!report.limits.is_empty());
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&report, &mut bytes).expect("encodable");
-    let older: OlderLoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
-    assert_eq!((older.entry.as_str(), older.number), ("entry-7", 12));
-    let read: LoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
-    assert_eq!(read, report);
+    assert_read_by_both_releases(&report);
 }
 
 #[test]
@@ -182,12 +188,7 @@
     requests.record_end(RequestHash(7), end);
     report.requests = requests.take_report(end.at);
     assert!(!report.requests.is_empty());
-    let mut bytes = Vec::new();
-    ciborium::into_writer(&report, &mut bytes).expect("encodable");
-    let older: OlderLoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
-    assert_eq!((older.entry.as_str(), older.number), ("entry-7", 12));
-    let read: LoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
-    assert_eq!(read, report);
+    assert_read_by_both_releases(&report);
 }
 
 /// Load pattern: an upgrade replaces the entries one after the other.
