Fetch the configuration from an entry that reports a higher version

Callers saw requests handled as an older configuration says, over 2 s after a newer one was confirmed, at entries that the store refuses or whose read of it hangs. Cause: such an entry asked its peers by the age of their last read and stopped at the first copy under 2 s old; two refused entries confirmed each other's old copy. While a read hung it asked nobody, and an entry that started from an older copy had no reason to ask. Age says nothing about what is missing; the version in the load reports does, and nobody acted on it. Change: ConfigurationLag decides from the reports whom to ask, after 0.15 s for the store and then each holder once, without waiting for silent ones; the gateway fetches on a thread of its own. Entries cache the highest version, wherever it was read, so one that has it serves it.

--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -227,6 +227,11 @@
     Ready(bool),
     /// Applies the callers' limits and connection limits of a new configuration.
     Configured(Arc<RoutingTable>),
+    /// Fetches the configuration that another entry has.
+    FetchConfiguration {
+        /// The entry.
+        peer: InstanceId,
+    },
     /// Closes idle connections to an upstream that was removed or is leaving.
     CloseIdle(InstanceId),
     /// Asks callers to send no more requests on their connections.
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -23,7 +23,7 @@
 //! | which prompt parts end upstreams, so that no call with them is sent | [`harmful_parts`] |
 //! | which requests end upstreams, so that they aren't sent again | [`harmful_requests`] |
 //! | which entry starts a call at an upstream that limits them | [`start_limits`] |
-//! | how far the configuration is behind those of other entries | `configuration_lag` |
+//! | from which entry a newer configuration is fetched | `configuration_lag` |
 //! | whether an upstream has signalled that it takes no calls | `signals` |
 //! | whether a model group has stalled, or a single stream of it | `group_activity` |
 
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -292,12 +292,12 @@
         report: &LoadReport,
         fx: &mut Vec<DispatchEffect>,
     ) {
-        let active = self.active_version();
+        let (active, reported) = (self.active_version(), report.configuration);
         let lag = &mut self.configuration_lag;
-        if lag.record_report(now, active, report.configuration) {
+        if lag.record_report(now, active, &report.entry, reported) {
             fx.push(DispatchEffect::Log(Box::new(DecisionLine {
                 verb: "behind",
-                configuration: Some(report.configuration),
+                configuration: Some(reported),
                 peer: Some(report.entry.clone()),
                 ..DecisionLine::default()
             })));
@@ -393,6 +393,9 @@
     /// Runs the work that is due; called after each event and each wake-up.
     fn run_due_work(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
         self.end_expired_calls(now, fx);
+        if let Some(peer) = self.configuration_lag.take_fetch(now) {
+            fx.push(DispatchEffect::FetchConfiguration { peer });
+        }
         if now >= self.next_check {
             self.next_check = now + self.limits.check_interval;
             self.upstreams.end_misdirected_pauses(now);
@@ -476,9 +479,17 @@
         let check = (has_waiting || has_streams || has_limits).then_some(self.next_check);
         let report = self.load_changed.then_some(self.next_report);
         let stop = self.stopping.as_ref().map(|_| self.next_check);
-        [expiry, check, report, stop, Some(self.next_idle_report)]
-            .into_iter()
-            .flatten()
-            .min()
+        let fetch = self.configuration_lag.next_fetch();
+        [
+            expiry,
+            check,
+            report,
+            stop,
+            fetch,
+            Some(self.next_idle_report),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
     }
 }
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -1,6 +1,7 @@
 //! Runs an entry as a process.
 
 use crate::announcement::Announcement;
+use crate::configuration_fetch::ConfigurationFetcher;
 use crate::dialect::Platform;
 use crate::driver::{Driver, EffectTargets, LoggedDecision};
 use crate::exchange::Gateway;
@@ -65,12 +66,18 @@
     let (close_idle, close_idle_rx) = unbounded_channel();
     let (table, table_rx) = watch::channel(None);
     let (closing, closing_rx) = watch::channel(false);
+    let (messages, messages_rx) = unbounded_channel();
     let stopped = Rc::new(Notify::new());
     let driver = Driver::new(
         new_dispatcher(settings),
         EffectTargets {
             reports,
             close_idle,
+            fetcher: ConfigurationFetcher {
+                cache: cache.clone(),
+                decoder: Arc::clone(&platform.decoder),
+                tx: messages.clone(),
+            },
             table,
             closing,
             stopped: Rc::clone(&stopped),
@@ -94,7 +101,6 @@
         .wrap_err_with(|| format!("callers' address {address} can't be used"))?;
     let admin = settings.callers.admin_listen;
     AdminServer::start(admin, health, metrics, Box::new(|| "{}\n".to_owned())).into_diagnostic()?;
-    let (messages, messages_rx) = unbounded_channel();
     start_feeds(
         settings,
         &platform.decoder,
--- a/crates/egretstage_gateway/src/driver.rs
+++ b/crates/egretstage_gateway/src/driver.rs
@@ -1,5 +1,6 @@
 //! Runs the dispatcher and passes its effects to the tasks that carry them out.
 
+use crate::configuration_fetch::ConfigurationFetcher;
 use crate::metrics::GatewayMetrics;
 use egretstage_dispatch::{
     Attempt, CallKey, DecisionLine, DispatchEffect, DispatchEvent, Dispatcher, LoadReport, Refusal,
@@ -44,6 +45,7 @@
 pub(crate) struct EffectTargets {
     pub(crate) reports: UnboundedSender<Box<LoadReport>>,
     pub(crate) close_idle: UnboundedSender<InstanceId>,
+    pub(crate) fetcher: ConfigurationFetcher,
     pub(crate) table: watch::Sender<Option<Arc<RoutingTable>>>,
     pub(crate) closing: watch::Sender<bool>,
     pub(crate) stopped: Rc<Notify>,
@@ -142,6 +144,7 @@
         // The receiving tasks run as long as the process, so a send fails only
         // during shutdown.
         DispatchEffect::Report(report) => drop(targets.reports.send(report)),
+        DispatchEffect::FetchConfiguration { peer } => targets.fetcher.fetch(&peer),
         DispatchEffect::CloseIdle(instance) => drop(targets.close_idle.send(instance)),
     }
 }
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -66,15 +66,15 @@
 impl Feed {
     /// Follows a topic until the receiver of the messages is gone.
     ///
-    /// While the store can't be read, it queries the peers for the records.
+    /// While the store can't be read, it takes the changes from `peer_query`.
     fn follow(
         &self,
         topic: KeyedTopic,
         timing: PollTiming,
-        mut to_message: impl FnMut(KeyedChange, ConfigurationSource) -> Option<FeedMessage>,
+        mut peer_query: Option<PeerQuery>,
+        mut to_message: impl FnMut(KeyedChange) -> Option<FeedMessage>,
     ) {
         let mut follower = KeyedFollower::new(topic);
-        let mut peer_query = PeerQuery::new(self.cache.clone(), topic);
         let mut failures = 0;
         let mut next_read_at = Instant::now();
         let name: &'static str = topic.into();
@@ -82,7 +82,7 @@
             let was_caught_up = follower.is_caught_up();
             let now = Instant::now();
             let read = (now >= next_read_at).then(|| follower.poll(now, &*self.store, timing.wait));
-            let (changes, source, pause) = match read {
+            let (changes, pause) = match read {
                 Some(Ok(changes)) => {
                     if failures > 0 {
                         log::info!(dependency = "store", topic = name, failures; "regained");
@@ -98,7 +98,6 @@
                     }
                     (
                         changes,
-                        ConfigurationSource::Store,
                         if was_caught_up {
                             timing.pause
                         } else {
@@ -114,15 +113,15 @@
                         next_read_at = Instant::now() + retry_delay(failures);
                         failures += 1;
                     }
-                    let peer_changes = peer_query.query();
+                    let peer_changes = peer_query.as_mut().map_or_else(Vec::new, PeerQuery::query);
                     if !peer_changes.is_empty() {
                         follower.mark_store_available();
                     }
-                    (peer_changes, ConfigurationSource::Peer, RETRY_DELAY)
+                    (peer_changes, RETRY_DELAY)
                 }
             };
             for change in changes {
-                if let Some(message) = to_message(change, source)
+                if let Some(message) = to_message(change)
                     && self.tx.send(message).is_err()
                 {
                     return;
@@ -141,20 +140,13 @@
             wait: max_delay.mul_f32(CONFIGURATION_WAIT_SHARE),
             pause: Duration::ZERO,
         };
-        self.follow(KeyedTopic::Configuration, timing, |change, source| {
+        self.follow(KeyedTopic::Configuration, timing, None, |change| {
             let KeyedChange::Put { key, value, .. } = change else {
                 return None;
             };
-            match decoder.decode_routing_table(&value) {
-                Ok(table) => Some(FeedMessage::Event(DispatchEvent::Configured {
-                    table: Arc::new(table),
-                    source,
-                })),
-                Err(e) => {
-                    log::error!(key = key.as_str(), error:display = e; "a configuration can't be decoded");
-                    None
-                }
-            }
+            let source = ConfigurationSource::Store;
+            let event = configured_event(decoder, &self.cache, key, value, source)?;
+            Some(FeedMessage::Event(event))
         });
     }
 
@@ -165,7 +157,8 @@
             wait: Duration::ZERO,
             pause: max_delay.mul_f32(UPSTREAMS_PAUSE_SHARE),
         };
-        self.follow(KeyedTopic::Upstreams, timing, |change, _| {
+        let peer_query = PeerQuery::new(self.cache.clone(), KeyedTopic::Upstreams);
+        self.follow(KeyedTopic::Upstreams, timing, Some(peer_query), |change| {
             let event = match change {
                 KeyedChange::Put { key, value, .. } => listed_event(decoder, &key, &value)?,
                 KeyedChange::Removed(key) => unlisted_event(&key)?,
@@ -180,7 +173,7 @@
             wait: ENTRIES_WAIT,
             pause: ENTRIES_PAUSE,
         };
-        self.follow(KeyedTopic::Entries, timing, |change, _| {
+        self.follow(KeyedTopic::Entries, timing, None, |change| {
             let KeyedChange::Put { key, value, .. } = change else {
                 return None;
             };
@@ -200,6 +193,28 @@
     log::warn!(dependency = "store", topic = topic, error:display = e; "lost");
 }
 
+/// Decodes a configuration and caches it for the other entries; returns its event, or
+/// `None` if it can't be decoded.
+pub(crate) fn configured_event(
+    decoder: &dyn RecordDecoder,
+    cache: &RecordCache,
+    key: CompactString,
+    value: Vec<u8>,
+    source: ConfigurationSource,
+) -> Option<DispatchEvent> {
+    match decoder.decode_routing_table(&value) {
+        Ok(table) => {
+            cache.store_configuration(table.version(), key, value);
+            let table = Arc::new(table);
+            Some(DispatchEvent::Configured { table, source })
+        }
+        Err(e) => {
+            log::error!(key = key.as_str(), error:display = e; "a configuration can't be decoded");
+            None
+        }
+    }
+}
+
 /// Returns the event for an upstream's record; a record that can't be decoded
 /// removes the upstream.
 fn listed_event(decoder: &dyn RecordDecoder, key: &str, value: &[u8]) -> Option<DispatchEvent> {
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod announcement;
 mod answers;
 mod attempt;
+mod configuration_fetch;
 pub mod daemon;
 mod dialect;
 mod driver;
--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -4,9 +4,12 @@
 //! Load pattern: the store refuses single instances while it serves the
 //! operator and the others, so a refused entry would miss changes. Each entry
 //! caches the records that it has read and serves them to its peers with the
-//! time since its last read; peers ignore records that are too old.
+//! time since its last read; peers ignore upstreams that are too old. Of the
+//! configuration it caches the highest version, wherever that was read, and peers
+//! compare versions.
 
 use egretstage_platform::{HttpClient, KeyedChange, KeyedTopic};
+use egretstage_wire::InstanceId;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
@@ -42,6 +45,8 @@
 struct CacheState {
     topics: HashMap<KeyedTopic, TopicRecords>,
     peers: BTreeMap<compact_str::CompactString, SocketAddr>,
+    /// Version of the cached configuration, 0 for none.
+    configuration: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -52,23 +57,38 @@
 
 /// The records of a topic, as they are sent to peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct RecordSnapshot {
+pub(crate) struct RecordSnapshot {
     /// Time since the entry last read the topic, in milliseconds.
     age_ms: u64,
     /// Pairs of key and value.
     records: Vec<(compact_str::CompactString, serde_bytes::ByteBuf)>,
 }
 
+impl RecordSnapshot {
+    /// Returns the pairs of key and value.
+    pub(crate) fn into_records(
+        self,
+    ) -> impl Iterator<Item = (compact_str::CompactString, Vec<u8>)> {
+        let records = self.records.into_iter();
+        records.map(|(key, value)| (key, value.into_vec()))
+    }
+}
+
 impl RecordCache {
     fn lock(&self) -> MutexGuard<'_, CacheState> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Applies changes that were read from the store.
+    ///
+    /// Configurations are cached by [`Self::store_configuration`].
     pub(crate) fn store_changes(&self, topic: KeyedTopic, changes: &[KeyedChange]) {
         let mut cache = self.lock();
         let cached = cache.topics.entry(topic).or_default();
         cached.read_at = Some(Instant::now());
+        if topic == KeyedTopic::Configuration {
+            return;
+        }
         for change in changes {
             match change {
                 KeyedChange::Put { key, value, .. } => {
@@ -81,6 +101,21 @@
         }
     }
 
+    /// Caches a configuration if its version is the highest one.
+    pub(crate) fn store_configuration(
+        &self,
+        version: u64,
+        key: compact_str::CompactString,
+        value: Vec<u8>,
+    ) {
+        let mut cache = self.lock();
+        if version > cache.configuration {
+            cache.configuration = version;
+            let cached = cache.topics.entry(KeyedTopic::Configuration).or_default();
+            cached.records = BTreeMap::from([(key, value)]);
+        }
+    }
+
     /// Returns the time since the store last answered a read of a topic.
     pub(crate) fn read_age(&self, topic: KeyedTopic) -> Option<Duration> {
         let read_at = self.lock().topics.get(&topic)?.read_at?;
@@ -92,10 +127,16 @@
         self.lock().peers.insert(name, address);
     }
 
+    /// Returns the address of a peer.
+    pub(crate) fn peer(&self, name: &InstanceId) -> Option<SocketAddr> {
+        self.lock().peers.get(name.as_str()).copied()
+    }
+
     fn snapshot(&self, topic: KeyedTopic) -> Option<RecordSnapshot> {
         let cache = self.lock();
         let cached = cache.topics.get(&topic)?;
-        let age = cached.read_at?.elapsed();
+        // An entry that never read the topic has no age that counts as recent.
+        let age = cached.read_at.map_or(Duration::MAX, |at| at.elapsed());
         let record = |(key, value): (&compact_str::CompactString, &Vec<u8>)| {
             (key.clone(), serde_bytes::ByteBuf::from(value.clone()))
         };
@@ -167,29 +208,33 @@
     }
 
     fn query_peer(&self, peer: SocketAddr) -> Option<RecordSnapshot> {
-        let topic: &'static str = self.topic.into();
-        let client = HttpClient::new(&format!("http://{peer}"), ANSWER_TIMEOUT);
-        let body = match client.get(&format!("{RECORDS_PATH}{topic}"), Duration::ZERO) {
-            Ok(body) => body,
-            Err(e) => {
-                log::debug!(peer:display, error:display = e; "a peer's records can't be fetched");
-                return None;
-            }
-        };
-        let snapshot: RecordSnapshot = match ciborium::from_reader(body.as_slice()) {
-            Ok(snapshot) => snapshot,
-            Err(e) => {
-                log::warn!(peer:display, error:display = e; "a peer's records can't be decoded");
-                return None;
-            }
-        };
-        let age_ms = snapshot.age_ms;
-        let fresh = Duration::from_millis(age_ms) < MAX_RECORD_AGE;
-        log::info!(peer:display, topic, age_ms, fresh; "received a peer's records");
-        fresh.then_some(snapshot)
+        let snapshot = fetch_records(peer, self.topic)?;
+        (Duration::from_millis(snapshot.age_ms) < MAX_RECORD_AGE).then_some(snapshot)
     }
 }
 
+/// Fetches the records of a topic that a peer has cached.
+pub(crate) fn fetch_records(peer: SocketAddr, topic: KeyedTopic) -> Option<RecordSnapshot> {
+    let topic: &'static str = topic.into();
+    let client = HttpClient::new(&format!("http://{peer}"), ANSWER_TIMEOUT);
+    let body = match client.get(&format!("{RECORDS_PATH}{topic}"), Duration::ZERO) {
+        Ok(body) => body,
+        Err(e) => {
+            log::debug!(peer:display, error:display = e; "a peer's records can't be fetched");
+            return None;
+        }
+    };
+    let snapshot: RecordSnapshot = match ciborium::from_reader(body.as_slice()) {
+        Ok(snapshot) => snapshot,
+        Err(e) => {
+            log::warn!(peer:display, error:display = e; "a peer's records can't be decoded");
+            return None;
+        }
+    };
+    log::info!(peer:display, topic, age_ms = snapshot.age_ms; "received a peer's records");
+    Some(snapshot)
+}
+
 /// Serves the cached records to peers for as long as the process runs.
 pub(crate) async fn serve(listener: TcpListener, cache: RecordCache) {
     loop {
