Take the newest copy of the upstreams among the peers', not the first recent one

Callers' requests reached an upstream 2.21 s after it was listed as leaving, at entries that the store refuses; the bound is 2 s. Change: two peers at a time are asked, up to four, until one has a copy that is as recent as a served entry's; the one read last is taken, and only if it was read after the entry's own. The next query begins with the peer that was current.

--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -22,6 +22,10 @@
 /// return at each upstream's heartbeat, and each call to the store has a cost.
 const UPSTREAMS_PAUSE_SHARE: f32 = 0.3;
 
+/// Age up to which a peer's copy of the upstreams counts as current, in pauses
+/// between two reads: the second half covers a slow read.
+const CURRENT_AGE_FACTOR: f32 = 1.5;
+
 /// Time for which the store may wait for a change among the entries.
 const ENTRIES_WAIT: Duration = Duration::from_secs(10);
 
@@ -157,7 +161,8 @@
             wait: Duration::ZERO,
             pause: max_delay.mul_f32(UPSTREAMS_PAUSE_SHARE),
         };
-        let peer_query = PeerQuery::new(self.cache.clone(), KeyedTopic::Upstreams);
+        let current_age = timing.pause.mul_f32(CURRENT_AGE_FACTOR);
+        let peer_query = PeerQuery::new(self.cache.clone(), KeyedTopic::Upstreams, current_age);
         self.follow(KeyedTopic::Upstreams, timing, Some(peer_query), |change| {
             let event = match change {
                 KeyedChange::Put { key, value, .. } => listed_event(decoder, &key, &value)?,
--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -37,6 +37,13 @@
 /// connection.
 const QUERY_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Number of peers that are queried at the same time.
+const QUERIED_TOGETHER: usize = 2;
+
+/// Maximum number of times that peers are queried together before the store is read
+/// again.
+const MAX_BATCHES: usize = 2;
+
 /// Cache of the records that an entry has read, with its peers' addresses.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecordCache(Arc<Mutex<CacheState>>);
@@ -118,8 +125,12 @@
 
     /// Returns the time since the store last answered a read of a topic.
     pub(crate) fn read_age(&self, topic: KeyedTopic) -> Option<Duration> {
-        let read_at = self.lock().topics.get(&topic)?.read_at?;
-        Some(read_at.elapsed())
+        Some(self.read_at(topic)?.elapsed())
+    }
+
+    /// Returns when the store last answered a read of a topic.
+    fn read_at(&self, topic: KeyedTopic) -> Option<Instant> {
+        self.lock().topics.get(&topic)?.read_at
     }
 
     /// Stores the address at which a peer serves its records.
@@ -177,19 +188,30 @@
 pub(crate) struct PeerQuery {
     cache: RecordCache,
     topic: KeyedTopic,
+    /// Age up to which a copy counts as current: its holder still reads the store.
+    current_age: Duration,
     queried_at: Option<Instant>,
+    /// The peer to ask first: the last one that had a current copy, or the one after
+    /// the last one asked.
+    first: usize,
+    /// When the newest copy that was adopted was read in the store.
+    adopted_read_at: Option<Instant>,
 }
 
 impl PeerQuery {
-    pub(crate) fn new(cache: RecordCache, topic: KeyedTopic) -> Self {
+    pub(crate) fn new(cache: RecordCache, topic: KeyedTopic, current_age: Duration) -> Self {
         Self {
             cache,
             topic,
+            current_age,
             queried_at: None,
+            first: 0,
+            adopted_read_at: None,
         }
     }
 
-    /// Returns the changes to the records of the first peer that sends fresh ones.
+    /// Returns the changes that turn this entry's records into the newest copy among
+    /// those of its peers, if that is newer than its own.
     ///
     /// Queries the peers at most once in [`QUERY_INTERVAL`].
     pub(crate) fn query(&mut self) -> Vec<KeyedChange> {
@@ -200,19 +222,77 @@
             return Vec::new();
         }
         self.queried_at = Some(Instant::now());
-        let peers: Vec<SocketAddr> = self.cache.lock().peers.values().copied().collect();
-        let fresh = peers.into_iter().find_map(|peer| self.query_peer(peer));
-        fresh.map_or_else(Vec::new, |snapshot| {
-            self.cache.differences(self.topic, snapshot)
-        })
+        let own = self.cache.read_at(self.topic).max(self.adopted_read_at);
+        let Some(copy) = self.newest_copy().filter(|copy| own < Some(copy.read_at)) else {
+            return Vec::new();
+        };
+        self.adopted_read_at = Some(copy.read_at);
+        self.cache.differences(self.topic, copy.snapshot)
     }
 
-    fn query_peer(&self, peer: SocketAddr) -> Option<RecordSnapshot> {
-        let snapshot = fetch_records(peer, self.topic)?;
-        (Duration::from_millis(snapshot.age_ms) < MAX_RECORD_AGE).then_some(snapshot)
+    /// Asks some peers at a time until one has a current copy; returns the copy that
+    /// was read last.
+    fn newest_copy(&mut self) -> Option<PeerCopy> {
+        let mut peers: Vec<SocketAddr> = self.cache.lock().peers.values().copied().collect();
+        let count = peers.len();
+        peers.rotate_left(self.first.checked_rem(count)?);
+        let mut newest: Option<PeerCopy> = None;
+        let mut asked = 0;
+        for batch in peers.chunks(QUERIED_TOGETHER).take(MAX_BATCHES) {
+            let copies = fetch_together(batch, self.topic);
+            newest = copies.chain(newest).max_by_key(|copy| copy.read_at);
+            if let Some(copy) = newest.take_if(|copy| copy.age() < self.current_age) {
+                self.first = (self.first + asked + copy.position) % count;
+                return Some(copy);
+            }
+            asked += batch.len();
+        }
+        self.first = (self.first + asked) % count;
+        newest
     }
 }
 
+/// A peer's copy of the records of a topic.
+#[derive(Debug)]
+struct PeerCopy {
+    /// The peer's position among those that were asked together.
+    position: usize,
+    /// When the peer read the records in the store, or a little earlier.
+    read_at: Instant,
+    snapshot: RecordSnapshot,
+}
+
+impl PeerCopy {
+    fn age(&self) -> Duration {
+        Duration::from_millis(self.snapshot.age_ms)
+    }
+}
+
+/// Fetches the records of a topic from several peers at once; returns the copies that
+/// aren't too old.
+fn fetch_together(peers: &[SocketAddr], topic: KeyedTopic) -> impl Iterator<Item = PeerCopy> {
+    let fetch = |position: usize, peer: SocketAddr| {
+        let asked_at = Instant::now();
+        let snapshot = fetch_records(peer, topic)?;
+        let age = Duration::from_millis(snapshot.age_ms);
+        let read_at = asked_at.checked_sub(age).filter(|_| age < MAX_RECORD_AGE)?;
+        Some(PeerCopy {
+            position,
+            read_at,
+            snapshot,
+        })
+    };
+    let copies: Vec<Option<PeerCopy>> = std::thread::scope(|scope| {
+        let peers = peers.iter().copied().enumerate();
+        let fetches = peers.map(|(position, peer)| scope.spawn(move || fetch(position, peer)));
+        let fetches: Vec<_> = fetches.collect();
+        // A fetch that panicked counts as one without an answer.
+        let copies = fetches.into_iter().map(|fetch| fetch.join().ok().flatten());
+        copies.collect()
+    });
+    copies.into_iter().flatten()
+}
+
 /// Fetches the records of a topic that a peer has cached.
 pub(crate) fn fetch_records(peer: SocketAddr, topic: KeyedTopic) -> Option<RecordSnapshot> {
     let topic: &'static str = topic.into();
