Remove upstreams that came and left while the store refuses an entry

Callers' requests reached an upstream more than 2 s after it had left, at an entry that the store refused when it came. Cause: the differences to a peer's copy were taken against the entry's own last read, which doesn't have what an earlier copy of a peer had added. Nor did the follower know of those keys, so the newest records after expired history removed none of them. Change: KeyedFollower::adopt takes another reader's copy and keeps the keys that it has reported, whatever their source.

--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -2,7 +2,7 @@
 
 use crate::announcement::{Announcement, decode_entry_address};
 use crate::dialect::RecordDecoder;
-use crate::record_relay::{PeerQuery, RecordCache};
+use crate::record_relay::{PeerQuery, QueryResult, RecordCache};
 use compact_str::CompactString;
 use egretstage_dispatch::{ConfigurationSource, DispatchEvent, ListedUpstream};
 use egretstage_platform::{KeyedChange, KeyedFollower, KeyedStore, KeyedTopic, PlatformError};
@@ -117,11 +117,18 @@
                         next_read_at = Instant::now() + retry_delay(failures);
                         failures += 1;
                     }
-                    let peer_changes = peer_query.as_mut().map_or_else(Vec::new, PeerQuery::query);
-                    if !peer_changes.is_empty() {
-                        follower.mark_store_available();
-                    }
-                    (peer_changes, RETRY_DELAY)
+                    let result = peer_query.as_mut().map(PeerQuery::query);
+                    let adopted = match result {
+                        Some(QueryResult::Newer(records)) => {
+                            follower.adopt(Instant::now(), records)
+                        }
+                        Some(QueryResult::NoneNewer) => {
+                            follower.mark_store_available();
+                            Vec::new()
+                        }
+                        Some(QueryResult::NoCopy) | None => Vec::new(),
+                    };
+                    (adopted, RETRY_DELAY)
                 }
             };
             for change in changes {
--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -62,6 +62,9 @@
     read_at: Option<Instant>,
 }
 
+/// Key and value of a record.
+pub(crate) type Record = (compact_str::CompactString, Vec<u8>);
+
 /// The records of a topic, as they are sent to peers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct RecordSnapshot {
@@ -73,9 +76,7 @@
 
 impl RecordSnapshot {
     /// Returns the pairs of key and value.
-    pub(crate) fn into_records(
-        self,
-    ) -> impl Iterator<Item = (compact_str::CompactString, Vec<u8>)> {
+    pub(crate) fn into_records(self) -> impl Iterator<Item = Record> {
         let records = self.records.into_iter();
         records.map(|(key, value)| (key, value.into_vec()))
     }
@@ -156,31 +157,17 @@
             records: cached.records.iter().map(record).collect(),
         })
     }
+}
 
-    /// Returns the changes that turn the cached records into those of a peer.
-    fn differences(&self, topic: KeyedTopic, snapshot: RecordSnapshot) -> Vec<KeyedChange> {
-        let cache = self.lock();
-        let cached = cache.topics.get(&topic);
-        let missing = cached.into_iter().flat_map(|cached| cached.records.keys());
-        let missing = missing.filter(|key| {
-            snapshot
-                .records
-                .iter()
-                .all(|(peer_key, _)| peer_key != *key)
-        });
-        let mut changes: Vec<KeyedChange> = missing.cloned().map(KeyedChange::Removed).collect();
-        changes.extend(
-            snapshot
-                .records
-                .into_iter()
-                .map(|(key, value)| KeyedChange::Put {
-                    key,
-                    value: value.into_vec(),
-                    offset: 0,
-                }),
-        );
-        changes
-    }
+/// Result of a query of the peers.
+#[derive(Debug)]
+pub(crate) enum QueryResult {
+    /// No peer was asked, or none has a recent copy.
+    NoCopy,
+    /// The store serves peers, but none of their copies is newer than this entry's.
+    NoneNewer,
+    /// The newest copy.
+    Newer(Vec<Record>),
 }
 
 /// Queries peers for the records of one topic.
@@ -210,24 +197,25 @@
         }
     }
 
-    /// Returns the changes that turn this entry's records into the newest copy among
-    /// those of its peers, if that is newer than its own.
-    ///
-    /// Queries the peers at most once in [`QUERY_INTERVAL`].
-    pub(crate) fn query(&mut self) -> Vec<KeyedChange> {
+    /// Asks the peers for a copy that is newer than this entry's own, at most once in
+    /// [`QUERY_INTERVAL`].
+    pub(crate) fn query(&mut self) -> QueryResult {
         if self
             .queried_at
             .is_some_and(|at| at.elapsed() < QUERY_INTERVAL)
         {
-            return Vec::new();
+            return QueryResult::NoCopy;
         }
         self.queried_at = Some(Instant::now());
         let own = self.cache.read_at(self.topic).max(self.adopted_read_at);
-        let Some(copy) = self.newest_copy().filter(|copy| own < Some(copy.read_at)) else {
-            return Vec::new();
-        };
-        self.adopted_read_at = Some(copy.read_at);
-        self.cache.differences(self.topic, copy.snapshot)
+        match self.newest_copy() {
+            Some(copy) if own < Some(copy.read_at) => {
+                self.adopted_read_at = Some(copy.read_at);
+                QueryResult::Newer(copy.snapshot.into_records().collect())
+            }
+            Some(_) => QueryResult::NoneNewer,
+            None => QueryResult::NoCopy,
+        }
     }
 
     /// Asks some peers at a time until one has a current copy; returns the copy that
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -98,6 +98,41 @@
         self.failed_at = None;
     }
 
+    /// Adopts a newer copy of all records, which another reader has read while the
+    /// store fails this one; returns the changes.
+    pub fn adopt(
+        &mut self,
+        now: Instant,
+        records: Vec<(CompactString, Vec<u8>)>,
+    ) -> Vec<KeyedChange> {
+        self.mark_store_available();
+        let listed: HashSet<&CompactString> = records.iter().map(|(key, _)| key).collect();
+        let is_listed = |key: &&CompactString| listed.contains(key);
+        let unlisted: Vec<_> = self
+            .present
+            .iter()
+            .filter(|key| !is_listed(key))
+            .cloned()
+            .collect();
+        let mut changes = Vec::new();
+        for key in unlisted {
+            self.remove(now, key, &mut changes);
+        }
+        for (key, value) in records {
+            let value = Some(value);
+            self.apply(
+                now,
+                KeyedRecord {
+                    key,
+                    value,
+                    offset: 0,
+                },
+                &mut changes,
+            );
+        }
+        changes
+    }
+
     /// Returns whether all of the newest records have been read.
     #[must_use]
     pub fn is_caught_up(&self) -> bool {
--- a/crates/egretstage_platform/tests/keyed_follower.rs
+++ b/crates/egretstage_platform/tests/keyed_follower.rs
@@ -129,13 +129,21 @@
 
     fn poll(&mut self) -> Result<Vec<String>, PlatformError> {
         let changes = self.follower.poll(self.now, &self.store, Duration::ZERO)?;
+        Ok(Self::format(changes))
+    }
+
+    fn adopt(&mut self, records: &[(&str, &str)]) -> Vec<String> {
+        Self::format(self.follower.adopt(self.now, copy_of(records)))
+    }
+
+    fn format(changes: Vec<KeyedChange>) -> Vec<String> {
         let format = |change: KeyedChange| match change {
             KeyedChange::Put { key, value, .. } => {
                 format!("{key}={}", String::from_utf8_lossy(&value))
             }
             KeyedChange::Removed(key) => format!("-{key}"),
         };
-        Ok(changes.into_iter().map(format).collect())
+        changes.into_iter().map(format).collect()
     }
 }
 
@@ -309,3 +317,45 @@
     assert_eq!(reader.poll().expect("changes"), ["a=4"]);
     assert_eq!(reader.follower.era(), Some(StoreEra(1)));
 }
+
+/// Returns the keys and values of another reader's copy.
+fn copy_of(records: &[(&str, &str)]) -> Vec<(compact_str::CompactString, Vec<u8>)> {
+    let records = records.iter();
+    records
+        .map(|(key, value)| ((*key).into(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+/// Fault: the store fails this reader, and a key comes and goes in the copies of
+/// another one.
+#[test]
+fn a_key_of_an_adopted_copy_is_removed_when_the_next_copy_lacks_it() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1"));
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    assert_eq!(reader.adopt(&[("b", "1")]), ["-a", "b=1"]);
+    assert_eq!(reader.adopt(&[("a", "2")]), ["-b", "a=2"]);
+}
+
+/// Fault: a key comes and goes while the store fails this reader, and the history of
+/// that time expires.
+#[test]
+fn a_key_of_an_adopted_copy_is_removed_when_the_store_no_longer_lists_it() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1"));
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    assert_eq!(reader.adopt(&[("a", "1"), ("b", "1")]), ["a=1", "b=1"]);
+    reader.store.put("b", Some("1"));
+    reader.store.put("b", None);
+    reader.store.change(|store| {
+        store.down = false;
+        store.first = 3;
+    });
+    let mut changes = reader.poll().expect("expired changes");
+    changes.extend(reader.poll().expect("the newest records"));
+    assert!(changes.contains(&"-b".to_owned()), "{changes:?}");
+}
