Learn other entries' addresses from their reports

Callers got 503 from an entry that had started again while the store refused it, until the store served it, although the other entries had all records. Cause: an entry knew the others from the store alone, so it had nobody to ask. Change: PeerDirectory holds the addresses, from the store and from the reports that the others send to the address they know. It replaces the copies in the record cache and in the sender of reports.

--- a/crates/egretstage_gateway/src/configuration_fetch.rs
+++ b/crates/egretstage_gateway/src/configuration_fetch.rs
@@ -1,9 +1,10 @@
 //! Fetches the configuration that another entry has.
 
 use crate::dialect::RecordDecoder;
-use crate::feeds::{FeedMessage, configured_event};
+use crate::feeds::configured_event;
+use crate::peers::PeerDirectory;
 use crate::record_relay::{RecordCache, fetch_records};
-use egretstage_dispatch::ConfigurationSource;
+use egretstage_dispatch::{ConfigurationSource, DispatchEvent};
 use egretstage_platform::KeyedTopic;
 use egretstage_wire::InstanceId;
 use std::net::SocketAddr;
@@ -15,14 +16,15 @@
 #[derive(Clone)]
 pub(crate) struct ConfigurationFetcher {
     pub(crate) cache: RecordCache,
+    pub(crate) peers: PeerDirectory,
     pub(crate) decoder: Arc<dyn RecordDecoder>,
-    pub(crate) tx: UnboundedSender<FeedMessage>,
+    pub(crate) tx: UnboundedSender<DispatchEvent>,
 }
 
 impl ConfigurationFetcher {
     /// Starts to fetch the configuration of another entry.
     pub(crate) fn fetch(&self, peer: &InstanceId) {
-        let Some(address) = self.cache.peer(peer) else {
+        let Some(address) = self.peers.get(peer) else {
             log::debug!(peer = peer.as_str(); "the address of a newer configuration isn't known");
             return;
         };
@@ -42,7 +44,7 @@
             let event = configured_event(&*self.decoder, &self.cache, key, value, source);
             if let Some(event) = event {
                 // The send fails only after the end of the entry's loop.
-                drop(self.tx.send(FeedMessage::Event(event)));
+                drop(self.tx.send(event));
             }
         }
     }
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -5,9 +5,9 @@
 use crate::dialect::Platform;
 use crate::driver::{Driver, EffectTargets, LoggedDecision};
 use crate::exchange::Gateway;
-use crate::feeds::{Feed, FeedMessage};
+use crate::feeds::Feed;
 use crate::metrics::GatewayMetrics;
-use crate::peers::{self, PeerAddresses};
+use crate::peers::{self, PeerDirectory};
 use crate::record_relay::{self, RecordCache};
 use crate::settings::GatewaySettings;
 use crate::upstream_pool::UpstreamPool;
@@ -61,12 +61,13 @@
     let health = Health::default();
     let metrics = Metrics::new().into_diagnostic()?;
     let cache = RecordCache::default();
+    let peers = PeerDirectory::new(settings.instance.clone());
     let gateway_metrics = Rc::new(GatewayMetrics::new(&metrics, cache.clone()));
     let (reports, reports_rx) = unbounded_channel();
     let (close_idle, close_idle_rx) = unbounded_channel();
     let (table, table_rx) = watch::channel(None);
     let (closing, closing_rx) = watch::channel(false);
-    let (messages, messages_rx) = unbounded_channel();
+    let (events, events_rx) = unbounded_channel();
     let stopped = Rc::new(Notify::new());
     let driver = Driver::new(
         new_dispatcher(settings),
@@ -75,8 +76,9 @@
             close_idle,
             fetcher: ConfigurationFetcher {
                 cache: cache.clone(),
+                peers: peers.clone(),
                 decoder: Arc::clone(&platform.decoder),
-                tx: messages.clone(),
+                tx: events.clone(),
             },
             table,
             closing,
@@ -106,28 +108,23 @@
         &platform.decoder,
         &*platform.new_store,
         &cache,
-        &messages,
+        &peers,
+        &events,
     )?;
-    stop_on_signal(messages)?;
+    stop_on_signal(events)?;
     let socket = UdpSocket::bind(settings.peers.listen).await;
     let socket = Rc::new(socket.into_diagnostic()?);
-    let (addresses, addresses_rx) = watch::channel(PeerAddresses::default());
     spawn_local(Rc::clone(&driver).run_timer());
     spawn_local(peers::send_reports(
         Rc::clone(&socket),
         reports_rx,
-        addresses_rx,
+        peers.clone(),
     ));
-    spawn_local(peers::receive_reports(socket, Rc::clone(&driver)));
+    spawn_local(peers::receive_reports(socket, Rc::clone(&driver), peers));
     let records_listener = bind_listener(settings.peers.listen).and_then(TcpListener::from_std);
     let records_listener = records_listener.into_diagnostic()?;
-    spawn_local(record_relay::serve(records_listener, cache.clone()));
-    spawn_local(handle_messages(
-        messages_rx,
-        Rc::clone(&driver),
-        addresses,
-        cache,
-    ));
+    spawn_local(record_relay::serve(records_listener, cache));
+    spawn_local(handle_events(events_rx, Rc::clone(&driver)));
     spawn_local(close_idle_connections(close_idle_rx, pool));
     let (connection_guard, mut all_closed) = channel(1);
     let accepting = spawn_local(server::accept(listener, gateway, connection_guard));
@@ -160,15 +157,17 @@
     decoder: &Arc<dyn RecordDecoder>,
     new_store: &dyn Fn() -> Box<dyn KeyedStore>,
     cache: &RecordCache,
-    messages: &UnboundedSender<FeedMessage>,
+    peers: &PeerDirectory,
+    events: &UnboundedSender<DispatchEvent>,
 ) -> miette::Result<()> {
     let announcement = Announcement::new(settings.instance.as_str(), settings.peers.listen);
     let announcement = Arc::new(announcement);
     let new_feed = || Feed {
         store: new_store(),
         cache: cache.clone(),
+        peers: peers.clone(),
         announcement: Arc::clone(&announcement),
-        tx: messages.clone(),
+        tx: events.clone(),
     };
     let freshness = settings.freshness;
     let (feed, record_decoder) = (new_feed(), Arc::clone(decoder));
@@ -179,8 +178,8 @@
     spawn_thread("upstreams", move || {
         feed.follow_upstreams(&*record_decoder, freshness.max_leaving_delay());
     })?;
-    let (feed, own_name) = (new_feed(), settings.instance.clone());
-    spawn_thread("entries", move || feed.follow_entries(&own_name))
+    let feed = new_feed();
+    spawn_thread("entries", move || feed.follow_entries())
 }
 
 fn spawn_thread(name: &str, body: impl FnOnce() + Send + 'static) -> miette::Result<()> {
@@ -189,31 +188,18 @@
     Ok(())
 }
 
-fn stop_on_signal(messages: UnboundedSender<FeedMessage>) -> miette::Result<()> {
+fn stop_on_signal(events: UnboundedSender<DispatchEvent>) -> miette::Result<()> {
     on_stop_signal(move || {
         // The send fails only after the end of the entry's loop, when nothing
         // is left to stop.
-        drop(messages.send(FeedMessage::Event(DispatchEvent::Stop)));
+        drop(events.send(DispatchEvent::Stop));
     })
     .into_diagnostic()
 }
 
-async fn handle_messages(
-    mut messages: UnboundedReceiver<FeedMessage>,
-    driver: Rc<Driver>,
-    addresses: watch::Sender<PeerAddresses>,
-    cache: RecordCache,
-) {
-    while let Some(message) = messages.recv().await {
-        match message {
-            FeedMessage::Event(event) => driver.handle_event(event),
-            FeedMessage::Entry(name, address) => {
-                cache.add_peer(name.clone(), address);
-                addresses.send_modify(|peers| {
-                    peers.insert(name, address);
-                });
-            }
-        }
+async fn handle_events(mut events: UnboundedReceiver<DispatchEvent>, driver: Rc<Driver>) {
+    while let Some(event) = events.recv().await {
+        driver.handle_event(event);
     }
 }
 
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -2,12 +2,12 @@
 
 use crate::announcement::{Announcement, decode_entry_address};
 use crate::dialect::RecordDecoder;
+use crate::peers::PeerDirectory;
 use crate::record_relay::{PeerQuery, QueryResult, RecordCache};
 use compact_str::CompactString;
 use egretstage_dispatch::{ConfigurationSource, DispatchEvent, ListedUpstream};
 use egretstage_platform::{KeyedChange, KeyedFollower, KeyedStore, KeyedTopic, PlatformError};
 use egretstage_wire::InstanceId;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
@@ -41,21 +41,13 @@
 /// each call to the store has a cost, and an outage lasts seconds anyway.
 const MAX_RETRY_DOUBLINGS: u32 = 2;
 
-/// Message of a feed to the entry's thread.
-#[derive(Debug)]
-pub(crate) enum FeedMessage {
-    /// An event for the dispatcher.
-    Event(DispatchEvent),
-    /// Another entry's name and address.
-    Entry(CompactString, SocketAddr),
-}
-
 /// Reads one topic of the store and sends its changes to the entry's thread.
 pub(crate) struct Feed {
     pub(crate) store: Box<dyn KeyedStore>,
     pub(crate) cache: RecordCache,
+    pub(crate) peers: PeerDirectory,
     pub(crate) announcement: Arc<Announcement>,
-    pub(crate) tx: UnboundedSender<FeedMessage>,
+    pub(crate) tx: UnboundedSender<DispatchEvent>,
 }
 
 /// Timing of the reads of a topic.
@@ -76,7 +68,7 @@
         topic: KeyedTopic,
         timing: PollTiming,
         mut peer_query: Option<PeerQuery>,
-        mut to_message: impl FnMut(KeyedChange) -> Option<FeedMessage>,
+        mut to_event: impl FnMut(KeyedChange) -> Option<DispatchEvent>,
     ) {
         let mut follower = KeyedFollower::new(topic);
         let mut failures = 0;
@@ -132,8 +124,8 @@
                 }
             };
             for change in changes {
-                if let Some(message) = to_message(change)
-                    && self.tx.send(message).is_err()
+                if let Some(event) = to_event(change)
+                    && self.tx.send(event).is_err()
                 {
                     return;
                 }
@@ -157,7 +149,7 @@
             };
             let source = ConfigurationSource::Store;
             let event = configured_event(decoder, &self.cache, key, value, source)?;
-            Some(FeedMessage::Event(event))
+            Some(event)
         });
     }
 
@@ -169,28 +161,35 @@
             pause: max_delay.mul_f32(UPSTREAMS_PAUSE_SHARE),
         };
         let current_age = timing.pause.mul_f32(CURRENT_AGE_FACTOR);
-        let peer_query = PeerQuery::new(self.cache.clone(), KeyedTopic::Upstreams, current_age);
+        let peer_query = PeerQuery::new(
+            self.cache.clone(),
+            self.peers.clone(),
+            KeyedTopic::Upstreams,
+            current_age,
+        );
         self.follow(KeyedTopic::Upstreams, timing, Some(peer_query), |change| {
             let event = match change {
                 KeyedChange::Put { key, value, .. } => listed_event(decoder, &key, &value)?,
                 KeyedChange::Removed(key) => unlisted_event(&key)?,
             };
-            Some(FeedMessage::Event(event))
+            Some(event)
         });
     }
 
     /// Follows the other entries' addresses, and announces that of this entry.
-    pub(crate) fn follow_entries(&self, own_name: &InstanceId) {
+    pub(crate) fn follow_entries(&self) {
         let timing = PollTiming {
             wait: ENTRIES_WAIT,
             pause: ENTRIES_PAUSE,
         };
         self.follow(KeyedTopic::Entries, timing, None, |change| {
-            let KeyedChange::Put { key, value, .. } = change else {
-                return None;
-            };
-            let address = decode_entry_address(&value)?;
-            (key != own_name.as_str()).then_some(FeedMessage::Entry(key, address))
+            if let KeyedChange::Put { key, value, .. } = change {
+                let name = InstanceId::try_from(key.as_str()).ok();
+                if let Some((name, address)) = name.zip(decode_entry_address(&value)) {
+                    self.peers.insert(&name, address);
+                }
+            }
+            None
         });
     }
 }
--- a/crates/egretstage_gateway/src/peers.rs
+++ b/crates/egretstage_gateway/src/peers.rs
@@ -6,25 +6,65 @@
 
 use crate::driver::Driver;
 use egretstage_dispatch::{DispatchEvent, LoadReport};
-use egretstage_wire::SlowRanks;
-use std::collections::HashMap;
+use egretstage_wire::{InstanceId, SlowRanks};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::watch;
 
 /// Largest datagram that is received, in bytes.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
 
-/// Addresses of the other entries, by name.
-pub(crate) type PeerAddresses = HashMap<compact_str::CompactString, SocketAddr>;
+/// Addresses of the other entries.
+///
+/// They are read in the store, and taken from the entries' reports: an entry that
+/// starts while the store refuses it is known to the others from an earlier start.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerDirectory {
+    own_name: InstanceId,
+    addresses: Arc<Mutex<BTreeMap<InstanceId, SocketAddr>>>,
+}
+
+impl PeerDirectory {
+    /// Creates an empty directory for an entry, which isn't listed itself.
+    pub(crate) fn new(own_name: InstanceId) -> Self {
+        Self {
+            own_name,
+            addresses: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, SocketAddr>> {
+        self.addresses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Stores the address of an entry.
+    pub(crate) fn insert(&self, name: &InstanceId, address: SocketAddr) {
+        if *name != self.own_name && self.lock().insert(name.clone(), address) != Some(address) {
+            log::info!(peer = name.as_str(), address:display; "another entry is known");
+        }
+    }
+
+    /// Returns the address of an entry.
+    pub(crate) fn get(&self, name: &InstanceId) -> Option<SocketAddr> {
+        self.lock().get(name).copied()
+    }
+
+    /// Returns the addresses of all entries, in the order of their names.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().values().copied().collect()
+    }
+}
 
 /// Sends this entry's reports to the others.
 pub(crate) async fn send_reports(
     socket: Rc<UdpSocket>,
     mut reports: UnboundedReceiver<Box<LoadReport>>,
-    peers: watch::Receiver<PeerAddresses>,
+    peers: PeerDirectory,
 ) {
     while let Some(report) = reports.recv().await {
         let mut bytes = Vec::new();
@@ -32,8 +72,7 @@
             log::error!(error:display = e; "a load report can't be encoded");
             continue;
         }
-        let addresses: Vec<SocketAddr> = peers.borrow().values().copied().collect();
-        for address in addresses {
+        for address in peers.addresses() {
             if let Err(e) = socket.send_to(&bytes, address).await {
                 log::debug!(peer:display = address, error:display = e; "a load report can't be sent");
             }
@@ -42,7 +81,11 @@
 }
 
 /// Passes the reports of other entries and of deciders to the dispatcher.
-pub(crate) async fn receive_reports(socket: Rc<UdpSocket>, driver: Rc<Driver>) {
+pub(crate) async fn receive_reports(
+    socket: Rc<UdpSocket>,
+    driver: Rc<Driver>,
+    peers: PeerDirectory,
+) {
     let mut buf = vec![0; MAX_REPORT_BYTES];
     loop {
         let (size, from) = match socket.recv_from(&mut buf).await {
@@ -53,7 +96,12 @@
             }
         };
         match decode_report(&buf[..size]) {
-            Ok(event) => driver.handle_event(event),
+            Ok(event) => {
+                if let DispatchEvent::PeerReported(report) = &event {
+                    peers.insert(&report.entry, from);
+                }
+                driver.handle_event(event);
+            }
             Err(e) => log::warn!(peer:display = from, error:display = e; "invalid report"),
         }
     }
--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -8,8 +8,8 @@
 //! configuration it caches the highest version, wherever that was read, and peers
 //! compare versions.
 
+use crate::peers::PeerDirectory;
 use egretstage_platform::{HttpClient, KeyedChange, KeyedTopic};
-use egretstage_wire::InstanceId;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::service::service_fn;
@@ -44,14 +44,13 @@
 /// again.
 const MAX_BATCHES: usize = 2;
 
-/// Cache of the records that an entry has read, with its peers' addresses.
+/// Cache of the records that an entry has read.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecordCache(Arc<Mutex<CacheState>>);
 
 #[derive(Debug, Default)]
 struct CacheState {
     topics: HashMap<KeyedTopic, TopicRecords>,
-    peers: BTreeMap<compact_str::CompactString, SocketAddr>,
     /// Version of the cached configuration, 0 for none.
     configuration: u64,
 }
@@ -134,16 +133,6 @@
         self.lock().topics.get(&topic)?.read_at
     }
 
-    /// Stores the address at which a peer serves its records.
-    pub(crate) fn add_peer(&self, name: compact_str::CompactString, address: SocketAddr) {
-        self.lock().peers.insert(name, address);
-    }
-
-    /// Returns the address of a peer.
-    pub(crate) fn peer(&self, name: &InstanceId) -> Option<SocketAddr> {
-        self.lock().peers.get(name.as_str()).copied()
-    }
-
     fn snapshot(&self, topic: KeyedTopic) -> Option<RecordSnapshot> {
         let cache = self.lock();
         let cached = cache.topics.get(&topic)?;
@@ -174,6 +163,7 @@
 #[derive(Debug)]
 pub(crate) struct PeerQuery {
     cache: RecordCache,
+    peers: PeerDirectory,
     topic: KeyedTopic,
     /// Age up to which a copy counts as current: its holder still reads the store.
     current_age: Duration,
@@ -186,9 +176,15 @@
 }
 
 impl PeerQuery {
-    pub(crate) fn new(cache: RecordCache, topic: KeyedTopic, current_age: Duration) -> Self {
+    pub(crate) fn new(
+        cache: RecordCache,
+        peers: PeerDirectory,
+        topic: KeyedTopic,
+        current_age: Duration,
+    ) -> Self {
         Self {
             cache,
+            peers,
             topic,
             current_age,
             queried_at: None,
@@ -221,7 +217,7 @@
     /// Asks some peers at a time until one has a current copy; returns the copy that
     /// was read last.
     fn newest_copy(&mut self) -> Option<PeerCopy> {
-        let mut peers: Vec<SocketAddr> = self.cache.lock().peers.values().copied().collect();
+        let mut peers = self.peers.addresses();
         let count = peers.len();
         peers.rotate_left(self.first.checked_rem(count)?);
         let mut newest: Option<PeerCopy> = None;
