Take a configuration only from the configuration's own record

Callers would see routes of a record that isn't the configuration, and every true configuration with a lower version dropped from then on. Cause: any record of the topic that decodes as a configuration was taken as it; the key was read for log lines alone. Change: the decoder gets the key and passes over others, at entries (store and peers) and at the companions, which read the shape of their group there.

--- a/crates/egretstage_gateway/src/dialect.rs
+++ b/crates/egretstage_gateway/src/dialect.rs
@@ -91,12 +91,17 @@
 
 /// Decodes the records of the store.
 pub trait RecordDecoder: Send + Sync {
-    /// Decodes a configuration.
+    /// Decodes a record of the configuration's topic, or returns `None` if its key isn't
+    /// that of the configuration.
     ///
     /// # Errors
     ///
-    /// Returns an error when the record is invalid.
-    fn decode_routing_table(&self, value: &[u8]) -> Result<RoutingTable, DecodeError>;
+    /// Returns an error when the configuration is invalid.
+    fn decode_routing_table(
+        &self,
+        key: &str,
+        value: &[u8],
+    ) -> Result<Option<RoutingTable>, DecodeError>;
 
     /// Decodes an upstream.
     ///
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -205,7 +205,7 @@
 }
 
 /// Decodes a configuration and caches it for the other entries; returns its event, or
-/// `None` if it can't be decoded.
+/// `None` if the record is another one or can't be decoded.
 pub(crate) fn configured_event(
     decoder: &dyn RecordDecoder,
     cache: &RecordCache,
@@ -213,8 +213,12 @@
     value: Vec<u8>,
     source: ConfigurationSource,
 ) -> Option<DispatchEvent> {
-    match decoder.decode_routing_table(&value) {
-        Ok(table) => {
+    match decoder.decode_routing_table(&key, &value) {
+        Ok(None) => {
+            log::warn!(key = key.as_str(); "a record isn't the configuration");
+            None
+        }
+        Ok(Some(table)) => {
             cache.store_configuration(table.version(), key, value);
             let table = Arc::new(table);
             Some(DispatchEvent::Configured { table, source })
--- a/crates/egretstage_rank_companion/src/claims.rs
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -103,11 +103,11 @@
     decoder: &dyn RecordDecoder,
     service: &ServiceName,
 ) -> Option<GroupShape> {
-    let KeyedChange::Put { value, .. } = change else {
+    let KeyedChange::Put { key, value, .. } = change else {
         return None;
     };
-    let table = match decoder.decode_routing_table(&value) {
-        Ok(table) => table,
+    let table = match decoder.decode_routing_table(&key, &value) {
+        Ok(table) => table?,
         Err(e) => {
             log::error!(error:display = e; "a configuration can't be decoded");
             return None;
