Put a configuration in force without the objects that can't be decoded

Callers would get 404 on an added route, and requests would go as an older version says, without an end, because some other object of the version had one odd field. Cause: a configuration was decoded as a whole; one unknown kind, a negative time or a prefix without a slash rejected the version, and the older one stayed in force. What can't be decoded is logged and out of use; calls that may need it are refused as not run (configuration-unreadable), as on the product's own platform. A longer prefix that can't be decoded wins over a shorter one, so no call goes to another route's service.

--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -259,6 +259,9 @@
     NoRoute,
     /// The API key belongs to no organisation.
     UnknownKey,
+    /// The call may need an object of the configuration that can't be decoded; it
+    /// didn't run and never will.
+    ConfigurationUnreadable,
     /// There is no capacity; the call didn't run and never will.
     NoRoom,
     /// No upstream takes the call; it didn't run and never will.
@@ -288,6 +291,7 @@
     pub fn status(self) -> u16 {
         match self {
             Self::Unready
+            | Self::ConfigurationUnreadable
             | Self::NoRoom
             | Self::NoUpstream
             | Self::TooSlow
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -71,8 +71,9 @@
 };
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
-    CallerLimits, EngineProfile, ExpertLayout, Organisation, Route, RouteKind, RoutingTable,
-    RoutingTableError, ServiceProfile, WeightedService,
+    CallerLimits, EngineProfile, ExpertLayout, Organisation, Route, RouteKind, RouteMissing,
+    RoutePattern, RoutingTable, RoutingTableError, ServiceProfile, UnreadableObjects,
+    WeightedService,
 };
 pub use signals::UpstreamSignals;
 pub use start_limits::{LimitReport, StartLimits};
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -10,7 +10,7 @@
 use crate::waiting::{Objective, QueueClass};
 use crate::{
     CallHead, CallKey, DecisionLine, DispatchEffect, PromptParts, Refusal, RefusalKind,
-    RequestHash, Route, UnknownCause, UpstreamKey,
+    RequestHash, Route, RouteMissing, UnknownCause, UpstreamKey,
 };
 use compact_str::CompactString;
 use egretstage_wire::{OrganisationName, ServiceName};
@@ -184,11 +184,18 @@
 
     fn admit(&self, head: &CallHead) -> Result<Admission, RefusalKind> {
         let table = self.table.as_ref().ok_or(RefusalKind::Unready)?;
-        let route = table.route(&head.host, &head.path);
-        let route = route.ok_or(RefusalKind::NoRoute)?;
+        let route = table.find_route(&head.host, &head.path);
+        let route = route.map_err(|missing| match missing {
+            RouteMissing::NotConfigured => RefusalKind::NoRoute,
+            RouteMissing::Unreadable => RefusalKind::ConfigurationUnreadable,
+        })?;
         let organisation = head.api_key.as_deref().and_then(|k| table.organisation(k));
         if organisation.is_none() && table.needs_api_keys() && !route.public {
-            return Err(RefusalKind::UnknownKey);
+            return Err(if table.unreadable().has_organisations {
+                RefusalKind::ConfigurationUnreadable
+            } else {
+                RefusalKind::UnknownKey
+            });
         }
         let priority = organisation.and_then(|org| org.priority);
         Ok(Admission {
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -258,7 +258,9 @@
             }
             // Ranks are slow for seconds, so the longest delay is the best.
             RefusalKind::TooSlow => Some(max_delay.mul_f32(retry_delay_share(&call.head.request))),
-            RefusalKind::NoUpstream | RefusalKind::Unready => Some(UNREADY_DELAY.min(max_delay)),
+            RefusalKind::NoUpstream
+            | RefusalKind::Unready
+            | RefusalKind::ConfigurationUnreadable => Some(UNREADY_DELAY.min(max_delay)),
             RefusalKind::Stopping => Some(STOPPING_DELAY),
             RefusalKind::NoRoute
             | RefusalKind::UnknownKey
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -77,6 +77,24 @@
     pub public: bool,
 }
 
+impl Route {
+    /// Checks the route by itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a route without a service or with an invalid path prefix.
+    pub fn check(&self) -> Result<(), RoutingTableError> {
+        if self.services.is_empty() {
+            return Err(RoutingTableError::NoService(self.name.clone()));
+        }
+        let prefix = &self.path_prefix;
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            return Err(RoutingTableError::PathPrefix(self.name.clone()));
+        }
+        Ok(())
+    }
+}
+
 /// Layout of the experts of a model group.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ExpertLayout {
@@ -183,6 +201,44 @@
 
 impl std::error::Error for RoutingTableError {}
 
+/// Calls that a route applies to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoutePattern {
+    /// Host of the calls.
+    pub host: CompactString,
+    /// Prefix of the paths.
+    pub path_prefix: CompactString,
+}
+
+impl RoutePattern {
+    fn matches(&self, host: &str, path: &str) -> bool {
+        self.host == host && path.starts_with(self.path_prefix.as_str())
+    }
+}
+
+/// Objects of a configuration that can't be decoded.
+///
+/// They are out of use, and the others are in force. Calls that may need one of them
+/// are refused as not run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnreadableObjects {
+    /// Routes of which only the pattern can be decoded.
+    pub routes: Vec<RoutePattern>,
+    /// Whether there are routes of which not even the pattern can be decoded.
+    pub has_other_routes: bool,
+    /// Whether there are organisations that can't be decoded.
+    pub has_organisations: bool,
+}
+
+/// Why a call has no route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteMissing {
+    /// The configuration has none for it.
+    NotConfigured,
+    /// Its route can't be decoded, or may be one that can't.
+    Unreadable,
+}
+
 /// The active configuration, indexed for look-ups.
 #[derive(Clone, Debug)]
 pub struct RoutingTable {
@@ -194,6 +250,7 @@
     by_host: HashMap<CompactString, Vec<Arc<Route>>>,
     /// Index of the organisation that each API key belongs to.
     by_api_key: HashMap<CompactString, usize>,
+    unreadable: UnreadableObjects,
 }
 
 impl RoutingTable {
@@ -212,13 +269,7 @@
     ) -> Result<Self, RoutingTableError> {
         let mut by_host: HashMap<CompactString, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
-            if route.services.is_empty() {
-                return Err(RoutingTableError::NoService(route.name));
-            }
-            let prefix = &route.path_prefix;
-            if !prefix.starts_with('/') || !prefix.ends_with('/') {
-                return Err(RoutingTableError::PathPrefix(route.name));
-            }
+            route.check()?;
             let routes = by_host.entry(route.host.clone()).or_default();
             routes.push(Arc::new(route));
         }
@@ -240,9 +291,22 @@
             organisations,
             limits,
             by_host,
+            unreadable: UnreadableObjects::default(),
         })
     }
 
+    /// Adds the objects of the configuration that can't be decoded.
+    #[must_use]
+    pub fn with_unreadable(self, unreadable: UnreadableObjects) -> Self {
+        Self { unreadable, ..self }
+    }
+
+    /// Returns the objects of the configuration that can't be decoded.
+    #[must_use]
+    pub fn unreadable(&self) -> &UnreadableObjects {
+        &self.unreadable
+    }
+
     /// Returns the version; a later configuration has a higher one.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -265,6 +329,25 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// Returns the route of a call, unless one that can't be decoded may apply instead.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the call has no route that can be decoded, or when the
+    /// path prefix of one that can't be decoded is longer.
+    pub fn find_route(&self, host: &str, path: &str) -> Result<&Arc<Route>, RouteMissing> {
+        let unreadable = self.unreadable.routes.iter();
+        let unreadable = unreadable.filter(|pattern| pattern.matches(host, path));
+        let unreadable_length = unreadable.map(|pattern| pattern.path_prefix.len()).max();
+        match self.route(host, path) {
+            Some(route) if unreadable_length <= Some(route.path_prefix.len()) => Ok(route),
+            None if unreadable_length.is_none() && !self.unreadable.has_other_routes => {
+                Err(RouteMissing::NotConfigured)
+            }
+            _ => Err(RouteMissing::Unreadable),
+        }
+    }
+
     /// Returns the organisation that an API key belongs to.
     #[must_use]
     pub fn organisation(&self, api_key: &str) -> Option<&Organisation> {
