Write the entry's record on a thread of its own

A configuration, or a leaving upstream, that an entry had read waited up to 1.2 s for an answer to the write of the entry's own record, and longer if the next write got none either. Cause: whichever thread read a topic first also wrote the record when it was due, before it passed on what it had read. Change: the announcement has its own client of the store, and each write its own thread.

--- a/crates/egretstage_gateway/src/announcement.rs
+++ b/crates/egretstage_gateway/src/announcement.rs
@@ -8,11 +8,14 @@
 //! Load pattern: all entries restart at one moment, at their earlier addresses. Each
 //! write would end the pending read of every other entry, and each read has a cost.
 //! So a record that the store still has isn't written again.
+//!
+//! Load pattern: the store leaves writes without an answer. A write has a thread of its
+//! own, so that no topic's changes wait for it.
 
 use compact_str::CompactString;
 use egretstage_platform::{KeyedChange, KeyedRecord, KeyedStore, KeyedTopic, StoreEra};
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError, TryLockError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Time over which the entries write their records again. Together with the
@@ -28,9 +31,9 @@
 
 /// Keeps the record of this entry in the store, also when the store falls back
 /// to an older copy.
-#[derive(Debug)]
 pub(crate) struct Announcement {
     record: KeyedRecord,
+    store: Box<dyn KeyedStore>,
     state: Mutex<State>,
 }
 
@@ -44,12 +47,15 @@
     written: Option<StoreEra>,
     /// A later era and the time at which the record is due in it.
     due: Option<(StoreEra, Instant)>,
+    /// Whether a write is under way.
+    is_writing: bool,
 }
 
 impl Announcement {
     /// Creates the record of an entry at an address, without writing it.
-    pub(crate) fn new(entry: &str, address: SocketAddr) -> Self {
+    pub(crate) fn new(entry: &str, address: SocketAddr, store: Box<dyn KeyedStore>) -> Self {
         Self {
+            store,
             record: KeyedRecord {
                 key: CompactString::from(entry),
                 value: Some(address.to_string().into_bytes()),
@@ -59,10 +65,14 @@
         }
     }
 
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies changes of the entries' records. `era` is the era in which all of them
     /// have been read, if they have.
     pub(crate) fn record_entries(&self, changes: &[KeyedChange], era: Option<StoreEra>) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
         let is_own = |change: &KeyedChange| {
             matches!(change, KeyedChange::Put { key, value, .. }
                 if *key == self.record.key && Some(value) == self.record.value.as_ref())
@@ -76,18 +86,14 @@
         }
     }
 
-    /// Writes the record if it is due in `era`, the era last read from the
+    /// Starts to write the record if it is due in `era`, the era last read from the
     /// store.
     ///
     /// Nothing is written before the entries' records have been read.
-    pub(crate) fn write_if_due(&self, now: Instant, store: &dyn KeyedStore, era: StoreEra) {
-        // Another thread that holds the lock writes the record itself.
-        let mut state = match self.state.try_lock() {
-            Ok(state) => state,
-            Err(TryLockError::Poisoned(e)) => e.into_inner(),
-            Err(TryLockError::WouldBlock) => return,
-        };
-        if !state.is_topic_read || state.written.is_some_and(|written| written >= era) {
+    pub(crate) fn write_if_due(self: &Arc<Self>, now: Instant, era: StoreEra) {
+        let mut state = self.lock();
+        let is_written = state.written.is_some_and(|written| written >= era);
+        if state.is_writing || !state.is_topic_read || is_written {
             return;
         }
         let due = match state.due {
@@ -99,7 +105,19 @@
         if now < due {
             return;
         }
-        match store.put(KeyedTopic::Entries, &self.record) {
+        let announcement = Arc::clone(self);
+        let thread = std::thread::Builder::new().name("announcement".to_owned());
+        match thread.spawn(move || announcement.write()) {
+            Ok(_) => state.is_writing = true,
+            Err(e) => log::warn!(error:display = e; "the thread of a write can't start"),
+        }
+    }
+
+    fn write(&self) {
+        let result = self.store.put(KeyedTopic::Entries, &self.record);
+        let mut state = self.lock();
+        state.is_writing = false;
+        match result {
             Ok(written) => {
                 log::info!(era = written.0; "announced");
                 state.written = Some(written);
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -160,8 +160,8 @@
     peers: &PeerDirectory,
     events: &UnboundedSender<DispatchEvent>,
 ) -> miette::Result<()> {
-    let announcement = Announcement::new(settings.instance.as_str(), settings.peers.listen);
-    let announcement = Arc::new(announcement);
+    let (name, address) = (settings.instance.as_str(), settings.peers.listen);
+    let announcement = Arc::new(Announcement::new(name, address, new_store()));
     let new_feed = || Feed {
         store: new_store(),
         cache: cache.clone(),
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -89,8 +89,7 @@
                         self.announcement.record_entries(&changes, follower.era());
                     }
                     if let Some(era) = follower.era() {
-                        self.announcement
-                            .write_if_due(Instant::now(), &*self.store, era);
+                        self.announcement.write_if_due(Instant::now(), era);
                     }
                     (
                         changes,
