Give up answers without an end in calls of companions and to the store

Report of other operators: a faulty upstream sent bytes without an end, the instance that had called it kept them all and ran out of memory, and other callers' requests there ended with it. It can happen here: the companion's calls to its engine kept bodies of up to 64 MiB, those of failures twice, and trailers without any limit, in an instance of 128 MB. Cause: one limit for all clients, sized for pages of the log; the HTTP library limits heads and bodies, not trailers. The product's own companion uses the same for its engine.

--- a/crates/egretstage_companion/src/group/balanced_maps.rs
+++ b/crates/egretstage_companion/src/group/balanced_maps.rs
@@ -11,7 +11,9 @@
 use egretstage_config::{BalancePreset, BalanceSettings, RankSettings};
 use egretstage_group::MapSource;
 use egretstage_observe::DECISION_TARGET;
-use egretstage_platform::{HttpWeightStore, PlatformError, WeightStore, WeightTransfer};
+use egretstage_platform::{
+    HttpWeightStore, PlatformError, WeightStore, WeightTransfer, limited_agent,
+};
 use egretstage_rebalance::{
     LayerLoads, OfferId, RebalanceEffect, RebalanceEvent, RebalanceSettings, Rebalancer,
     decode_map, encode_map,
@@ -40,6 +42,9 @@
 /// Timeout of a read of the loads.
 const LOADS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest body of an answer with the loads: those of a hundred thousand experts.
+const MAX_LOADS_BYTES: u64 = 4 * 1024 * 1024;
+
 /// HTTP status of the store when its transfer rate is exhausted.
 const TOO_MANY_REQUESTS: u16 = 429;
 
@@ -121,10 +126,9 @@
     ) -> std::io::Result<()> {
         let (events, stop, interval) = (events.clone(), Arc::clone(stop), self.interval);
         let url = format!("http://{}/expert-loads", self.engine);
-        let agent: ureq::Agent = ureq::Agent::config_builder()
-            .timeout_global(Some(LOADS_TIMEOUT))
-            .build()
-            .into();
+        let config = ureq::Agent::config_builder();
+        let config = config.timeout_global(Some(LOADS_TIMEOUT)).build();
+        let agent = limited_agent(config, MAX_LOADS_BYTES);
         let poll_loads = move || {
             while !stop.load(Ordering::Acquire) {
                 match read_loads(&agent, &url) {
--- a/crates/egretstage_companion/src/group/engine_client.rs
+++ b/crates/egretstage_companion/src/group/engine_client.rs
@@ -4,6 +4,7 @@
 //! [`EngineReply`].
 
 use egretstage_group::{EngineCall, EngineReply, MemberEvent, NoEngineReply};
+use egretstage_platform::limited_agent;
 use egretstage_runtime::EventSender;
 use miette::IntoDiagnostic;
 use std::net::SocketAddr;
@@ -16,6 +17,9 @@
 /// Timeout of an order, which may load weights.
 const ORDER_TIMEOUT: Duration = Duration::from_mins(10);
 
+/// Largest body of an answer.
+const MAX_ANSWER_BYTES: u64 = 1024 * 1024;
+
 /// Sends calls to an engine rank, one at a time.
 #[derive(Debug)]
 pub(crate) struct EngineClient(Sender<EngineCall>);
@@ -32,7 +36,8 @@
     ) -> miette::Result<Self> {
         let (tx, rx) = channel();
         let url = format!("http://{address}/rank");
-        let agent = ureq::agent();
+        let config = ureq::Agent::config_builder().build();
+        let agent = limited_agent(config, MAX_ANSWER_BYTES);
         let thread = std::thread::Builder::new().name("rank-engine".to_owned());
         let spawned = thread.spawn(move || {
             for call in rx {
--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -33,6 +33,9 @@
 /// Longest wait for a peer's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Largest body of a peer's answer: thousands of upstreams.
+const MAX_ANSWER_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Time between two queries of all peers, and pause after a failure to accept a
 /// connection.
 const QUERY_INTERVAL: Duration = Duration::from_millis(700);
@@ -280,7 +283,7 @@
 /// Fetches the records of a topic that a peer has cached.
 pub(crate) fn fetch_records(peer: SocketAddr, topic: KeyedTopic) -> Option<RecordSnapshot> {
     let topic: &'static str = topic.into();
-    let client = HttpClient::new(&format!("http://{peer}"), ANSWER_TIMEOUT);
+    let client = HttpClient::new(&format!("http://{peer}"), ANSWER_TIMEOUT, MAX_ANSWER_BYTES);
     let body = match client.get(&format!("{RECORDS_PATH}{topic}"), Duration::ZERO) {
         Ok(body) => body,
         Err(e) => {
--- a/crates/egretstage_platform/src/http.rs
+++ b/crates/egretstage_platform/src/http.rs
@@ -1,22 +1,47 @@
 //! HTTP calls that the clients share.
 
 use crate::PlatformError;
+use crate::limited_transport::LimitedConnector;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::time::Duration;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{Connector, DefaultConnector};
 
 /// Longest time for a call of a client that states no timeout of its own.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Largest body of an answer.
+/// Largest body of an answer to a client that states no limit of its own.
 const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Number of bytes of a refusal's body that are kept.
+const MAX_REFUSAL_BYTES: usize = 4 * 1024;
+
+/// Bytes of an answer's head and framing, beyond those of its body: a chunk of a few
+/// bytes has as many of framing.
+const FRAMING_FACTOR: u64 = 4;
+
 pub(crate) fn agent() -> ureq::Agent {
-    ureq::Agent::config_builder()
+    agent_with_limit(MAX_ANSWER_BYTES)
+}
+
+fn agent_with_limit(max_body_bytes: u64) -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
         .timeout_global(Some(CALL_TIMEOUT))
         .http_status_as_error(false)
-        .build()
-        .into()
+        .build();
+    limited_agent(config, max_body_bytes)
+}
+
+/// Creates an HTTP agent that gives up an answer without an end.
+///
+/// Answers may have bodies of `max_body_bytes`, and some more in heads, the framing of
+/// chunks and trailers.
+#[must_use]
+pub fn limited_agent(config: ureq::config::Config, max_body_bytes: u64) -> ureq::Agent {
+    let max_bytes = max_body_bytes.saturating_mul(FRAMING_FACTOR);
+    let connector = DefaultConnector::default().chain(LimitedConnector { max_bytes });
+    ureq::Agent::with_parts(config, connector, DefaultResolver::default())
 }
 
 pub(crate) fn get<T: DeserializeOwned>(agent: &ureq::Agent, url: &str) -> Result<T, PlatformError> {
@@ -42,19 +67,20 @@
     url: &str,
     result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
 ) -> Result<Vec<u8>, PlatformError> {
-    read_answer(url, result)?.into_success_body()
+    read_answer(url, result, MAX_ANSWER_BYTES)?.into_success_body()
 }
 
 fn read_answer(
     url: &str,
     result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    max_bytes: u64,
 ) -> Result<HttpAnswer, PlatformError> {
     let no_answer = |e: ureq::Error| PlatformError::NoAnswer {
         url: url.to_owned(),
         reason: e.to_string(),
     };
     let mut resp = result.map_err(no_answer)?;
-    let body = resp.body_mut().with_config().limit(MAX_ANSWER_BYTES);
+    let body = resp.body_mut().with_config().limit(max_bytes);
     let body = body.read_to_vec().map_err(no_answer)?;
     Ok(HttpAnswer {
         url: url.to_owned(),
@@ -95,10 +121,11 @@
         if (200..300).contains(&self.status) {
             return Ok(self.body);
         }
+        let body = &self.body[..self.body.len().min(MAX_REFUSAL_BYTES)];
         Err(PlatformError::Refused {
             url: self.url,
             status: self.status,
-            body: String::from_utf8_lossy(&self.body).into_owned(),
+            body: String::from_utf8_lossy(body).into_owned(),
         })
     }
 }
@@ -112,17 +139,22 @@
     agent: ureq::Agent,
     base: String,
     answer_timeout: Duration,
+    max_answer_bytes: u64,
 }
 
 impl HttpClient {
-    /// Creates a client of the service at a base URL; `answer_timeout` is the
-    /// longest time for an answer beyond the wait that a call asks for.
+    /// Creates a client of the service at a base URL.
+    ///
+    /// `answer_timeout` is the longest time for an answer beyond the wait that a call
+    /// asks for, and `max_answer_bytes` the largest body of an answer: a faulty service
+    /// may send bytes without an end.
     #[must_use]
-    pub fn new(base: &str, answer_timeout: Duration) -> Self {
+    pub fn new(base: &str, answer_timeout: Duration, max_answer_bytes: u64) -> Self {
         Self {
-            agent: agent(),
+            agent: agent_with_limit(max_answer_bytes),
             base: base.trim_end_matches('/').to_owned(),
             answer_timeout,
+            max_answer_bytes,
         }
     }
 
@@ -155,7 +187,7 @@
         let url = format!("{}{path}", self.base);
         let timeout = Some(self.answer_timeout + wait);
         let req = self.agent.get(&url).config().timeout_global(timeout);
-        read_answer(&url, req.build().call())
+        read_answer(&url, req.build().call(), self.max_answer_bytes)
     }
 
     /// Posts bytes to a path and returns the body of the answer.
@@ -189,6 +221,6 @@
         let timeout = Some(self.answer_timeout);
         let req = self.agent.post(&url).config().timeout_global(timeout);
         let req = req.build().header("content-type", content_type);
-        read_answer(&url, req.send(body))
+        read_answer(&url, req.send(body), self.max_answer_bytes)
     }
 }
--- a/crates/egretstage_platform/src/lib.rs
+++ b/crates/egretstage_platform/src/lib.rs
@@ -7,11 +7,12 @@
 mod instance_list;
 mod keyed_follower;
 mod keyed_store;
+mod limited_transport;
 mod log_service;
 mod store_era;
 mod weight_store;
 
-pub use http::{HttpAnswer, HttpClient};
+pub use http::{HttpAnswer, HttpClient, limited_agent};
 pub use instance_list::{HttpInstanceList, InstanceList, InstanceState, ListedInstance};
 pub use keyed_follower::{KeyedChange, KeyedFollower};
 pub use keyed_store::{Changes, ConditionalPut, KeyedRecord, KeyedStore, KeyedTopic, NewestPage};
