Correct three comments on limits and copies

Cause: FRAMING_FACTOR was described as what comes on top of a body, and NoneNewer claimed more than a recent copy shows: the store may have failed since. Change: comments only. Result: no behaviour changed.

--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -156,7 +156,7 @@
 pub(crate) enum QueryResult {
     /// No peer was asked, or none has a recent copy.
     NoCopy,
-    /// The store serves peers, but none of their copies is newer than this entry's.
+    /// Peers have recent copies, but none is newer than this entry's.
     NoneNewer,
     /// The newest copy.
     Newer(Vec<Record>),
--- a/crates/egretstage_platform/src/http.rs
+++ b/crates/egretstage_platform/src/http.rs
@@ -17,14 +17,15 @@
 /// Number of bytes of a refusal's body that are kept.
 const MAX_REFUSAL_BYTES: usize = 4 * 1024;
 
-/// Bytes of an answer's head and framing, beyond those of its body: a chunk of a few
-/// bytes has as many of framing.
+/// Bytes of an answer, with its head, framing and trailers, for each byte that its body
+/// may have: a chunk of a few bytes has more bytes of framing.
 const FRAMING_FACTOR: u64 = 4;
 
 pub(crate) fn agent() -> ureq::Agent {
     agent_with_limit(MAX_ANSWER_BYTES)
 }
 
+/// Creates the agent of a client whose answers have bodies of at most `max_body_bytes`.
 fn agent_with_limit(max_body_bytes: u64) -> ureq::Agent {
     let config = ureq::Agent::config_builder()
         .timeout_global(Some(CALL_TIMEOUT))
