Show that a configuration is lost behind a restored store

Cause: when the newest records are read in a later era, records of known keys are passed over. A configuration that the operator writes between the store's return and that read is among them, and the reader goes on behind it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,7 +5,7 @@
 root="$(cd "$here/../.." && pwd)"
 cases="$root/target/review/release/review-cases"
 [ -x "$cases" ] || exit 2
-timeout 100 "$cases" silent-stream "$root" "$here"
+timeout 100 "$cases" restored-store "$root" "$here"
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod process;
 mod record;
+mod restored_store;
 mod runner;
 mod silent_stream;
 mod slow_upload;
@@ -29,6 +30,7 @@
 fn run(case: &str, bench: &Bench) -> bool {
     match case {
         "slow-upload" => slow_upload::run(bench),
+        "restored-store" => restored_store::run(bench),
         "silent-stream" => silent_stream::run(bench),
         _ => panic!("no such case: {case}"),
     }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// Time that the store takes for an answer.
@@ -16,6 +16,10 @@
 #[derive(Default)]
 struct State {
     topics: HashMap<String, Topic>,
+    /// Whether the store is away: it closes connections without an answer.
+    is_away: bool,
+    /// Number of times that the store was restored from a copy, plus one.
+    era: u64,
 }
 
 #[derive(Clone)]
@@ -31,11 +35,41 @@
             address,
             state: Arc::default(),
         };
+        store.lock().era = 1;
         let handler = store.clone();
         serve(listener, move |tcp| handler.serve_connection(tcp));
         store
     }
 
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().expect("not poisoned")
+    }
+
+    /// Lets the store go away: nothing is answered, and waiting reads are cut.
+    pub fn go_away(&self) {
+        self.lock().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Returns the numbers of records of all topics, as a copy of the store holds them.
+    pub fn copy(&self) -> HashMap<String, usize> {
+        let state = self.lock();
+        let topics = state.topics.iter();
+        topics
+            .map(|(name, topic)| (name.clone(), topic.len()))
+            .collect()
+    }
+
+    /// Lets the store come back from a copy; what was written since is lost.
+    pub fn come_back(&self, copy: &HashMap<String, usize>) {
+        let mut state = self.lock();
+        for (name, topic) in &mut state.topics {
+            topic.truncate(copy.get(name).copied().unwrap_or(0));
+        }
+        state.era += 1;
+        state.is_away = false;
+    }
+
     /// Appends a record, as the operator or a runner does; an empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> usize {
         let (state, changed) = &*self.state;
@@ -52,7 +86,14 @@
         while let Some(req) = read_request(&mut reader) {
             let (status, body) = self.answer(&req);
             std::thread::sleep(ANSWER_TIME);
-            let written = write_answer(&mut tcp, status, &[], &body);
+            let (is_away, era) = {
+                let state = self.lock();
+                (state.is_away, state.era.to_string())
+            };
+            if is_away {
+                return;
+            }
+            let written = write_answer(&mut tcp, status, &[(wire("era"), &era)], &body);
             if written.is_err() {
                 return;
             }
@@ -64,7 +105,7 @@
         if req.path() == wire("newest") {
             ("200 OK", self.newest(&topic))
         } else if req.path() == wire("read") {
-            ("200 OK", self.read(&topic, req))
+            self.read(&topic, req)
         } else if req.path() == wire("append") {
             self.append(&topic, req)
         } else {
@@ -89,7 +130,7 @@
         format!(r#"{{"items":[{items}],"has-more":false,"end-offset":{end}}}"#).into_bytes()
     }
 
-    fn read(&self, topic: &str, req: &Request) -> Vec<u8> {
+    fn read(&self, topic: &str, req: &Request) -> (&'static str, Vec<u8>) {
         let number = |name| req.parameter(name).and_then(|text| text.parse().ok());
         let source: usize = number("source").unwrap_or(0);
         let wait = number("wait-ms").unwrap_or(0);
@@ -99,7 +140,10 @@
         loop {
             let end = state.topics.get(topic).map_or(0, Vec::len);
             let left = until.saturating_duration_since(Instant::now());
-            if end > source || left.is_zero() {
+            if end < source {
+                return ("410 Gone", br#"{"first-offset":0}"#.to_vec());
+            }
+            if end > source || left.is_zero() || state.is_away {
                 break;
             }
             state = changed.wait_timeout(state, left).expect("not poisoned").0;
@@ -114,7 +158,7 @@
             body.extend(key.as_bytes());
             body.extend(value);
         }
-        body
+        ("200 OK", body)
     }
 
     fn append(&self, topic: &str, req: &Request) -> (&'static str, Vec<u8>) {
