Log and count the listed records that a follower passes over after a restore

The log couldn't tell a record that was never read from one that was read and not applied.

Change: one line for each listed record that is passed over, with topic, key, offset and era, and the counter egret_store_records_passed_over by topic. Behaviour is unchanged.

--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use egretstage_runtime::{bind_listener, on_stop_signal};
 use egretstage_wire::InstanceId;
 use miette::{IntoDiagnostic, WrapErr};
+use opentelemetry::metrics::Counter;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -69,6 +70,7 @@
     let (closing, closing_rx) = watch::channel(false);
     let (events, events_rx) = unbounded_channel();
     let stopped = Rc::new(Notify::new());
+    let passed_over = gateway_metrics.passed_over_records();
     let driver = Driver::new(
         new_dispatcher(settings),
         EffectTargets {
@@ -110,6 +112,7 @@
         &cache,
         &peers,
         &events,
+        &passed_over,
     )?;
     stop_on_signal(events)?;
     let socket = UdpSocket::bind(settings.peers.listen).await;
@@ -159,6 +162,7 @@
     cache: &RecordCache,
     peers: &PeerDirectory,
     events: &UnboundedSender<DispatchEvent>,
+    passed_over: &Counter<u64>,
 ) -> miette::Result<()> {
     let (name, address) = (settings.instance.as_str(), settings.peers.listen);
     let announcement = Arc::new(Announcement::new(name, address, new_store()));
@@ -168,6 +172,7 @@
         peers: peers.clone(),
         announcement: Arc::clone(&announcement),
         tx: events.clone(),
+        passed_over: passed_over.clone(),
     };
     let freshness = settings.freshness;
     let (feed, record_decoder) = (new_feed(), Arc::clone(decoder));
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -8,6 +8,8 @@
 use egretstage_dispatch::{ConfigurationSource, DispatchEvent, ListedUpstream};
 use egretstage_platform::{KeyedChange, KeyedFollower, KeyedStore, KeyedTopic, PlatformError};
 use egretstage_wire::InstanceId;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
@@ -49,6 +51,8 @@
     pub(crate) peers: PeerDirectory,
     pub(crate) announcement: Arc<Announcement>,
     pub(crate) tx: UnboundedSender<DispatchEvent>,
+    /// Counts the listed records that are passed over.
+    pub(crate) passed_over: Counter<u64>,
 }
 
 /// Timing of the reads of a topic.
@@ -78,7 +82,13 @@
         loop {
             let was_caught_up = follower.is_caught_up();
             let now = Instant::now();
+            let passed_over = follower.passed_over();
             let read = (now >= next_read_at).then(|| follower.poll(now, &*self.store, timing.wait));
+            let passed_over = follower.passed_over() - passed_over;
+            if passed_over > 0 {
+                self.passed_over
+                    .add(passed_over, &[KeyValue::new("topic", name)]);
+            }
             let (changes, pause) = match read {
                 Some(Ok(changes)) => {
                     if failures > 0 {
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     decisions: Counter<u64>,
     call_age: Histogram<f64>,
     configuration_version: Gauge<u64>,
+    passed_over_records: Counter<u64>,
     /// Kept because its callback ends with it.
     _configuration_age: ObservableGauge<f64>,
 }
@@ -43,6 +44,10 @@
                 .u64_gauge("egret_configuration_version")
                 .with_description("Version of the active configuration")
                 .build(),
+            passed_over_records: counter(
+                "egret_store_records_passed_over",
+                "Records that a restored store lists and that aren't applied, by topic",
+            ),
             _configuration_age: meter
                 .f64_observable_gauge("egret_configuration_read_age_seconds")
                 .with_description("Time since the configuration was last read in the store")
@@ -55,6 +60,12 @@
         }
     }
 
+    /// Returns the counter of listed records that followers of the store's topics pass
+    /// over.
+    pub(crate) fn passed_over_records(&self) -> Counter<u64> {
+        self.passed_over_records.clone()
+    }
+
     /// Updates the metrics for an effect.
     pub(crate) fn count(&self, effect: &DispatchEffect) {
         match effect {
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -71,6 +71,8 @@
     era: Option<StoreEra>,
     /// Removed keys, with the time of their removal.
     removed: HashMap<CompactString, Instant>,
+    /// Number of listed records that were passed over.
+    passed_over: u64,
 }
 
 impl KeyedFollower {
@@ -86,6 +88,7 @@
             missing: HashMap::new(),
             era: None,
             removed: HashMap::new(),
+            passed_over: 0,
         }
     }
 
@@ -155,6 +158,12 @@
         self.era
     }
 
+    /// Returns the number of listed records that were passed over so far.
+    #[must_use]
+    pub fn passed_over(&self) -> u64 {
+        self.passed_over
+    }
+
     /// Makes one call and returns the changes.
     ///
     /// The store may wait up to `wait` for the first change.
@@ -246,6 +255,11 @@
                 self.present.contains(&record.key) || self.removed.contains_key(&record.key);
             if !is_restored || !is_tracked {
                 self.apply(now, record, changes);
+            } else {
+                self.passed_over += 1;
+                let topic: &'static str = self.topic.into();
+                let (key, offset, era) = (record.key.as_str(), record.offset, page.era.0);
+                log::info!(topic, key, offset, era; "a listed record is passed over");
             }
         }
     }
