Apply records that a restored store lists and that are newer than the held ones

What callers saw: a configuration that the operator wrote between the store's return from a copy and an entry's first read after it was never in force.

Cause: the first answer of a later era makes a follower read the newest records of its topic. It passed over each listed record whose key it held, as older than its own. The list also has what was written since the return. Reading goes on behind the list, so such a record was never seen. The same held for each topic: an upstream that states its leaving or starts again, an entry's new address, and a change after a peer's copy was adopted.

Change: a follower holds the values that it reported and compares the listed record's version with theirs. The owner of a topic's records states the order (RecordOrder): the operator's version, an upstream's start and sequence. A record without a version is applied 2.3 s later unless its writer writes again before, as a missing one is removed. A lower version than the held one is applied by no list and by no adopted copy.

Why it works: a copy has only records that were written before, so a higher version was written since the held one, in whichever era; offsets of two eras don't compare.

Ruled out: comparing offsets alone, which tell nothing where the copy lacks records; passing all records on to consumers, which would each need the comparison.

--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -168,6 +168,7 @@
     let announcement = Arc::new(Announcement::new(name, address, new_store()));
     let new_feed = || Feed {
         store: new_store(),
+        decoder: Arc::clone(decoder),
         cache: cache.clone(),
         peers: peers.clone(),
         announcement: Arc::clone(&announcement),
@@ -175,13 +176,13 @@
         passed_over: passed_over.clone(),
     };
     let freshness = settings.freshness;
-    let (feed, record_decoder) = (new_feed(), Arc::clone(decoder));
+    let feed = new_feed();
     spawn_thread("configuration", move || {
-        feed.follow_configuration(&*record_decoder, freshness.max_configuration_delay());
+        feed.follow_configuration(freshness.max_configuration_delay());
     })?;
-    let (feed, record_decoder) = (new_feed(), Arc::clone(decoder));
+    let feed = new_feed();
     spawn_thread("upstreams", move || {
-        feed.follow_upstreams(&*record_decoder, freshness.max_leaving_delay());
+        feed.follow_upstreams(freshness.max_leaving_delay());
     })?;
     let feed = new_feed();
     spawn_thread("entries", move || feed.follow_entries())
--- a/crates/egretstage_gateway/src/dialect.rs
+++ b/crates/egretstage_gateway/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use compact_str::CompactString;
 use egretstage_dispatch::{CallHead, CallRate, ListedUpstream, NotRunCause, RoutingTable};
-use egretstage_platform::KeyedStore;
+use egretstage_platform::{KeyedStore, RecordOrder};
 use egretstage_wire::{InstanceId, OrganisationName, RequestId};
 use hyper::HeaderMap;
 use hyper::http::{request, response};
@@ -90,7 +90,7 @@
 pub struct DecodeError(pub CompactString);
 
 /// Decodes the records of the store.
-pub trait RecordDecoder: Send + Sync {
+pub trait RecordDecoder: RecordOrder {
     /// Decodes a record of the configuration's topic, or returns `None` if its key isn't
     /// that of the configuration.
     ///
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -47,6 +47,7 @@
 /// Reads one topic of the store and sends its changes to the entry's thread.
 pub(crate) struct Feed {
     pub(crate) store: Box<dyn KeyedStore>,
+    pub(crate) decoder: Arc<dyn RecordDecoder>,
     pub(crate) cache: RecordCache,
     pub(crate) peers: PeerDirectory,
     pub(crate) announcement: Arc<Announcement>,
@@ -75,7 +76,7 @@
         mut peer_query: Option<PeerQuery>,
         mut to_event: impl FnMut(KeyedChange) -> Option<DispatchEvent>,
     ) {
-        let mut follower = KeyedFollower::new(topic);
+        let mut follower = KeyedFollower::new(topic, self.decoder.clone());
         let mut failures = 0;
         let mut next_read_at = Instant::now();
         let name: &'static str = topic.into();
@@ -149,7 +150,7 @@
 
     /// Follows the configuration; `max_delay` is the longest time until a change
     /// is active.
-    pub(crate) fn follow_configuration(&self, decoder: &dyn RecordDecoder, max_delay: Duration) {
+    pub(crate) fn follow_configuration(&self, max_delay: Duration) {
         let timing = PollTiming {
             wait: max_delay.mul_f32(CONFIGURATION_WAIT_SHARE),
             pause: Duration::ZERO,
@@ -159,13 +160,13 @@
                 return None;
             };
             let source = ConfigurationSource::Store;
-            configured_event(decoder, &self.cache, key, value, source)
+            configured_event(&*self.decoder, &self.cache, key, value, source)
         });
     }
 
     /// Follows the upstreams; `max_delay` is the longest time until a leaving
     /// upstream gets no calls.
-    pub(crate) fn follow_upstreams(&self, decoder: &dyn RecordDecoder, max_delay: Duration) {
+    pub(crate) fn follow_upstreams(&self, max_delay: Duration) {
         let timing = PollTiming {
             wait: Duration::ZERO,
             pause: max_delay.mul_f32(UPSTREAMS_PAUSE_SHARE),
@@ -179,7 +180,7 @@
         );
         self.follow(KeyedTopic::Upstreams, timing, Some(peer_query), |change| {
             let event = match change {
-                KeyedChange::Put { key, value, .. } => listed_event(decoder, &key, &value)?,
+                KeyedChange::Put { key, value, .. } => listed_event(&*self.decoder, &key, &value)?,
                 KeyedChange::Removed(key) => unlisted_event(&key)?,
             };
             Some(event)
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -1,17 +1,21 @@
 //! Follows a keyed topic: reads the newest records first, then each change.
 
-use crate::{Changes, KeyedRecord, KeyedStore, KeyedTopic, NewestPage, PlatformError, StoreEra};
+use crate::held_records::{HeldRecords, Listing};
+use crate::{
+    Changes, KeyedRecord, KeyedStore, KeyedTopic, NewestPage, PlatformError, RecordOrder, StoreEra,
+};
 use compact_str::CompactString;
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Time after an outage for which a missing record still counts as present: its
 /// writer needs about two seconds to write it again.
 const REWRITE_GRACE: Duration = Duration::from_millis(2_300);
 
-/// Greatest age of the copy that a store is restored from. A removed key is
-/// remembered for as long, since the restored store may list it again.
-const MAX_COPY_AGE: Duration = Duration::from_mins(1);
+/// Maximum number of passed over records that are logged for each read of the newest
+/// records: a copy has an older record of each of thousands of upstreams.
+const MAX_LOGGED_RECORDS: u32 = 16;
 
 /// A change in a topic.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,40 +59,40 @@
 pub struct KeyedFollower {
     topic: KeyedTopic,
     position: Position,
-    /// Keys reported as written and not as removed since, including the missing
-    /// ones.
-    present: HashSet<CompactString>,
+    /// The records reported as written or removed, including the deferred ones.
+    held: HeldRecords,
     /// Whether the last call failed.
     failing: bool,
     /// Time at which the store may last have been down: that of the last failed
     /// call, or of the first successful one after it, since the store came back
     /// between the two.
     failed_at: Option<Instant>,
-    /// Missing keys that still count as present, with the end of their grace
-    /// period.
-    missing: HashMap<CompactString, Instant>,
+    /// Records that the store has instead of the held ones, with the end of the grace
+    /// period in which their writers may write again. One without a value stands for a
+    /// missing record.
+    deferred: HashMap<CompactString, (KeyedRecord, Instant)>,
     /// The era in which the newest records were last read.
     era: Option<StoreEra>,
-    /// Removed keys, with the time of their removal.
-    removed: HashMap<CompactString, Instant>,
     /// Number of listed records that were passed over.
     passed_over: u64,
+    /// Number of those in the present read of the newest records that were logged.
+    logged: u32,
 }
 
 impl KeyedFollower {
     /// Creates a follower that has read nothing yet.
     #[must_use]
-    pub fn new(topic: KeyedTopic) -> Self {
+    pub fn new(topic: KeyedTopic, order: Arc<dyn RecordOrder>) -> Self {
         Self {
             topic,
             position: initial_position(),
-            present: HashSet::new(),
+            held: HeldRecords::new(topic, order),
             failing: false,
             failed_at: None,
-            missing: HashMap::new(),
+            deferred: HashMap::new(),
             era: None,
-            removed: HashMap::new(),
             passed_over: 0,
+            logged: 0,
         }
     }
 
@@ -109,29 +113,18 @@
         records: Vec<(CompactString, Vec<u8>)>,
     ) -> Vec<KeyedChange> {
         self.mark_store_available();
-        let listed: HashSet<&CompactString> = records.iter().map(|(key, _)| key).collect();
-        let is_listed = |key: &&CompactString| listed.contains(key);
-        let unlisted: Vec<_> = self
-            .present
-            .iter()
-            .filter(|key| !is_listed(key))
-            .cloned()
-            .collect();
+        let listed: HashSet<CompactString> = records.iter().map(|(key, _)| key.clone()).collect();
         let mut changes = Vec::new();
-        for key in unlisted {
+        for key in self.held.keys_missing_in(&listed) {
             self.remove(now, key, &mut changes);
         }
         for (key, value) in records {
-            let value = Some(value);
-            self.apply(
-                now,
-                KeyedRecord {
-                    key,
-                    value,
-                    offset: 0,
-                },
-                &mut changes,
-            );
+            let record = KeyedRecord {
+                key,
+                value: Some(value),
+                offset: 0,
+            };
+            self.apply_listed(now, record, false, &mut changes);
         }
         changes
     }
@@ -189,7 +182,7 @@
         }
         self.failing = read.is_err();
         let mut changes = read?;
-        self.remove_overdue(now, &mut changes);
+        self.apply_overdue(now, &mut changes);
         Ok(changes)
     }
 
@@ -232,34 +225,48 @@
         }
         self.position = Position::Tail(tail_from);
         self.era = Some(era);
-        let unlisted: Vec<_> = self.present.difference(&listed).cloned().collect();
-        for key in unlisted {
+        self.logged = 0;
+        for key in self.held.keys_missing_in(&listed) {
             self.remove_or_defer(now, key, &mut changes);
         }
         Ok(changes)
     }
 
     /// Applies a page of the newest records.
-    ///
-    /// A store that was restored from a copy lists some records in an older
-    /// state. Records that this follower holds are newer, and a removed key
-    /// stays removed until its writer writes it again. Records that the copy
-    /// lacks have a grace period.
     fn apply_page(&mut self, now: Instant, page: NewestPage, changes: &mut Vec<KeyedChange>) {
         let is_restored = self.era.is_some_and(|era| era < page.era);
         if is_restored {
             self.failed_at = Some(now);
         }
         for record in page.records {
-            let is_tracked =
-                self.present.contains(&record.key) || self.removed.contains_key(&record.key);
-            if !is_restored || !is_tracked {
-                self.apply(now, record, changes);
-            } else {
-                self.passed_over += 1;
-                let topic: &'static str = self.topic.into();
-                let (key, offset, era) = (record.key.as_str(), record.offset, page.era.0);
-                log::info!(topic, key, offset, era; "a listed record is passed over");
+            self.apply_listed(now, record, is_restored, changes);
+        }
+    }
+
+    /// Applies a listed record, unless the held one is newer.
+    fn apply_listed(
+        &mut self,
+        now: Instant,
+        record: KeyedRecord,
+        is_restored: bool,
+        changes: &mut Vec<KeyedChange>,
+    ) {
+        let listing = self.held.judge(&record, is_restored);
+        if matches!(listing, Listing::Defer | Listing::PassOver) {
+            self.passed_over += 1;
+            if self.logged < MAX_LOGGED_RECORDS {
+                self.logged += 1;
+                self.held.log_passed_over(&record, listing);
+            }
+        }
+        match listing {
+            Listing::Apply => self.apply(now, record, changes),
+            Listing::Defer => {
+                let key = record.key.clone();
+                self.deferred.insert(key, (record, now + REWRITE_GRACE));
+            }
+            Listing::Same | Listing::PassOver => {
+                self.deferred.remove(&record.key);
             }
         }
     }
@@ -292,9 +299,8 @@
         let (key, offset) = (record.key, record.offset);
         match record.value {
             Some(value) => {
-                self.present.insert(key.clone());
-                self.missing.remove(&key);
-                self.removed.remove(&key);
+                self.deferred.remove(&key);
+                self.held.insert(key.clone(), value.clone());
                 changes.push(KeyedChange::Put { key, value, offset });
             }
             None => self.remove_or_defer(now, key, changes),
@@ -311,30 +317,36 @@
     ) {
         let grace_end = self.failed_at.map(|at| at + REWRITE_GRACE);
         if let Some(at) = grace_end.filter(|at| now < *at) {
-            self.missing.entry(key).or_insert(at);
+            let missing = KeyedRecord {
+                key: key.clone(),
+                value: None,
+                offset: 0,
+            };
+            self.deferred.insert(key, (missing, at));
         } else {
             self.remove(now, key, changes);
         }
     }
 
     fn remove(&mut self, now: Instant, key: CompactString, changes: &mut Vec<KeyedChange>) {
-        if self.present.remove(&key) {
-            self.removed.insert(key.clone(), now);
+        self.deferred.remove(&key);
+        if self.held.remove(now, &key) {
             changes.push(KeyedChange::Removed(key));
         }
     }
 
-    /// Removes the missing keys whose grace period has ended, and forgets removals
-    /// older than [`MAX_COPY_AGE`].
-    fn remove_overdue(&mut self, now: Instant, changes: &mut Vec<KeyedChange>) {
-        let due = |(key, at): (&CompactString, &Instant)| (*at <= now).then(|| key.clone());
-        let overdue: Vec<CompactString> = self.missing.iter().filter_map(due).collect();
-        for key in overdue {
-            self.missing.remove(&key);
-            self.remove(now, key, changes);
+    /// Applies the deferred records whose grace period has ended.
+    fn apply_overdue(&mut self, now: Instant, changes: &mut Vec<KeyedChange>) {
+        let is_due = |_: &CompactString, (_, at): &mut (KeyedRecord, Instant)| *at <= now;
+        let due: Vec<_> = self.deferred.extract_if(is_due).collect();
+        for (key, (record, _)) in due {
+            if record.value.is_some() {
+                self.apply(now, record, changes);
+            } else {
+                self.remove(now, key, changes);
+            }
         }
-        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < MAX_COPY_AGE;
-        self.removed.retain(|_, at| is_recent(at));
+        self.held.forget_old_removals(now);
     }
 }
 
--- a/crates/egretstage_platform/src/lib.rs
+++ b/crates/egretstage_platform/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! Each service has a trait, so that reducers and tests don't depend on HTTP.
 
+mod held_records;
 mod http;
 mod instance_list;
 mod keyed_follower;
 mod keyed_store;
 mod limited_transport;
 mod log_service;
+mod record_order;
 mod store_era;
 mod weight_store;
 
@@ -17,6 +19,7 @@
 pub use keyed_follower::{KeyedChange, KeyedFollower};
 pub use keyed_store::{Changes, ConditionalPut, KeyedRecord, KeyedStore, KeyedTopic, NewestPage};
 pub use log_service::{AppendLog, AppendRequest, HttpAppendLog, LogPage, LogRecord};
+pub use record_order::{RecordOrder, RecordVersion, Unordered};
 pub use store_era::{HighestEra, StoreEra};
 pub use weight_store::{HttpWeightStore, WeightStore, WeightTransfer};
 
--- a/crates/egretstage_platform/tests/keyed_follower.rs
+++ b/crates/egretstage_platform/tests/keyed_follower.rs
@@ -3,7 +3,7 @@
 
 use egretstage_platform::{
     Changes, ConditionalPut, KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic,
-    NewestPage, PlatformError, StoreEra,
+    NewestPage, PlatformError, RecordOrder, RecordVersion, StoreEra,
 };
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -111,6 +111,22 @@
     }
 }
 
+/// The order of values such as `2.7 draining`: the start of the writer, the number of the
+/// record and a text. Other values state no version.
+#[derive(Debug)]
+struct NumberedValues;
+
+impl RecordOrder for NumberedValues {
+    fn version(&self, _: KeyedTopic, _: &str, value: &[u8]) -> Option<RecordVersion> {
+        let (version, _) = std::str::from_utf8(value).ok()?.split_once(' ')?;
+        let (writer_start, number) = version.split_once('.')?;
+        Some(RecordVersion {
+            writer_start: writer_start.parse().ok()?,
+            number: number.parse().ok()?,
+        })
+    }
+}
+
 /// A follower of a store, with a virtual clock.
 struct Reader {
     store: SharedStore,
@@ -122,7 +138,7 @@
     fn new() -> Self {
         Self {
             store: SharedStore::default(),
-            follower: KeyedFollower::new(KeyedTopic::Upstreams),
+            follower: KeyedFollower::new(KeyedTopic::Upstreams, Arc::new(NumberedValues)),
             now: Instant::now(),
         }
     }
@@ -359,3 +375,145 @@
     changes.extend(reader.poll().expect("the newest records"));
     assert!(changes.contains(&"-b".to_owned()), "{changes:?}");
 }
+
+/// Guards against a change being lost until the next one: it is written between the
+/// store's return from a copy and the first read after it.
+#[test]
+fn a_record_written_before_the_first_read_after_a_restore_is_applied() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1.3 ready"));
+    reader.poll().expect("a page");
+    reader.store.restore(1);
+    reader.store.put("a", Some("1.5 draining"));
+    assert_eq!(reader.poll().expect("no changes yet"), [""; 0]);
+    assert_eq!(reader.poll().expect("a page"), ["a=1.5 draining"]);
+}
+
+/// Guards against the same loss where the copy lacks the held record, so that the newer
+/// one has its offset.
+#[test]
+fn a_newer_record_at_the_offset_of_a_lost_one_is_applied() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1.3 ready"));
+    reader.store.put("a", Some("1.4 ready"));
+    reader.poll().expect("a page");
+    reader.store.restore(1);
+    reader.store.put("a", Some("1.5 draining"));
+    reader.poll().expect("no changes yet");
+    assert_eq!(reader.poll().expect("a page"), ["a=1.5 draining"]);
+    assert_eq!(reader.follower.passed_over(), 0);
+}
+
+/// Guards against the reversal of a record to the state of the copy, also by a later read
+/// of all records in the same era.
+#[test]
+fn an_older_record_of_the_copy_is_not_applied_by_any_read_of_its_era() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1.3 ready"));
+    reader.poll().expect("a page");
+    reader.store.put("a", Some("1.4 draining"));
+    reader.poll().expect("changes");
+    reader.store.restore(1);
+    reader.poll().expect("no changes yet");
+    assert_eq!(reader.poll().expect("a page"), [""; 0]);
+    reader.now += Duration::from_secs(10);
+    reader.store.put("b", Some("1.1 ready"));
+    reader.store.change(|store| store.first = 2);
+    reader.poll().expect("expired changes");
+    assert_eq!(reader.poll().expect("a page"), ["b=1.1 ready"]);
+    assert_eq!(reader.follower.passed_over(), 2);
+}
+
+/// Guards against the loss of a writer's new start, whose numbers begin again.
+#[test]
+fn a_writer_that_starts_again_before_the_first_read_after_a_restore_is_applied() {
+    let mut reader = Reader::new();
+    for key in ["a", "left"] {
+        reader.store.put(key, Some("1.9 ready"));
+    }
+    reader.poll().expect("a page");
+    reader.store.put("left", None);
+    reader.poll().expect("changes");
+    reader.store.restore(2);
+    for key in ["a", "left"] {
+        reader.store.put(key, Some("2.0 ready"));
+    }
+    reader.poll().expect("no changes yet");
+    let changes = reader.poll().expect("a page");
+    assert_eq!(changes, ["a=2.0 ready", "left=2.0 ready"]);
+}
+
+/// Guards against the loss of a record that states no version, such as an entry's address:
+/// it is applied once its writer had time to write a lost record again.
+#[test]
+fn a_listed_record_without_a_version_is_applied_after_the_grace() {
+    let mut reader = Reader::new();
+    for key in ["a", "b"] {
+        reader.store.put(key, Some("first"));
+    }
+    reader.poll().expect("a page");
+    reader.store.restore(2);
+    for key in ["a", "b"] {
+        reader.store.put(key, Some("second"));
+    }
+    reader.poll().expect("no changes yet");
+    assert_eq!(reader.poll().expect("a page"), [""; 0]);
+    reader.store.put("a", Some("third"));
+    assert_eq!(reader.poll().expect("changes"), ["a=third"]);
+    reader.now += Duration::from_secs(3);
+    assert_eq!(reader.poll().expect("changes"), ["b=second"]);
+}
+
+/// Guards against the loss of a change that is written between two returns, is lost again
+/// and is written once more.
+#[test]
+fn a_change_that_two_restores_lose_is_applied_when_it_is_written_again() {
+    let mut reader = Reader::new();
+    for key in ["a", "b"] {
+        reader.store.put(key, Some("1.3 ready"));
+    }
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.page_size = 1);
+    reader.store.restore(2);
+    reader.store.put("b", Some("1.5 draining"));
+    reader.poll().expect("no changes yet");
+    reader.poll().expect("the first page");
+    reader.store.restore(2);
+    reader.store.put("b", Some("1.5 draining"));
+    let mut changes = Vec::new();
+    for _ in 0..4 {
+        changes.extend(reader.poll().expect("pages"));
+    }
+    assert!(reader.follower.is_caught_up());
+    assert_eq!(changes, ["b=1.5 draining"]);
+}
+
+/// Guards against the reversal of a record by a peer that has read only the copy.
+#[test]
+fn an_adopted_copy_reverts_no_newer_record() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1.4 draining"));
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    assert_eq!(reader.adopt(&[("a", "1.3 ready")]), [""; 0]);
+    assert_eq!(reader.adopt(&[("a", "1.5 ready")]), ["a=1.5 ready"]);
+}
+
+/// Guards against the loss of a change that is written after a peer's copy of the later
+/// era was adopted, before this reader is served again.
+#[test]
+fn a_change_after_an_adopted_copy_of_the_later_era_is_applied() {
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1.3 ready"));
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    reader.store.restore(1);
+    assert_eq!(reader.adopt(&[("a", "1.4 ready")]), ["a=1.4 ready"]);
+    reader.store.put("a", Some("1.4 ready"));
+    reader.store.put("a", Some("1.5 draining"));
+    reader.store.change(|store| store.down = false);
+    reader.poll().expect("no changes yet");
+    assert_eq!(reader.poll().expect("a page"), ["a=1.5 draining"]);
+}
--- a/crates/egretstage_rank_companion/src/claims.rs
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -57,7 +57,7 @@
         let thread = std::thread::Builder::new().name("claims".to_owned());
         thread.spawn(move || {
             events.send(MemberEvent::GroupConfigured(await_group_shape(
-                &*store, &*decoder, &service,
+                &*store, &decoder, &service,
             )));
             run(&*store, &rx, &events);
         })?;
@@ -74,16 +74,16 @@
 /// Follows the configuration until it describes the service's experts.
 fn await_group_shape(
     store: &dyn KeyedStore,
-    decoder: &dyn RecordDecoder,
+    decoder: &Arc<dyn RecordDecoder>,
     service: &ServiceName,
 ) -> GroupShape {
-    let mut follower = KeyedFollower::new(KeyedTopic::Configuration);
+    let mut follower = KeyedFollower::new(KeyedTopic::Configuration, decoder.clone());
     loop {
         match follower.poll(Instant::now(), store, CONFIGURATION_WAIT) {
             Ok(changes) => {
                 let newest_first = changes.into_iter().rev();
                 let mut shapes =
-                    newest_first.filter_map(|change| group_shape(change, decoder, service));
+                    newest_first.filter_map(|change| group_shape(change, &**decoder, service));
                 if let Some(shape) = shapes.next() {
                     return shape;
                 }
