Let the first read after a failure not wait for changes

What callers saw: a configuration written 20 ms after the store's return from a copy was in force 2.03 to 2.24 s later; the bound is 2 s. Seen in our own test only.

Cause: a follower learns from an answer that the store was restored. The first read after the outage asks the store to wait 1.5 s for changes from an offset of the earlier era. Where the copy lacks as many records as were written since, that offset is the end of the topic, so the read waits in full, after a retry's delay of up to a second.

Change: a read after a failure asks for no wait. It costs one more call per outage and topic.

--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -159,7 +159,8 @@
 
     /// Makes one call and returns the changes.
     ///
-    /// The store may wait up to `wait` for the first change.
+    /// The store may wait up to `wait` for the first change, but not after a failure: its
+    /// answer tells whether it was restored, and then the newest records are read.
     ///
     /// # Errors
     ///
@@ -175,7 +176,10 @@
                 let after = after.clone();
                 self.read_newest(now, store, after.as_deref())
             }
-            Position::Tail(from) => self.read_tail(now, store, *from, wait),
+            Position::Tail(from) => {
+                let wait = if self.failing { Duration::ZERO } else { wait };
+                self.read_tail(now, store, *from, wait)
+            }
         };
         if read.is_err() || self.failing {
             self.failed_at = Some(now);
--- a/crates/egretstage_platform/tests/keyed_follower.rs
+++ b/crates/egretstage_platform/tests/keyed_follower.rs
@@ -19,6 +19,8 @@
     /// Records in a page; 0 for no limit.
     page_size: usize,
     era: u64,
+    /// Times that reads of changes asked the store to wait.
+    waits: Vec<Duration>,
 }
 
 #[derive(Clone, Default)]
@@ -81,8 +83,9 @@
         })
     }
 
-    fn changes(&self, _: KeyedTopic, from: u64, _: Duration) -> Result<Changes, PlatformError> {
-        let store = self.0.lock().expect("one thread");
+    fn changes(&self, _: KeyedTopic, from: u64, wait: Duration) -> Result<Changes, PlatformError> {
+        let mut store = self.0.lock().expect("one thread");
+        store.waits.push(wait);
         if store.down {
             return Err(down());
         }
@@ -488,6 +491,27 @@
     assert_eq!(changes, ["b=1.5 draining"]);
 }
 
+/// Guards against a change that is late after a restore: a read from the end of the topic
+/// waits for the next change, while the newest records have to be read.
+#[test]
+fn the_first_read_after_a_failure_does_not_wait_for_changes() {
+    const WAIT: Duration = Duration::from_secs(1);
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("1.3 ready"));
+    let mut poll = |down: bool| {
+        reader.store.change(|store| store.down = down);
+        // Each call's outcome shows in the next wait.
+        let _ = reader.follower.poll(reader.now, &reader.store, WAIT);
+    };
+    poll(false);
+    for down in [false, true, true, false, false] {
+        poll(down);
+    }
+    let waits = reader.store.0.lock().expect("one thread").waits.clone();
+    let none = Duration::ZERO;
+    assert_eq!(waits, [WAIT, WAIT, none, none, WAIT]);
+}
+
 /// Guards against the reversal of a record by a peer that has read only the copy.
 #[test]
 fn an_adopted_copy_reverts_no_newer_record() {
