Read claims from pages of one era, up to the end of the first page

Cause: a companion read the claims page by page and took the era and the end offset of the last page. If the store was restored between two pages, claims of two eras were mixed, and a fencing number was made from the later one. A claim written between two pages was below that end, so a claimant could write over one that it hadn't seen. Both need more than one page of claims, that is over 500 groups.

Change: read_newest in egretstage_platform starts over when the era changes, and gives the end at the first page, so a write there conflicts with a later claim.

Measured: with the earlier rules in place, both new tests fail: a=1,b=2 in place of b=2, and the end 3 in place of 2.

--- a/crates/egretstage_platform/src/lib.rs
+++ b/crates/egretstage_platform/src/lib.rs
@@ -10,6 +10,7 @@
 mod keyed_store;
 mod limited_transport;
 mod log_service;
+mod newest_records;
 mod record_order;
 mod store_era;
 mod weight_store;
@@ -19,6 +20,7 @@
 pub use keyed_follower::{KeyedChange, KeyedFollower};
 pub use keyed_store::{Changes, ConditionalPut, KeyedRecord, KeyedStore, KeyedTopic, NewestPage};
 pub use log_service::{AppendLog, AppendRequest, HttpAppendLog, LogPage, LogRecord};
+pub use newest_records::{NewestRecords, read_newest};
 pub use record_order::{RecordOrder, RecordVersion, Unordered};
 pub use store_era::{HighestEra, StoreEra};
 pub use weight_store::{HttpWeightStore, WeightStore, WeightTransfer};
--- a/crates/egretstage_platform/tests/keyed_follower/main.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/main.rs
@@ -1,6 +1,7 @@
 //! Tests of following a keyed topic through outages, expired history and
 //! restores.
 
+mod newest_records;
 mod schedules;
 mod store;
 
--- a/crates/egretstage_rank_companion/src/claims.rs
+++ b/crates/egretstage_rank_companion/src/claims.rs
@@ -6,8 +6,8 @@
 use egretstage_gateway::{RecordDecoder, decode_entry_address};
 use egretstage_passes::{DeciderClaim, GroupShape, MemberEvent};
 use egretstage_platform::{
-    ConditionalPut, KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, PlatformError,
-    StoreEra,
+    ConditionalPut, KeyedChange, KeyedFollower, KeyedRecord, KeyedStore, KeyedTopic, NewestRecords,
+    PlatformError, StoreEra, read_newest,
 };
 use egretstage_runtime::EventSender;
 use egretstage_wire::ServiceName;
@@ -144,34 +144,12 @@
     }
 }
 
-/// Reads the newest records of a topic, page by page. Returns the era and the end
-/// offset that the last page reports.
-fn read_newest(
-    store: &dyn KeyedStore,
-    topic: KeyedTopic,
-    mut visit: impl FnMut(&KeyedRecord),
-) -> Result<(StoreEra, u64), PlatformError> {
-    let mut after: Option<CompactString> = None;
-    loop {
-        let page = store.newest(topic, after.as_deref())?;
-        page.records.iter().for_each(&mut visit);
-        after = page.records.last().map(|record| record.key.clone());
-        if !page.more || after.is_none() {
-            return Ok((page.era, page.end));
-        }
-    }
-}
-
 /// Reads the newest claim of a group.
 fn read_claim(store: &dyn KeyedStore, group: &str) -> Result<MemberEvent, PlatformError> {
-    let mut claim = None;
-    let (era, end) = read_newest(store, KeyedTopic::Deciders, |record| {
-        if record.key == group {
-            claim = decode_claim(record);
-        }
-    })?;
+    let NewestRecords { records, end, era } = read_newest(store, KeyedTopic::Deciders)?;
+    let mut of_group = records.iter().filter(|record| record.key == group);
     Ok(MemberEvent::ClaimRead {
-        claim,
+        claim: of_group.next().and_then(decode_claim),
         end,
         least_fence: least_fence(era, end),
     })
@@ -179,12 +157,9 @@
 
 /// Reads the addresses of the entries.
 fn read_entries(store: &dyn KeyedStore) -> Result<Vec<SocketAddr>, PlatformError> {
-    let mut entries = Vec::new();
-    read_newest(store, KeyedTopic::Entries, |record| {
-        let value = record.value.as_deref().unwrap_or_default();
-        entries.extend(decode_entry_address(value));
-    })?;
-    Ok(entries)
+    let records = read_newest(store, KeyedTopic::Entries)?.records;
+    let values = records.iter().filter_map(|record| record.value.as_deref());
+    Ok(values.filter_map(decode_entry_address).collect())
 }
 
 /// A claim as stored.
