--- a/crates/egretstage_platform/tests/keyed_follower/newest_records.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/newest_records.rs
@@ -85,5 +85,8 @@
     let store = two_pages(|store: &SharedStore| store.put("a", Some("2")));
     let read = read_newest(&store, KeyedTopic::Deciders).expect("a store");
     assert_eq!(values(&read.records), ["a=1", "b=1"]);
-    assert_eq!(read.end, 2, "a write at that end conflicts with the later record");
+    assert_eq!(
+        read.end, 2,
+        "a write at that end conflicts with the later record"
+    );
 }
