Let a planned stop last while a request's body is being read

Cause: a call counted for the stop only once its body had been read. Without calls the stop is complete 3 s after the signal, and the process ends up to 0.3 s later. What arrived in that time was still sent to an upstream.

Change: the dispatcher learns of a request with its head (HeadArrived). The stop isn't complete while a body is being read, and ends after stop_within in any case. A request that arrives after the stop is complete is refused as not run, with a whole answer.

--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -13,6 +13,11 @@
 /// Event that a dispatcher handles.
 #[derive(Clone, Debug)]
 pub enum DispatchEvent {
+    /// The head of a caller's request has arrived, and its body is being read.
+    HeadArrived {
+        /// The call.
+        call: CallKey,
+    },
     /// A caller's request has arrived completely.
     Arrived {
         /// The call.
@@ -22,7 +27,8 @@
         /// What it requests.
         content: RequestHash,
     },
-    /// The caller disconnected, or the end of its answer was passed on.
+    /// The caller disconnected, its request is invalid, or the end of its answer was
+    /// passed on.
     Ended {
         /// The call.
         call: CallKey,
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -21,7 +21,7 @@
 use egretstage_wire::{InstanceId, ServiceName, ZoneName};
 use limits::limit_line;
 use service::ServiceState;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -97,6 +97,8 @@
     harmful_requests: HarmfulRequests,
     start_limits: StartLimits,
     calls: HashMap<CallKey, Call>,
+    /// Requests whose bodies are being read.
+    reading: HashSet<CallKey>,
     services: HashMap<ServiceName, ServiceState>,
     /// Time budgets of the callers, by route.
     budgets: HashMap<CompactString, RouteBudgets>,
@@ -138,6 +140,7 @@
             harmful_parts: HarmfulParts::default(),
             harmful_requests: HarmfulRequests::default(),
             calls: HashMap::new(),
+            reading: HashSet::new(),
             services: HashMap::new(),
             budgets: HashMap::new(),
             expiries: BTreeSet::new(),
@@ -433,12 +436,21 @@
 
     fn reduce(&mut self, now: Instant, event: DispatchEvent, fx: &mut Vec<DispatchEffect>) {
         match event {
+            DispatchEvent::HeadArrived { call } => {
+                self.reading.insert(call);
+            }
             DispatchEvent::Arrived {
                 call,
                 head,
                 content,
-            } => self.call_arrived(now, call, *head, content, fx),
-            DispatchEvent::Ended { call, whole } => self.call_ended(now, call, whole, fx),
+            } => {
+                self.reading.remove(&call);
+                self.call_arrived(now, call, *head, content, fx);
+            }
+            DispatchEvent::Ended { call, whole } => {
+                self.reading.remove(&call);
+                self.call_ended(now, call, whole, fx);
+            }
             DispatchEvent::FirstByte { call } => self.first_byte(now, call, fx),
             DispatchEvent::Pause { call, pause } => self.pause_ended(now, call, pause, fx),
             DispatchEvent::Silent { call } => self.stream_silent(now, call, fx),
--- a/crates/egretstage_dispatch/src/reducer/stop.rs
+++ b/crates/egretstage_dispatch/src/reducer/stop.rs
@@ -1,4 +1,8 @@
 //! A planned stop, which lets accepted calls end first.
+//!
+//! Load pattern: callers keep sending on open connections until the process is gone, and some
+//! bodies arrive late. The stop lasts while the body of a request is being read. A request
+//! that has arrived when the stop is complete is refused, since its answer could be cut.
 
 use super::Dispatcher;
 use super::calls::Call;
@@ -37,12 +41,13 @@
     /// Returns whether a call that arrives now might not end before the process does.
     ///
     /// Calls that arrive soon after the stop request are accepted: the platform's balancer
-    /// still sends some then, and most of them end long before they expire.
+    /// still sends some then, and most of them end long before they expire. None is accepted
+    /// once the stop is complete.
     pub(super) fn is_too_late(&self, now: Instant, call: &Call) -> bool {
         let is_too_late = |stop: Stopping| {
             let end = stop.since + self.limits.stop_within;
-            now >= stop.since + self.limits.refuse_streams_after
-                && (call.is_stream() || call.expires() > end)
+            let is_late = now >= stop.since + self.limits.refuse_streams_after;
+            stop.completed || is_late && (call.is_stream() || call.expires() > end)
         };
         self.stopping.is_some_and(is_too_late)
     }
@@ -56,7 +61,8 @@
             stop.connections_closed = true;
             fx.push(DispatchEffect::CloseConnections);
         }
-        let is_idle = self.calls.is_empty() && elapsed >= self.limits.refuse_streams_after;
+        let owes_nothing = self.calls.is_empty() && self.reading.is_empty();
+        let is_idle = owes_nothing && elapsed >= self.limits.refuse_streams_after;
         if !stop.completed && (is_idle || elapsed >= self.limits.stop_within) {
             stop.completed = true;
             self.end_remaining_calls(now, fx);
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -166,6 +166,11 @@
         self.sim.event(DispatchEvent::Listed(Box::new(upstream)))
     }
 
+    /// Returns the key of the next call.
+    pub(crate) fn next_key(&self) -> CallKey {
+        CallKey(self.next_call)
+    }
+
     /// Reports the arrival of a call; returns its key and the effects.
     pub(crate) fn call(&mut self, path: &str, budget_ms: u64) -> (CallKey, Vec<DispatchEffect>) {
         self.call_with_key(path, budget_ms, "key")
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -90,14 +90,16 @@
             Ok(call_head) => call_head,
             Err(e) => return own_answer(400, &e.to_string()),
         };
+        let (call, commands) = self.driver.open_call();
+        let guard = CallGuard::new(&self.driver, call);
+        self.driver
+            .handle_event(DispatchEvent::HeadArrived { call });
         let body = match self.read_body(body).await {
             Ok(body) => body,
             Err(resp) => return resp,
         };
         let request = call_head.request.clone();
         let content = request_hash(&call_head, &head, &body);
-        let (call, commands) = self.driver.open_call();
-        let guard = CallGuard::new(&self.driver, call);
         let boxed_head = Box::new(call_head);
         self.driver.handle_event(DispatchEvent::Arrived {
             call,
