Abandon a silent stream only if it can resume elsewhere

Cause: after 1.9 s of silence an attempt was abandoned where other streams of its group had events, or where it was in no group. Nothing asked whether the stream had attempts and retries left, and whether another upstream had room. Without them, the end of the attempt ends the answer.

Change: has_place_elsewhere asks whether the stream may resume, a retry is left, and another upstream has room that it wasn't sent to and that didn't refuse its last call as full. Moves off slow ranks share may_resume.

--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -10,7 +10,7 @@
 use crate::waiting::{Objective, QueueClass};
 use crate::{
     CallHead, CallKey, DecisionLine, DispatchEffect, PromptParts, Refusal, RefusalKind,
-    RequestHash, Route, RouteMissing, UnknownCause, UpstreamKey,
+    RequestHash, Route, RouteMissing, UpstreamKey,
 };
 use compact_str::CompactString;
 use egretstage_wire::{OrganisationName, ServiceName};
@@ -124,6 +124,11 @@
         is_running && (self.last_event.is_some() || !self.route.kind.is_stream())
     }
 
+    /// Returns whether the call may be sent once more although it may have run.
+    fn may_resume(&self) -> bool {
+        self.route.kind.is_repeatable() && self.attempts < self.route.max_attempts
+    }
+
     /// Returns whether a part of the answer was passed on already.
     fn is_resumed(&self) -> bool {
         self.route.kind.is_stream() && self.first_byte.is_some()
@@ -345,25 +350,6 @@
         }
     }
 
-    /// Handles a stream that has had no event for a long time: abandons the attempt
-    /// if the stream is expected to continue at another upstream.
-    pub(super) fn stream_silent(
-        &mut self,
-        now: Instant,
-        key: CallKey,
-        fx: &mut Vec<DispatchEffect>,
-    ) {
-        let Some(call) = self.calls.get(&key) else {
-            return;
-        };
-        if let Phase::Running { upstream, .. } = call.phase
-            && self.should_move_stream(now, upstream)
-        {
-            let cause = UnknownCause::Silent;
-            fx.push(DispatchEffect::Abandon { call: key, cause });
-        }
-    }
-
     pub(super) fn pause_ended(
         &mut self,
         now: Instant,
--- a/crates/egretstage_dispatch/src/reducer/calls/ending.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/ending.rs
@@ -89,6 +89,7 @@
             self.upstreams.record_answer(upstream, Duration::ZERO, true);
         }
         if is_full && let Some(upstream) = upstream {
+            self.upstreams.record_full(upstream);
             self.group_refused(now, upstream, fx);
         }
         let is_misdirected = matches!(
--- a/crates/egretstage_dispatch/src/reducer/calls/moving.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/moving.rs
@@ -1,13 +1,18 @@
-//! Moves streams off slow ranks.
+//! Moves streams off slow ranks, and silent streams to other upstreams.
 //!
 //! Load pattern: one rank of a full group becomes many times slower. It runs a few of the
 //! group's streams, and all ranks wait for it in each pass as long as it does. So these
 //! streams end their attempts there and resume at other ranks after their last event,
 //! while the group's decider moves the experts.
+//!
+//! Load pattern: a stream pauses for seconds, since its upstream is lost, or has put it off
+//! and goes on with it later. Its attempt is abandoned only if it can resume elsewhere:
+//! otherwise its caller would lose an answer that may still be completed.
 
-use super::Call;
+use super::{Call, Phase};
 use crate::reducer::Dispatcher;
-use crate::{CallKey, DispatchEffect, UnknownCause};
+use crate::upstream::Upstream;
+use crate::{CallKey, DispatchEffect, UnknownCause, UpstreamKey};
 use compact_str::CompactString;
 use egretstage_wire::ServiceName;
 use std::collections::BTreeMap;
@@ -45,6 +50,49 @@
         }
     }
 
+    /// Handles a stream that has had no event for a long time: abandons the attempt if the
+    /// stream is expected to continue at another upstream.
+    pub(in crate::reducer) fn stream_silent(
+        &mut self,
+        now: Instant,
+        key: CallKey,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if let Phase::Running { upstream, .. } = call.phase
+            && self.should_move_stream(now, upstream)
+            && self.has_place_elsewhere(now, key, call, upstream)
+        {
+            let cause = UnknownCause::Silent;
+            fx.push(DispatchEffect::Abandon { call: key, cause });
+        }
+    }
+
+    /// Returns whether a stream may resume, and another upstream that it wasn't sent to has
+    /// room for it.
+    fn has_place_elsewhere(
+        &self,
+        now: Instant,
+        key: CallKey,
+        call: &Call,
+        upstream: UpstreamKey,
+    ) -> bool {
+        let has_retry = self
+            .services
+            .get(&call.service)
+            .is_some_and(|state| state.retry_budget.left() > 0);
+        if !call.may_resume() || !has_retry || self.harmful_refusal(now, call).is_some() {
+            return false;
+        }
+        let chosen = self.choose_upstream(now, &call.service, key);
+        chosen.is_some_and(|chosen| {
+            let is_full = self.upstreams.get(chosen).is_some_and(Upstream::is_full);
+            chosen != upstream && !call.tried.contains(&chosen) && !is_full
+        })
+    }
+
     /// Returns the streams of slow ranks that may resume elsewhere.
     fn movable_streams(&self) -> Movable {
         let mut movable = Movable::new();
@@ -62,9 +110,8 @@
         let (upstream, _) = call.last_event()?;
         let upstream = self.upstreams.get(upstream)?;
         let groups = &self.services.get(&call.service)?.groups;
-        let may_resume = call.route.kind.is_repeatable() && call.attempts < call.route.max_attempts;
         let is_slow = upstream.slowdown.factor() >= MIN_MOVE_FACTOR;
-        (may_resume && is_slow && groups.is_relieved(upstream.group()))
+        (call.may_resume() && is_slow && groups.is_relieved(upstream.group()))
             .then(|| (call.service.clone(), upstream.group().into()))
     }
 
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -97,6 +97,8 @@
     misdirected_calls: u32,
     /// Whether an upstream that started later is listed at its address.
     superseded: bool,
+    /// Whether it refused a call as full, and has begun no answer since.
+    is_full: bool,
     /// Signals that it sent in answers.
     pub signals: UpstreamSignals,
 }
@@ -122,6 +124,7 @@
             misdirected_until: None,
             misdirected_calls: 0,
             superseded: false,
+            is_full: false,
             signals: UpstreamSignals::default(),
         }
     }
@@ -147,6 +150,12 @@
             && self.signals.allow_calls(now)
     }
 
+    /// Returns whether it refused its last call as full.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.is_full
+    }
+
     /// Returns the name of its model group, empty if it is in none.
     #[must_use]
     pub fn group(&self) -> &str {
@@ -289,6 +298,13 @@
         upstreams.filter_map(|u| u.signals.back_off_until()).min()
     }
 
+    /// Records that an upstream refused a call as full.
+    pub fn record_full(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.arena.get_mut(key) {
+            upstream.is_full = true;
+        }
+    }
+
     /// Records that an upstream rejected a call as misdirected.
     pub fn record_misdirected(&mut self, now: Instant, key: UpstreamKey) {
         if let Some(upstream) = self.arena.get_mut(key) {
@@ -316,6 +332,7 @@
             upstream.failures.add(if failed { 1.0 } else { 0.0 });
             if !failed {
                 upstream.misdirected_calls = 0;
+                upstream.is_full = false;
                 upstream.answer_ms.add(latency.as_secs_f32() * 1000.0);
             }
         }
--- a/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{Harness, refused, sent, upstream};
 use egretstage_dispatch::{
-    CallKey, DispatchEffect, DispatchEvent, GroupCost, GroupTag, LoadReport, SuspectReport,
-    UpstreamLoads,
+    Attempt, AttemptEnd, CallKey, DispatchEffect, DispatchEvent, GroupCost, GroupTag, LoadReport,
+    NotRunCause, SuspectReport, UpstreamLoads,
 };
 use smallvec::smallvec;
 use std::time::Duration;
@@ -154,6 +154,68 @@
     ));
 }
 
+/// Starts a stream, which each of the given upstreams first refuses as full.
+fn start_refused_stream(harness: &mut Harness, refusals: usize) -> (CallKey, Attempt) {
+    let (call, mut effects) = harness.call("/draft/1", BUDGET_MS);
+    for _ in 0..refusals {
+        let cause = NotRunCause::Full;
+        let end = AttemptEnd::NotRun { cause };
+        effects = harness.sim.event(DispatchEvent::AttemptEnded { call, end });
+    }
+    let attempt = sent(&effects, call).unwrap_or_else(|| panic!("no attempt: {effects:?}"));
+    harness.sim.event(DispatchEvent::FirstByte { call });
+    (call, attempt)
+}
+
+/// Lets a stream fall silent while another one of its group has events; returns whether it
+/// is abandoned.
+fn is_abandoned_when_silent(harness: &mut Harness, call: CallKey, active: CallKey) -> bool {
+    harness.sim.advance(Duration::from_millis(1_900));
+    let pause = Duration::from_millis(1_900);
+    let has_event = DispatchEvent::Pause {
+        call: active,
+        pause,
+    };
+    harness.sim.event(has_event);
+    any_abandoned(&harness.sim.event(DispatchEvent::Silent { call }))
+}
+
+/// Guards against streams that are cut though their upstream goes on with them: a stream
+/// that has used its attempts can't resume elsewhere (review/3).
+#[test]
+fn a_silent_stream_without_attempts_left_stays() {
+    for (refusals, is_abandoned) in [(0, true), (1, false)] {
+        let mut harness = Harness::ready();
+        let (call, silent_at) = start_refused_stream(&mut harness, refusals);
+        // The other upstream begins answers again.
+        let streams = [(); 4].map(|()| start_refused_stream(&mut harness, 0));
+        assert!(
+            streams
+                .iter()
+                .any(|(_, at)| at.instance != silent_at.instance)
+        );
+        let (active, _) = streams[0];
+        let result = is_abandoned_when_silent(&mut harness, call, active);
+        assert_eq!(result, is_abandoned, "{refusals} refusals");
+    }
+}
+
+/// Guards against the same loss where the only other upstream has refused its last call as
+/// full: its slots are taken by calls that this entry doesn't know of.
+#[test]
+fn a_silent_stream_stays_while_the_others_are_full() {
+    let mut harness = Harness::ready();
+    let (silent, silent_at) = start_refused_stream(&mut harness, 0);
+    // The second stream goes to the other upstream, is refused, and comes here.
+    let (active, active_at) = start_refused_stream(&mut harness, 1);
+    assert_eq!(silent_at.instance, active_at.instance);
+    assert!(!is_abandoned_when_silent(&mut harness, silent, active));
+    // The other upstream begins an answer.
+    let (_, at) = start_refused_stream(&mut harness, 0);
+    assert_ne!(at.instance, silent_at.instance);
+    assert!(is_abandoned_when_silent(&mut harness, silent, active));
+}
+
 /// Load pattern: entries restart one after the other without an estimate of what
 /// streams cost. Until they have one, they would refuse callers that others
 /// take, or send more streams than the group can run in time.
