Play random schedules of planned stops

Change: heads, ends of bodies, answers, callers that leave and the signal come at random moments in virtual time. No call is sent after the stop, each that arrived is answered or refused before its end, one that arrives later is refused at once, and the stop ends at most 0.07 s after the last thing owed (or 3 s after the signal).

--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -12,6 +12,7 @@
 mod prompt_parts;
 mod slow_ranks;
 mod stalled_groups;
+mod stop_schedules;
 mod support;
 mod under_load;
 mod upstream_signals;
