Let a read wait no longer than until a deferred record is due

What callers saw: nothing reported.

Cause: a record without a version is deferred after a restore, and a missing one after an outage. The end of the grace is looked for when a read returns, and a read of the entries waits 10 s for changes.

Change: a read waits no longer than until the first deferred record is due. One more call for each grace that ends.

--- a/crates/egretstage_platform/src/held_records.rs
+++ b/crates/egretstage_platform/src/held_records.rs
@@ -98,7 +98,7 @@
     }
 
     /// Returns whether a record is newer than the present one of its key, as far as their
-    /// versions tell.
+    /// versions show.
     pub(crate) fn is_newer(&self, record: &KeyedRecord) -> bool {
         let held = self.present.get(&record.key);
         let order = held.and_then(|held| self.compare(record, held));
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -109,7 +109,7 @@
     /// store fails this one; returns the changes.
     ///
     /// The copy may hold records that are missing in the store, in the grace period of the
-    /// other reader, and no later change tells of them. So the newest records are read
+    /// other reader, and no later change reports them. So the newest records are read
     /// once the store serves this reader again.
     pub fn adopt(
         &mut self,
@@ -169,8 +169,9 @@
 
     /// Makes one call and returns the changes.
     ///
-    /// The store may wait up to `wait` for the first change, but not after a failure: its
-    /// answer tells whether it was restored, and then the newest records are read.
+    /// The store may wait up to `wait` for the first change, but no longer than until the
+    /// next deferred record is due, and not after a failure: its answer shows whether it was
+    /// restored, and then the newest records are read.
     ///
     /// # Errors
     ///
@@ -187,7 +188,11 @@
                 self.read_newest(now, store, after.as_deref())
             }
             Position::Tail(from) => {
-                let wait = if self.failing { Duration::ZERO } else { wait };
+                let wait = if self.failing {
+                    Duration::ZERO
+                } else {
+                    wait.min(self.time_to_deferred(now))
+                };
                 self.read_tail(now, store, *from, wait)
             }
         };
@@ -352,6 +357,12 @@
         }
     }
 
+    /// Returns the time until the next deferred record is due.
+    fn time_to_deferred(&self, now: Instant) -> Duration {
+        let due = self.deferred.values().map(|(_, at)| *at).min();
+        due.map_or(Duration::MAX, |at| at.saturating_duration_since(now))
+    }
+
     /// Applies the deferred records whose grace period has ended.
     fn apply_overdue(&mut self, now: Instant, changes: &mut Vec<KeyedChange>) {
         let is_due = |_: &CompactString, (_, at): &mut (KeyedRecord, Instant)| *at <= now;
--- a/crates/egretstage_platform/src/record_order.rs
+++ b/crates/egretstage_platform/src/record_order.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: the store is restored from a copy while writers go on. A reader that
 //! returns finds records from the copy beside records that were written since, and offsets
-//! of two eras don't compare. Writers number their records, so the records themselves tell
+//! of two eras don't compare. Writers number their records, so the records themselves show
 //! which one is newer.
 
 use crate::KeyedTopic;
--- a/crates/egretstage_platform/tests/keyed_follower/main.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/main.rs
@@ -392,6 +392,36 @@
     assert_eq!(waits, [WAIT, WAIT, none, none, WAIT]);
 }
 
+/// Guards against a deferred record that is applied late: a read that waits for changes
+/// would last beyond the end of the grace.
+#[test]
+fn a_read_waits_no_longer_than_until_a_deferred_record_is_due() {
+    const WAIT: Duration = Duration::from_secs(10);
+    const GRACE: Duration = Duration::from_millis(2_300);
+    let mut reader = Reader::new();
+    reader.store.put("a", Some("first"));
+    reader.poll().expect("a page");
+    reader.store.restore(1);
+    reader.store.put("a", Some("second"));
+    reader.poll().expect("no changes yet");
+    reader.poll().expect("a page");
+    reader.store.change(|store| store.waits.clear());
+    let poll = |reader: &mut Reader, passed| {
+        reader.now += passed;
+        let changes = reader.follower.poll(reader.now, &reader.store, WAIT);
+        Reader::format(changes.expect("changes"))
+    };
+    let second = Duration::from_secs(1);
+    assert_eq!(poll(&mut reader, second), [""; 0]);
+    assert_eq!(
+        poll(&mut reader, GRACE.saturating_sub(second)),
+        ["a=second"]
+    );
+    poll(&mut reader, second);
+    let waits = reader.store.0.lock().expect("one thread").waits.clone();
+    assert_eq!(waits, [GRACE.saturating_sub(second), Duration::ZERO, WAIT]);
+}
+
 /// Guards against the reversal of a record by a peer that has read only the copy.
 #[test]
 fn an_adopted_copy_reverts_no_newer_record() {
