--- a/crates/egretstage_platform/tests/keyed_follower/schedules.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/schedules.rs
@@ -333,18 +333,21 @@
         self.readers[index].follower.adopt(now, records)
     }
 
-    /// Applies the changes of a read; no version may be lower than before the read.
-    ///
-    /// Pages of a list are no snapshot, so the changes that follow the list may repeat
-    /// records that are older than the listed ones, before the listed ones.
+    /// Applies the changes of a read; no version may fall.
     fn report(&mut self, index: usize, changes: Vec<KeyedChange>) {
         let view = &mut self.readers[index].view;
-        let before = view.clone();
         for change in changes {
             match change {
                 KeyedChange::Put { key, value, .. } => {
                     let value = String::from_utf8(value).expect("text");
-                    view.insert(key.to_string(), value);
+                    let before = view.insert(key.to_string(), value.clone());
+                    let before = before.as_deref().and_then(version);
+                    assert!(
+                        version(&value) >= before,
+                        "seed {}, step {}: reader {index} went back from {before:?} to {value} of {key}",
+                        self.seed,
+                        self.step
+                    );
                 }
                 // An entry's configuration stays in force without its record, which may be
                 // missing for longer than the grace. Once it is written again, it can't be
@@ -355,15 +358,6 @@
                 }
             }
         }
-        for (key, value) in view {
-            let before = before.get(key).and_then(|before| version(before));
-            assert!(
-                version(value) >= before,
-                "seed {}, step {}: reader {index} went back from {before:?} to {value} of {key}",
-                self.seed,
-                self.step
-            );
-        }
     }
 
     /// Checks that what the store has is in force within its bound.
