Close the listeners of tests in children that are being started, too

Once before, an entry of whole_path didn't start, "Address already in use".

Cause: between its fork and its exec, a child has a copy of each socket of the test's process. A listener that is dropped in this time stays open in the child until its exec. The entry's connection to the address of an upstream that had ended was accepted there, so the loss counted as a lost connection and the call was repeated at the other upstream, as it may be. The log of a failed play shows it ("connection-lost", "retry"). The same copy keeps the port of a free address bound.

Ruled out: a port that another test's listener took (the log names no answer of it); a lock around the start of children (3 of 80,000 listeners still accepted: the parent goes on before the kernel has closed the child's copies).

Change: listeners are stopped by `shutdown`, which holds for all copies.

--- a/crates/egretstage_standins/src/ports.rs
+++ b/crates/egretstage_standins/src/ports.rs
@@ -1,5 +1,6 @@
 //! Free loopback addresses for the settings of programs.
 
+use rustix::net::{Shutdown, shutdown};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -31,6 +32,31 @@
         SocketAddr::from((Ipv4Addr::LOCALHOST, u16::try_from(port).unwrap_or(0)))
     });
     addresses
-        .find(|address| TcpListener::bind(address).is_ok())
+        .find(|address| TcpListener::bind(address).map(close).is_ok())
         .expect("a port is free")
 }
+
+/// Closes a listener, also in the children that are being started.
+///
+/// Between its fork and its exec, a child has a copy of each socket of the calling
+/// process. A listener that is only dropped in this time accepts connections for as long
+/// as the child takes to start.
+///
+/// # Panics
+///
+/// Panics when the kernel can't stop the listener.
+///
+/// ```
+/// use egretstage_standins::ports::close;
+/// use std::net::{TcpListener, TcpStream};
+///
+/// let listener = TcpListener::bind("127.0.0.1:0")?;
+/// let address = listener.local_addr()?;
+/// close(listener);
+/// assert!(TcpStream::connect(address).is_err());
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[expect(clippy::needless_pass_by_value, reason = "the listener is closed")]
+pub fn close(listener: TcpListener) {
+    shutdown(&listener, Shutdown::Both).expect("the listener stops");
+}
