Pass over changes that are older than a page of the newest records

What callers saw: nothing reported. An upstream that had stated its leaving could be ready again for a moment at an entry that reads the newest records.

A later page may have newer records, and the changes before them were applied over them: `1.2 ready` after `3.1 draining`, a removal in between.

The new test failed before with "b=1.2 ready", "-b" after "b=3.1 draining".

Change: the follower keeps the offsets of listed records at or after the point from which it reads on, and passes over earlier changes of their keys.

--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -73,6 +73,9 @@
     deferred: HashMap<CompactString, (KeyedRecord, Instant)>,
     /// The era in which the newest records were last read.
     era: Option<StoreEra>,
+    /// Offsets of listed records at or after the offset from which changes are read after
+    /// the list. The earlier changes of their keys are older than the list.
+    ahead: HashMap<CompactString, u64>,
     /// Number of listed records that were passed over.
     passed_over: u64,
     /// Number of those in the present read of the newest records that were logged.
@@ -91,6 +94,7 @@
             failed_at: None,
             deferred: HashMap::new(),
             era: None,
+            ahead: HashMap::new(),
             passed_over: 0,
             logged: 0,
         }
@@ -221,6 +225,9 @@
         else {
             return Ok(Vec::new());
         };
+        if tail_from.is_none() {
+            self.ahead.clear();
+        }
         let tail_from = *tail_from.get_or_insert(page.end);
         if *era.get_or_insert(page.era) != page.era {
             // The earlier pages were read before the store was restored.
@@ -229,6 +236,10 @@
         }
         let mut listed = std::mem::take(listed);
         listed.extend(page.records.iter().map(|record| record.key.clone()));
+        let ahead = page.records.iter();
+        let ahead = ahead.filter(|record| record.offset >= tail_from);
+        let ahead = ahead.map(|record| (record.key.clone(), record.offset));
+        self.ahead.extend(ahead);
         let last = page.records.last().map(|record| record.key.clone());
         let (more, era) = (page.more, page.era);
         let mut changes = Vec::new();
@@ -306,8 +317,15 @@
             Changes::Records { records, next, .. } => {
                 self.position = Position::Tail(next);
                 for record in records {
-                    self.apply(now, record, &mut changes);
+                    if self
+                        .ahead
+                        .get(&record.key)
+                        .is_none_or(|at| record.offset >= *at)
+                    {
+                        self.apply(now, record, &mut changes);
+                    }
                 }
+                self.ahead.retain(|_, at| *at >= next);
             }
             Changes::Expired => self.position = initial_position(),
         }
--- a/crates/egretstage_platform/tests/keyed_follower/main.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/main.rs
@@ -177,6 +177,25 @@
     assert_eq!(reader.poll().expect("changes"), ["left=ready again"]);
 }
 
+/// Guards against a state that is reverted for a moment: the changes that are read after the
+/// pages begin at the end of the first page, before records of the later pages.
+#[test]
+fn a_change_between_two_pages_reverts_no_record_of_the_later_page() {
+    let mut reader = Reader::new();
+    reader.store.change(|store| store.page_size = 1);
+    for key in ["a", "b"] {
+        reader.store.put(key, Some("1.1 ready"));
+    }
+    assert_eq!(reader.poll().expect("the first page"), ["a=1.1 ready"]);
+    reader.store.put("b", Some("1.2 ready"));
+    reader.store.put("b", None);
+    reader.store.put("b", Some("3.1 draining"));
+    assert_eq!(reader.poll().expect("the last page"), ["b=3.1 draining"]);
+    reader.store.put("b", Some("3.2 draining"));
+    let changes = reader.poll().expect("changes");
+    assert_eq!(changes, ["b=3.1 draining", "b=3.2 draining"]);
+}
+
 /// Fault: the store is restored again while the pages after the first restore
 /// are read.
 #[test]
