Keep adopted records for a grace in a reader's first list

What callers see: an entry that the store has refused since its start serves by what its peers have. If the store is restored meanwhile, the copy may lack running upstreams, which write again within a heartbeat. The entry removed them with its first list and could refuse calls as no-upstream for up to that time, while its peers kept them.

Cause: adopting a copy ends the grace, since the store serves the other reader. A reader that has read before knows from the era that the store was restored, and begins a new grace; one that has read nothing has no era to compare.

Change: if the first list of a reader lacks adopted records, the grace begins with it.

--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -254,9 +254,15 @@
             return Ok(changes);
         }
         self.position = Position::Tail(tail_from);
-        self.era = Some(era);
         self.logged = 0;
-        for key in self.held.keys_missing_in(&listed) {
+        let missing = self.held.keys_missing_in(&listed);
+        let is_first = self.era.replace(era).is_none();
+        if is_first && !missing.is_empty() {
+            // The reader that the missing records were adopted from may have read them
+            // before a restore.
+            self.failed_at = Some(now);
+        }
+        for key in missing {
             self.remove_or_defer(now, key, &mut changes);
         }
         Ok(changes)
--- a/crates/egretstage_platform/tests/keyed_follower/main.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/main.rs
@@ -492,3 +492,24 @@
     reader.now += Duration::from_secs(3);
     assert_eq!(reader.poll().expect("changes"), ["-b"]);
 }
+
+/// Guards against the removal of running upstreams by a reader that the store served for the
+/// first time after a restore: the copy lacks them, and their writers write again.
+#[test]
+fn adopted_records_keep_a_grace_in_the_first_list() {
+    let mut reader = Reader::new();
+    for key in ["a", "b", "c"] {
+        reader.store.put(key, Some("1.3 ready"));
+    }
+    reader.store.change(|store| store.down = true);
+    assert!(reader.poll().is_err());
+    reader.adopt(&[("a", "1.3 ready"), ("b", "1.3 ready"), ("c", "1.3 ready")]);
+    reader.store.restore(1);
+    reader.store.change(|store| store.down = false);
+    assert_eq!(reader.poll().expect("a page"), ["a=1.3 ready"]);
+    reader.now += Duration::from_secs(1);
+    reader.store.put("b", Some("1.4 ready"));
+    assert_eq!(reader.poll().expect("changes"), ["b=1.4 ready"]);
+    reader.now += Duration::from_secs(2);
+    assert_eq!(reader.poll().expect("changes"), ["-c"]);
+}
--- a/crates/egretstage_platform/tests/keyed_follower/schedules.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/schedules.rs
@@ -40,6 +40,9 @@
 /// Greatest age of a copy, in steps: five seconds.
 const MAX_COPY_STEPS: u32 = 100;
 
+/// Longest refusal of a reader from its start, in steps: 20 seconds.
+const MAX_FIRST_REFUSAL_STEPS: u32 = 400;
+
 /// Steps within which a version that the store has is in force: two seconds.
 const MAX_DELAY_STEPS: u32 = 40;
 
@@ -121,6 +124,10 @@
             wait,
             waiting: None,
         };
+        let mut readers = [reader(waits[0]), reader(waits[1])];
+        if rng.random_bool(0.3) {
+            readers[0].refused_until = rng.random_range(0..MAX_FIRST_REFUSAL_STEPS);
+        }
         let keys = UPSTREAMS.into_iter().chain(ENTRIES).chain([CONFIGURATION]);
         Self {
             seed,
@@ -131,7 +138,7 @@
             up_at: None,
             writers: keys.map(|key| (key, Writer::default())).collect(),
             changed_at: BTreeMap::new(),
-            readers: [reader(waits[0]), reader(waits[1])],
+            readers,
             rng,
         }
     }
@@ -333,8 +340,27 @@
         self.readers[index].follower.adopt(now, records)
     }
 
-    /// Applies the changes of a read; no version may fall.
+    /// Returns whether a restore lost the records of a running upstream, which writes
+    /// again.
+    fn is_lost(&self, key: &str) -> bool {
+        let has_written = self.writers[key].due.is_some_and(|due| due > self.step);
+        let is_running = has_written && self.writers[key].value.is_some();
+        UPSTREAMS.contains(&key) && is_running && self.stored(key).is_none()
+    }
+
+    /// Applies the changes of a read; no version may fall, and no running upstream may be
+    /// removed because a restore lost its record.
     fn report(&mut self, index: usize, changes: Vec<KeyedChange>) {
+        for change in &changes {
+            if let KeyedChange::Removed(key) = change {
+                assert!(
+                    !self.is_lost(key),
+                    "seed {}, step {}: reader {index} removed {key}, which writes again",
+                    self.seed,
+                    self.step
+                );
+            }
+        }
         let view = &mut self.readers[index].view;
         for change in changes {
             match change {
