Add a failing test: a group is held for 15 s after a freeze beside late orders

What callers see: a group makes no pass for 15 to 20 s, so its streams end.

Cause, traced in virtual time: the successor of a decider whose instance was suspended waits in `Disarming` until no unanswered order to arm can take effect any more, which it takes to be 15 s after its own start. Without passes, no earlier evidence arises.

The test plays random schedules of one freeze for four seconds in a switch, beside late orders, some with a restart of all companions.

--- a/crates/egretstage_passes/tests/switches/main.rs
+++ b/crates/egretstage_passes/tests/switches/main.rs
@@ -5,6 +5,7 @@
 //! still switches maps.
 
 mod engine;
+mod freezes;
 mod link;
 mod many_ranks;
 mod simulation;
