Keep a connection while a head is being read in a planned stop

Cause: the HTTP library closes a connection between two requests when it is asked to shut down, whatever part of a head it has read, so the request on it gets no answer.

Change: a caller's connection knows how far its call has got and isn't asked to shut down while a head is being read, in both kinds of entry.

--- a/crates/egretstage_caller_io/src/lib.rs
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -33,6 +33,20 @@
     ahead: Vec<u8>,
     /// Whether the connection has ended after the bytes in `ahead`.
     is_ended: bool,
+    progress: CallProgress,
+}
+
+/// How far the calls on a connection have got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallProgress {
+    /// Nothing has been read.
+    Unread,
+    /// A part of a head has been read.
+    ReadingHead,
+    /// The server handles a call.
+    Handling,
+    /// The head of the last answer is known, and nothing has been read since.
+    Answered,
 }
 
 impl ReadSide {
@@ -42,10 +56,17 @@
         let mut buf = ReadBuf::new(&mut bytes);
         ready!(Pin::new(&mut self.half).poll_read(cx, &mut buf))?;
         self.is_ended = buf.filled().is_empty();
+        self.record_read(buf.filled().len());
         self.ahead.extend_from_slice(buf.filled());
         Poll::Ready(Ok(()))
     }
 
+    fn record_read(&mut self, bytes: usize) {
+        if bytes > 0 && self.progress != CallProgress::Handling {
+            self.progress = CallProgress::ReadingHead;
+        }
+    }
+
     /// Moves bytes that were read ahead into the server's buffer.
     fn take_ahead(&mut self, buf: &mut ReadBuf<'_>) {
         let count = self.ahead.len().min(buf.remaining());
@@ -78,6 +99,7 @@
         half,
         ahead: Vec::new(),
         is_ended: false,
+        progress: CallProgress::Unread,
     }));
     let watch = CallerWatch {
         read: Arc::clone(&read),
@@ -85,7 +107,62 @@
     (CallerStream { read, write }, watch)
 }
 
+/// Marks a call as handled until it is dropped, when the head of its answer is known.
+#[derive(Debug)]
+pub struct HandledCall(Arc<Mutex<ReadSide>>);
+
+impl HandledCall {
+    fn begin(read: &Arc<Mutex<ReadSide>>) -> Self {
+        let mut side = read.lock().unwrap_or_else(PoisonError::into_inner);
+        side.progress = CallProgress::Handling;
+        Self(Arc::clone(read))
+    }
+}
+
+impl Drop for HandledCall {
+    fn drop(&mut self) {
+        let mut side = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        side.progress = if side.ahead.is_empty() {
+            CallProgress::Answered
+        } else {
+            CallProgress::ReadingHead
+        };
+    }
+}
+
+/// Begins calls on a connection.
+#[derive(Clone, Debug)]
+pub struct CallMarker(Arc<Mutex<ReadSide>>);
+
+impl CallMarker {
+    /// Marks a call whose head has been read.
+    #[must_use]
+    pub fn begin(&self) -> HandledCall {
+        HandledCall::begin(&self.0)
+    }
+}
+
 impl CallerWatch {
+    /// Returns what marks the calls on the connection.
+    #[must_use]
+    pub fn marker(&self) -> CallMarker {
+        CallMarker(Arc::clone(&self.read))
+    }
+
+    /// Returns whether anything has been read.
+    #[must_use]
+    pub fn has_read(&self) -> bool {
+        let read = self.read.lock().unwrap_or_else(PoisonError::into_inner);
+        read.progress != CallProgress::Unread
+    }
+
+    /// Returns whether a part of a request's head has been read.
+    #[must_use]
+    pub fn is_reading_head(&self) -> bool {
+        let read = self.read.lock().unwrap_or_else(PoisonError::into_inner);
+        read.progress == CallProgress::ReadingHead
+    }
+
     /// Waits until the caller has closed the connection or the connection has failed.
     pub async fn closed(&self) {
         std::future::poll_fn(|cx| self.poll_closed(cx)).await;
@@ -112,13 +189,27 @@
 
 /// Runs a server's connection until it ends; returns `None` if the caller closes it first.
 ///
-/// Calls `shut_down` once when `stop` completes, and runs the connection on.
+/// Calls `shut_down` once when `stop` has completed and no head of a request is being read,
+/// and runs the connection on: a server that is shut down closes a connection on which it has
+/// read a part of a head.
 pub async fn run_until_closed<C: Future>(
     mut connection: Pin<&mut C>,
     watch: &CallerWatch,
     stop: impl Future<Output = ()>,
     shut_down: impl FnOnce(Pin<&mut C>),
 ) -> Option<C::Output> {
+    let stop = async {
+        stop.await;
+        // The connection and the watch are polled first, and only they change this.
+        let poll_between_heads = |_: &mut Context<'_>| {
+            if watch.is_reading_head() {
+                Poll::Pending
+            } else {
+                Poll::Ready(())
+            }
+        };
+        std::future::poll_fn(poll_between_heads).await;
+    };
     tokio::pin!(stop);
     tokio::select! {
         biased;
@@ -147,7 +238,10 @@
         if read.is_ended {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut read.half).poll_read(cx, buf)
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut read.half).poll_read(cx, buf))?;
+        read.record_read(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -189,9 +189,13 @@
     async fn serve_connection(self: Arc<Self>, tcp: TcpStream, mut stop: watch::Receiver<bool>) {
         let _ = tcp.set_nodelay(true);
         let (stream, watch) = watch_caller(tcp);
+        let marker = watch.marker();
         let service = service_fn(|req| {
-            let server = Arc::clone(&self);
-            async move { Ok::<_, Infallible>(server.handle_request(req).await) }
+            let (server, call) = (Arc::clone(&self), marker.begin());
+            async move {
+                let _call = call;
+                Ok::<_, Infallible>(server.handle_request(req).await)
+            }
         });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -20,7 +20,7 @@
 use miette::{IntoDiagnostic, WrapErr};
 use opentelemetry::metrics::Counter;
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, channel, unbounded_channel};
@@ -31,8 +31,8 @@
 /// Time between the latest end of a planned stop and the kill.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
-/// Longest wait for callers' connections to close after the last call has ended:
-/// shorter than [`STOP_MARGIN`].
+/// Longest wait for callers' connections to close after the latest end of the calls: shorter
+/// than [`STOP_MARGIN`].
 const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Runs an entry until it stops.
@@ -68,6 +68,7 @@
     let (close_idle, close_idle_rx) = unbounded_channel();
     let (table, table_rx) = watch::channel(None);
     let (closing, closing_rx) = watch::channel(false);
+    let (ending, ending_rx) = watch::channel(false);
     let (events, events_rx) = unbounded_channel();
     let stopped = Rc::new(Notify::new());
     let passed_over = gateway_metrics.passed_over_records();
@@ -97,6 +98,7 @@
         dialect: Rc::from(platform.dialect),
         table: table_rx,
         closing: closing_rx,
+        ending: ending_rx,
     });
     let address = settings.callers.listen;
     let listener = bind_listener(address)
@@ -114,7 +116,8 @@
         &events,
         &passed_over,
     )?;
-    stop_on_signal(events)?;
+    let signalled_at = Arc::new(OnceLock::new());
+    stop_on_signal(events, Arc::clone(&signalled_at))?;
     let socket = UdpSocket::bind(settings.peers.listen).await;
     let socket = Rc::new(socket.into_diagnostic()?);
     spawn_local(Rc::clone(&driver).run_timer());
@@ -134,20 +137,25 @@
     log::info!(address:display = address; "entry started");
     stopped.notified().await;
     accepting.abort();
-    // The last answers are still being written to callers' connections.
-    if timeout(LAST_ANSWERS_TIMEOUT, all_closed.recv())
-        .await
-        .is_err()
-    {
+    ending.send_replace(true);
+    // Heads are still being read, and the last answers written.
+    let signalled_at = signalled_at.get().copied().unwrap_or_else(Instant::now);
+    let latest_end = signalled_at + stop_within(settings) + LAST_ANSWERS_TIMEOUT;
+    let left = latest_end.saturating_duration_since(Instant::now());
+    if timeout(left, all_closed.recv()).await.is_err() {
         log::warn!("callers' connections are still open at the end of the stop");
     }
     Ok(())
 }
 
+/// Returns the longest time of the calls in a planned stop.
+fn stop_within(settings: &GatewaySettings) -> Duration {
+    Duration::from_millis(settings.stop.grace_ms.get()).saturating_sub(STOP_MARGIN)
+}
+
 fn new_dispatcher(settings: &GatewaySettings) -> Dispatcher {
-    let grace = Duration::from_millis(settings.stop.grace_ms.get());
     let limits = DispatchLimits {
-        stop_within: grace.saturating_sub(STOP_MARGIN),
+        stop_within: stop_within(settings),
         ..DispatchLimits::default()
     };
     let (entry, zone) = (settings.instance.clone(), settings.zone.clone());
@@ -194,8 +202,12 @@
     Ok(())
 }
 
-fn stop_on_signal(events: UnboundedSender<DispatchEvent>) -> miette::Result<()> {
+fn stop_on_signal(
+    events: UnboundedSender<DispatchEvent>,
+    signalled_at: Arc<OnceLock<Instant>>,
+) -> miette::Result<()> {
     on_stop_signal(move || {
+        signalled_at.get_or_init(Instant::now);
         // The send fails only after the end of the entry's loop, when nothing
         // is left to stop.
         drop(events.send(DispatchEvent::Stop));
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -35,6 +35,9 @@
     pub(crate) dialect: Rc<dyn HttpDialect>,
     pub(crate) table: watch::Receiver<Option<Arc<RoutingTable>>>,
     pub(crate) closing: watch::Receiver<bool>,
+    /// Whether the stop is complete but for requests that are being read and answers that are
+    /// being written.
+    pub(crate) ending: watch::Receiver<bool>,
 }
 
 /// Reports the end of a call to the dispatcher, even if the caller disconnects
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -61,12 +61,16 @@
         )
     };
     let (stream, watch) = watch_caller(tcp);
-    let mut closing = gateway.closing.clone();
+    let (mut closing, mut ending) = (gateway.closing.clone(), gateway.ending.clone());
     // A graceful shutdown would close a connection on which nothing has been read yet.
     let is_closing = *closing.borrow();
+    let marker = watch.marker();
     let service = service_fn(move |req| {
-        let gateway = Rc::clone(&gateway);
-        async move { Ok::<_, Infallible>(gateway.serve(req).await) }
+        let (gateway, call) = (Rc::clone(&gateway), marker.begin());
+        async move {
+            let _call = call;
+            Ok::<_, Infallible>(gateway.serve(req).await)
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -82,7 +86,23 @@
         // An error means that the process ends.
         drop(closing.wait_for(|closing| *closing).await);
     };
-    match run_until_closed(connection, &watch, stop, Connection::graceful_shutdown).await {
+    let run = run_until_closed(connection, &watch, stop, Connection::graceful_shutdown);
+    let ended_unread = async {
+        // An error means that the process ends.
+        drop(ending.wait_for(|ending| *ending).await);
+        if watch.has_read() {
+            std::future::pending::<()>().await;
+        }
+    };
+    let end = tokio::select! {
+        biased;
+        end = run => end,
+        () = ended_unread => {
+            log::debug!("a connection without a request is closed at the end of the stop");
+            return;
+        }
+    };
+    match end {
         Some(Ok(())) => {}
         Some(Err(e)) => {
             log::debug!(error:display = e; "a caller's connection ended with an error");
