End a late switch by preparing the map in use once more

Cause: a decider in Disarming waits until 15 s after its start, since unanswered orders to arm may still take effect.

Change: ranks that such an order may arm are ordered to prepare the map in use as another version, which no decider arms. An engine arms only the version that it has prepared and prepares no earlier one again, so late orders are refused. If the map in use isn't known, or an engine refuses, the 15 s remain.

--- a/crates/egretstage_passes/src/decider.rs
+++ b/crates/egretstage_passes/src/decider.rs
@@ -226,6 +226,8 @@
     phase: Phase,
     /// The last map that all ranks prepared, with its version.
     prepared_map: Option<(u64, Rc<ExpertsByRank>)>,
+    /// The version that ranks prepare so that no late order can arm them. It is never armed.
+    blocking: Option<u64>,
     /// Number of versions of this fencing number that were used.
     versions_used: u64,
     orders_sent: u64,
@@ -290,6 +292,7 @@
             last_complete: now,
             phase: Phase::Surveying,
             prepared_map: None,
+            blocking: None,
             versions_used: 0,
             orders_sent: 0,
             next_plan: now,
--- a/crates/egretstage_passes/src/decider/phases.rs
+++ b/crates/egretstage_passes/src/decider/phases.rs
@@ -11,6 +11,15 @@
 const PLAN_INTERVAL_PER_RANK: Duration = Duration::from_millis(2);
 
 impl NextMap {
+    /// Returns the orders of a map that follows the one in use.
+    pub(super) fn new(in_use: &ExpertsByRank, layers: ExpertsByRank) -> Self {
+        Self {
+            changes: MapChanges::between(in_use, &layers).map(Rc::new),
+            full_map_bytes: crate::packed::pack(&layers).map_or(0, |packed| packed.len()),
+            layers: Rc::new(layers),
+        }
+    }
+
     /// Returns the bytes sent to most ranks.
     pub(super) fn bytes(&self) -> usize {
         let changes = self.changes.as_ref().map(|changes| changes.bytes());
@@ -54,11 +63,7 @@
         if round.skew_before - round.skew_after < self.limits.min_skew_gain {
             return;
         }
-        let newest = reports.iter().map(|r| r.map.max(r.prepared.unwrap_or(0)));
-        let newest = newest.max().unwrap_or(0);
-        let last_used = self.fence * VERSIONS_PER_FENCE + self.versions_used;
-        let version = last_used.max(newest) + 1;
-        self.versions_used = version - self.fence * VERSIONS_PER_FENCE;
+        let version = self.next_version(reports);
         out.push(DeciderEffect::Log(PassLogEntry::Plan {
             fence: self.fence,
             version,
@@ -67,12 +72,7 @@
             skew_after: round.skew_after,
         }));
         let by_rank = |maps: &[EvenMap]| maps.iter().map(EvenMap::by_rank).collect();
-        let layers: ExpertsByRank = by_rank(&round.layers);
-        let map = NextMap {
-            changes: MapChanges::between(&by_rank(&maps), &layers).map(Rc::new),
-            full_map_bytes: crate::packed::pack(&layers).map_or(0, |packed| packed.len()),
-            layers: Rc::new(layers),
-        };
+        let map = NextMap::new(&by_rank(&maps), by_rank(&round.layers));
         let since = now;
         self.enter_phase(
             Phase::Preparing {
@@ -85,6 +85,16 @@
         self.wake(now, out);
     }
 
+    /// Returns a version newer than all that were used, and marks it as used.
+    pub(super) fn next_version(&mut self, reports: &[EngineReport]) -> u64 {
+        let newest = reports.iter().map(|r| r.map.max(r.prepared.unwrap_or(0)));
+        let newest = newest.max().unwrap_or(0);
+        let last_used = self.fence * VERSIONS_PER_FENCE + self.versions_used;
+        let version = last_used.max(newest) + 1;
+        self.versions_used = version - self.fence * VERSIONS_PER_FENCE;
+        version
+    }
+
     fn copies_per_rank(&self) -> u16 {
         let copy_time = self.shape.copy_time.as_millis().max(1);
         let copies = self.limits.copy_budget.as_millis() / copy_time;
@@ -97,9 +107,7 @@
         now: Instant,
         reports: &[EngineReport],
     ) -> Option<(Vec<EvenMap>, Vec<Vec<f64>>)> {
-        let layers = self
-            .map_of_last_switch(reports)
-            .or_else(|| self.reported_map(reports))?;
+        let layers = self.map_in_use(reports)?;
         let maps: Option<Vec<_>> = layers
             .iter()
             .map(|ranks| EvenMap::from_ranks(self.shape.experts, ranks))
@@ -108,6 +116,12 @@
         Some((maps?, loads))
     }
 
+    /// Returns the map in use, if known.
+    pub(super) fn map_in_use(&self, reports: &[EngineReport]) -> Option<ExpertsByRank> {
+        self.map_of_last_switch(reports)
+            .or_else(|| self.reported_map(reports))
+    }
+
     /// Returns the map in use if this decider switched to it.
     fn map_of_last_switch(&self, reports: &[EngineReport]) -> Option<ExpertsByRank> {
         let (version, layers) = self.prepared_map.as_ref()?;
@@ -331,7 +345,7 @@
         let armed = reports.iter().filter_map(|r| Some((r.rank, r.armed?)));
         let armed: Vec<(u16, u64)> = armed.collect();
         if armed.is_empty() && !self.is_arming_known(now) {
-            return;
+            return self.block_late_arming(now, reports, out);
         }
         if armed.is_empty() {
             self.enter_phase(Phase::Releasing, out);
--- a/crates/egretstage_passes/src/decider/survey.rs
+++ b/crates/egretstage_passes/src/decider/survey.rs
@@ -1,8 +1,9 @@
 //! Completes or rolls back what an earlier decider left unfinished.
 
 use super::rank_view::RankView;
-use super::{DeciderEffect, MapDecider, Phase, Switch};
+use super::{DeciderEffect, MapDecider, NextMap, Phase, Switch, VERSIONS_PER_FENCE};
 use crate::EngineReport;
+use smallvec::SmallVec;
 use std::time::Instant;
 
 impl MapDecider {
@@ -39,7 +40,8 @@
             let is_ready = |r: &EngineReport| {
                 r.armed == Some(version) || (r.armed.is_none() && r.prepared == Some(version))
             };
-            has_single_hold && self.rolled_back != Some(version) && reports.iter().all(is_ready)
+            let is_given_up = [self.rolled_back, self.blocking].contains(&Some(version));
+            has_single_hold && !is_given_up && reports.iter().all(is_ready)
         };
         let all_armed = armed.is_some() && reports.iter().all(|r| r.armed == armed);
         let phase = match version {
@@ -55,14 +57,45 @@
         self.enter_phase(phase, out);
     }
 
-    /// Returns whether no order that the reports don't show may still arm a
-    /// rank. Only a rank that holds the copies of another map can be armed.
+    /// Returns whether no order that the reports don't show may still arm a rank.
     pub(super) fn is_arming_known(&self, now: Instant) -> bool {
-        let may_be_armed = |view: &RankView| {
-            let report = &view.state.report;
-            view.state.may_be_armed && report.prepared.is_some_and(|v| v > report.map)
+        let mut views = self.ranks.iter().flatten();
+        now >= self.late_orders_until || !views.any(|view| self.may_be_armed(view))
+    }
+
+    /// Returns whether a late order may arm a rank: only one that holds the copies of a map
+    /// for which orders to arm were sent.
+    fn may_be_armed(&self, view: &RankView) -> bool {
+        let report = &view.state.report;
+        let prepared = report.prepared.filter(|version| *version > report.map);
+        view.state.may_be_armed && prepared.is_some() && prepared != self.blocking
+    }
+
+    /// Orders each rank that a late order may arm to prepare the map in use as another
+    /// version: an engine arms only the version that it has prepared, and prepares no earlier
+    /// one again.
+    pub(super) fn block_late_arming(
+        &mut self,
+        now: Instant,
+        reports: &[EngineReport],
+        out: &mut Vec<DeciderEffect>,
+    ) {
+        let Some(in_use) = self.map_in_use(reports) else {
+            return;
+        };
+        let last_used = self.fence * VERSIONS_PER_FENCE + self.versions_used;
+        let version = match self.blocking {
+            Some(version) if version == last_used => version,
+            _ => self.next_version(reports),
         };
-        now >= self.late_orders_until || !self.ranks.iter().flatten().any(may_be_armed)
+        self.blocking = Some(version);
+        let map = NextMap::new(&in_use, in_use.clone());
+        let views = self.ranks.iter().flatten();
+        let ranks = views.filter(|view| self.may_be_armed(view));
+        let ranks: SmallVec<[u16; 8]> = ranks.map(|view| view.state.report.rank).collect();
+        for rank in ranks {
+            self.order_map(now, rank, version, &map, out);
+        }
     }
 }
 
