End a connection to an upstream that sends too many interim heads

Cause: the HTTP library reads and drops interim heads within one poll for as long as bytes arrive.

Ruled out: ending the attempt alone, by a notification that the call's task waits for: the test still failed beside load, since the connection's own task goes on reading.

Change: the stream to an upstream fails its reads once an answer has had more than 32 interim heads. The attempt then ends as one whose connection was lost, at once instead of at the call's timeout.

--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -74,7 +74,8 @@
         Ok(connection) => connection,
         Err(cause) => return SendOutcome::Ended(AttemptEnd::NotSent { cause }),
     };
-    let forwarded = forwarded_request(&*gateway.dialect, req, attempt, resume_after);
+    let mut forwarded = forwarded_request(&*gateway.dialect, req, attempt, resume_after);
+    connection.interim_limit.apply(&mut forwarded);
     let resp = match connection.sender.try_send_request(forwarded).await {
         Ok(resp) => resp,
         Err(mut e) => {
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod server;
 mod settings;
 mod upstream_pool;
+mod upstream_stream;
 
 pub use announcement::decode_entry_address;
 pub use dialect::{
--- a/crates/egretstage_gateway/src/upstream_pool.rs
+++ b/crates/egretstage_gateway/src/upstream_pool.rs
@@ -4,6 +4,7 @@
 //! platforms, so a connection is reused for as long as the upstream keeps it
 //! open.
 
+use crate::upstream_stream::{InterimLimit, UpstreamStream};
 use egretstage_dispatch::NotRunCause;
 use egretstage_runtime::reset_on_close;
 use egretstage_wire::{InstanceId, RequestId};
@@ -58,6 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) interim_limit: InterimLimit,
     /// Idle time after which the connection is no longer reused.
     max_idle: Duration,
     /// Whether it has carried a request before the present one.
@@ -238,9 +240,11 @@
             "socket options of an upstream connection can't be set"
         );
     }
+    let interim_limit = InterimLimit::default();
+    let stream = UpstreamStream::new(tcp, interim_limit.clone());
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(tcp))
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| NotRunCause::NoConnection)?;
     tokio::task::spawn_local(async move {
@@ -253,6 +257,7 @@
     });
     Ok(Connection {
         sender,
+        interim_limit,
         max_idle: DEFAULT_MAX_IDLE,
         is_reused: false,
         refused: SmallVec::new(),
