Order an organisation's calls by their routes' priorities

Taking precedence orders two ranks; it doesn't drop the second.

Change: Urgency holds both, the organisation's priority (or the route's if it has none) first and the route's second. The waiting calls and the counts of calls ahead use it.

Test: urgency::a_routes_priority_orders_the_calls_of_an_organisation_with_a_priority. With the route's priority dropped from Urgency it fails: the batch call that came first starts instead of the urgent one.

--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 //! | which cost of slow passes this limit allows for | [`slow_passes`] |
 //! | which ranks are slow, and until when that counts | `slow_ranks` |
 //! | which streams move off slow ranks | `reducer` (`calls/moving`) |
+//! | how the operator's priorities order calls | `urgency` |
 //! | in which order waiting calls start | [`waiting`] |
 //! | until when a waiting call can be in time | `first_byte_latency` |
 //! | whether a model group takes calls at all | [`circuit_breaker`] |
@@ -52,6 +53,7 @@
 mod slow_ranks;
 pub mod start_limits;
 mod upstream;
+mod urgency;
 pub mod waiting;
 
 pub use admission::StreamLimits;
@@ -78,6 +80,7 @@
 pub use signals::UpstreamSignals;
 pub use start_limits::{LimitReport, StartLimits};
 pub use upstream::{GroupMembership, ListedUpstream, UpstreamKey, UpstreamState, Upstreams};
+pub use urgency::Urgency;
 
 /// The items that most users of this crate need.
 pub mod prelude {
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -10,7 +10,7 @@
 use crate::waiting::{Objective, QueueClass};
 use crate::{
     CallHead, CallKey, DecisionLine, DispatchEffect, PromptParts, Refusal, RefusalKind,
-    RequestHash, Route, RouteMissing, UpstreamKey,
+    RequestHash, Route, RouteMissing, UpstreamKey, Urgency,
 };
 use compact_str::CompactString;
 use egretstage_wire::{OrganisationName, ServiceName};
@@ -48,7 +48,7 @@
     route: Arc<Route>,
     service: ServiceName,
     organisation: Option<OrganisationName>,
-    priority: u8,
+    urgency: Urgency,
     class: QueueClass,
     arrived: Instant,
     /// When it was last added to the waiting calls.
@@ -83,8 +83,8 @@
         &self.service
     }
 
-    pub(super) fn priority(&self) -> u8 {
-        self.priority
+    pub(super) fn urgency(&self) -> Urgency {
+        self.urgency
     }
 
     pub(super) fn class(&self) -> QueueClass {
@@ -146,11 +146,11 @@
     }
 }
 
-/// Route of an admitted call, with its caller's organisation and its priority.
+/// Route of an admitted call, with its caller's organisation and its urgency.
 struct Admission {
     route: Arc<Route>,
     organisation: Option<OrganisationName>,
-    priority: u8,
+    urgency: Urgency,
 }
 
 impl Dispatcher {
@@ -206,7 +206,7 @@
         Ok(Admission {
             route: Arc::clone(route),
             organisation: organisation.map(|org| org.name.clone()),
-            priority: priority.unwrap_or(route.priority),
+            urgency: Urgency::new(priority, route.priority),
         })
     }
 
@@ -228,7 +228,7 @@
         Call {
             service: self.choose_service(&route, key),
             organisation: admission.organisation,
-            priority: admission.priority,
+            urgency: admission.urgency,
             class: if is_returning {
                 QueueClass::Returned
             } else {
@@ -298,9 +298,9 @@
         {
             return Some(RefusalKind::NoRoom);
         }
-        let (priority, class) = (call.priority, call.class);
+        let (urgency, class) = (call.urgency, call.class);
         let service = self.service(&call.service);
-        let ahead = service.waiting.ahead_of(priority, class);
+        let ahead = service.waiting.ahead_of(urgency, class);
         let wait = service.start_rate.time_for(now, ahead);
         (ahead > 0 && wait.is_some_and(|wait| wait > max_wait)).then_some(RefusalKind::NoRoom)
     }
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -18,7 +18,7 @@
         };
         call.phase = Phase::Waiting;
         call.waiting_since = now;
-        let priority = call.priority;
+        let urgency = call.urgency;
         let class = if call.is_resumed() {
             QueueClass::Resumed
         } else {
@@ -27,7 +27,7 @@
         let (arrived, objective) = (call.arrived, call.objective);
         let service = call.service.clone();
         let waiting = &mut self.service(&service).waiting;
-        waiting.push(key, priority, class, arrived, objective);
+        waiting.push(key, urgency, class, arrived, objective);
     }
 
     /// Starts waiting calls of all services as long as there is capacity.
--- a/crates/egretstage_dispatch/src/reducer/limits.rs
+++ b/crates/egretstage_dispatch/src/reducer/limits.rs
@@ -109,7 +109,7 @@
         let left = ready.map(|(_, u)| self.start_limits.starts_left(now, u.start()));
         let left: u32 = left.sum();
         let ahead = self.services.get(service).map_or(0, |state| {
-            let ahead = state.waiting.ahead_of(call.priority(), call.class());
+            let ahead = state.waiting.ahead_of(call.urgency(), call.class());
             u32::try_from(ahead).unwrap_or(u32::MAX)
         });
         Some(interval.saturating_mul(ahead.saturating_add(1).saturating_sub(left)))
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -159,7 +159,8 @@
 pub struct Organisation {
     /// The organisation.
     pub name: OrganisationName,
-    /// Priority of its calls, if it overrides that of the route.
+    /// Priority of its calls; it takes precedence over that of the route, which orders
+    /// the calls within it.
     pub priority: Option<u8>,
     /// Its callers' API keys.
     pub api_keys: SmallVec<[CompactString; 2]>,
--- a/crates/egretstage_dispatch/src/waiting.rs
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -2,17 +2,17 @@
 //!
 //! Load pattern: for seconds, calls arrive faster than slots become free, so that
 //! some wait until they are late or refused. Calls start in the order of their
-//! priorities. Within a priority, a call whose answer has begun goes first, and a
+//! urgency. Within an urgency, a call whose answer has begun goes first, and a
 //! returning call, which was refused before,
 //! starts before new ones: its caller doesn't try a third time. A call that can
 //! still be in time starts before an overdue one, which only fills slots that no
 //! other call could use. Among equals, the first to arrive starts first.
 
-use crate::{CallKey, FirstByteLatency};
+use crate::{CallKey, FirstByteLatency, Urgency};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-/// Class of a waiting call within its priority; calls of lower classes start
+/// Class of a waiting call within its urgency; calls of lower classes start
 /// first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -101,7 +101,7 @@
 /// Position in the queue; the smallest starts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuePosition {
-    priority: u8,
+    urgency: Urgency,
     class: QueueClass,
     arrived: Instant,
     call: CallKey,
@@ -128,13 +128,13 @@
     pub fn push(
         &mut self,
         call: CallKey,
-        priority: u8,
+        urgency: Urgency,
         class: QueueClass,
         arrived: Instant,
         objective: Objective,
     ) {
         let position = QueuePosition {
-            priority,
+            urgency,
             class,
             arrived,
             call,
@@ -169,9 +169,9 @@
 
     /// Returns the number of waiting calls that start before a new one.
     #[must_use]
-    pub fn ahead_of(&self, priority: u8, class: QueueClass) -> usize {
+    pub fn ahead_of(&self, urgency: Urgency, class: QueueClass) -> usize {
         let is_ahead =
-            |position: &&QueuePosition| (position.priority, position.class) <= (priority, class);
+            |position: &&QueuePosition| (position.urgency, position.class) <= (urgency, class);
         self.queue.keys().filter(is_ahead).count()
     }
 
@@ -189,7 +189,7 @@
             let class = QueueClass::Overdue;
             self.push(
                 position.call,
-                position.priority,
+                position.urgency,
                 class,
                 position.arrived,
                 objective,
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -27,7 +27,7 @@
     pub(crate) content: Option<RequestHash>,
 }
 
-fn route(name: &str, kind: RouteKind, service: &str, timeout_ms: u64) -> Route {
+pub(crate) fn route(name: &str, kind: RouteKind, service: &str, timeout_ms: u64) -> Route {
     Route {
         name: name.into(),
         host: "desk.example".into(),
@@ -59,6 +59,24 @@
         route("book", RouteKind::NonIdempotent, "booking", 1_500),
         route("look", RouteKind::Idempotent, "booking", 1_500),
     ];
+    let organisations = vec![organisation("carrier", None, api_key)];
+    table_with(version, routes, organisations)
+}
+
+pub(crate) fn organisation(name: &str, priority: Option<u8>, api_key: &str) -> Organisation {
+    Organisation {
+        name: name.try_into().expect("valid name"),
+        priority,
+        api_keys: smallvec![api_key.into()],
+    }
+}
+
+/// Returns a table of these routes to the services "drafting" and "booking".
+pub(crate) fn table_with(
+    version: u64,
+    routes: Vec<Route>,
+    organisations: Vec<Organisation>,
+) -> Arc<RoutingTable> {
     let services = vec![
         ServiceProfile {
             name: "drafting".try_into().expect("valid name"),
@@ -78,11 +96,6 @@
             engine: None,
         },
     ];
-    let organisations = vec![Organisation {
-        name: "carrier".try_into().expect("valid name"),
-        priority: None,
-        api_keys: smallvec![api_key.into()],
-    }];
     let limits = CallerLimits {
         max_header_bytes: 16_384,
         max_body_bytes: 1 << 20,
