Stop all sends to evacuated zones

Change: each entry keeps the whole set of evacuated zones as of a position in the operator's topic (era, offset), read in the store or from the others' load reports. Upstreams of such zones aren't ready: no first send, repeat, resumed stream or waiting call goes there, and only the slots of the other ranks are room. Keys of zones apply as listed in the follower: their order is that of the positions.

--- a/crates/egretstage_dispatch/src/admission.rs
+++ b/crates/egretstage_dispatch/src/admission.rs
@@ -377,8 +377,7 @@
     /// the limits of the bound.
     fn streams_within(&self, pause_ms: f32, ranks: u32) -> u32 {
         let streams = (pause_ms - self.base_ms()).max(0.0) / self.effective_cost(ranks);
-        let slots = self.engine.slots.saturating_mul(ranks);
-        let slots = to_u32(to_f32(slots) * SLOT_SHARE).max(1);
+        let slots = usable_slots(self.engine.slots, ranks);
         to_u32(streams).clamp(ranks.min(slots), slots)
     }
 
@@ -450,6 +449,11 @@
     }
 }
 
+/// Returns the number of slots of ranks with `slots` each that streams use.
+pub(crate) fn usable_slots(slots: u32, ranks: u32) -> u32 {
+    to_u32(to_f32(slots.saturating_mul(ranks)) * SLOT_SHARE).max(1)
+}
+
 /// Returns the share that exponential decay removes within `elapsed`.
 fn decayed_share(elapsed: Duration, time_constant: Duration) -> f32 {
     1.0 - (-elapsed.as_secs_f32() / time_constant.as_secs_f32()).exp()
--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -1,7 +1,8 @@
 //! Log lines of a dispatcher's decisions.
 
+use crate::TopicPosition;
 use compact_str::CompactString;
-use egretstage_wire::{InstanceId, OrganisationName, RequestId, ServiceName};
+use egretstage_wire::{InstanceId, OrganisationName, RequestId, ServiceName, ZoneName};
 use serde::Serialize;
 
 /// Log line of a decision, with its inputs and their age.
@@ -11,7 +12,7 @@
     /// pass on), `retry`, `refuse`, `end`, or a change of state: `configure`,
     /// `behind` (another entry has a higher version of the configuration), `upstream`,
     /// `group`, `part` (a prompt part has become harmful), `request` (a request has
-    /// become harmful), `ready`, `stop`.
+    /// become harmful), `zone` (a zone is evacuated or taken back), `ready`, `stop`.
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -74,7 +75,18 @@
     /// Version of the configuration that the decision used.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub configuration: Option<u64>,
-    /// The other entry that has this version of the configuration.
+    /// The availability zone.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneName>,
+    /// The zones that are evacuated after the change.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<usize>,
+    /// Position in the operator's topic that the change of a zone is known from: the store's
+    /// era and the offset after the last record.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub position: Option<TopicPosition>,
+    /// The other entry that has this version of the configuration, or that reports this
+    /// change of a zone.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub peer: Option<InstanceId>,
     /// Time for which other entries had a higher version of the configuration, in
--- a/crates/egretstage_dispatch/src/event.rs
+++ b/crates/egretstage_dispatch/src/event.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     CallHead, CallKey, CallRate, DecisionLine, ListedUpstream, LoadReport, RequestHash,
-    RoutingTable, UpstreamKey,
+    RoutingTable, UpstreamKey, ZoneSet,
 };
 use egretstage_wire::{InstanceId, OrganisationName, SlowRanks};
 use std::net::SocketAddr;
@@ -73,6 +73,8 @@
         /// Where it was read.
         source: ConfigurationSource,
     },
+    /// The evacuated zones were read in the platform's store.
+    ZonesRead(Box<ZoneSet>),
     /// The record of an upstream was added or changed.
     Listed(Box<ListedUpstream>),
     /// The record of an upstream was removed.
@@ -238,7 +240,8 @@
         /// The entry.
         peer: InstanceId,
     },
-    /// Closes idle connections to an upstream that was removed or is leaving.
+    /// Closes idle connections to an upstream that was removed, is leaving, or whose zone is
+    /// evacuated.
     CloseIdle(InstanceId),
     /// Asks callers to send no more requests on their connections.
     CloseConnections,
--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -5,7 +5,7 @@
 //! bound over the whole service would fill the slow group and leave the others
 //! idle.
 
-use crate::admission::{PauseControl, StreamLimits};
+use crate::admission::{PauseControl, StreamLimits, usable_slots};
 use crate::circuit_breaker::CircuitBreaker;
 use crate::{EngineProfile, GroupCost, GroupTag, PeerSum, Prompt, Upstreams};
 use compact_str::CompactString;
@@ -32,6 +32,11 @@
     pub(crate) ranks: u32,
     /// Calls that it may run.
     pub(crate) bound: u32,
+    /// Calls that run at ranks in evacuated zones. These step with the others, so they count
+    /// in `running` and `ranks`, but not as room.
+    pub(crate) emptied_running: u32,
+    /// Ranks in evacuated zones.
+    pub(crate) emptied_ranks: u32,
     /// Whether its circuit is open.
     pub(crate) circuit_open: bool,
     /// Whether it has stalled.
@@ -232,14 +237,22 @@
 
     /// Returns the maximum number of streams of a group; unlimited if the service
     /// has no engine.
-    fn bound(&self, group: &str, ranks: u32) -> u32 {
+    ///
+    /// The pauses of a group follow the streams at all its ranks, but only the slots of ranks
+    /// outside evacuated zones are room.
+    fn bound(&self, load: &GroupLoad) -> u32 {
         let Some((engine, limits)) = self.engine else {
             return u32::MAX;
         };
-        match self.pause_controls.get(group) {
-            Some(control) => control.bound(ranks),
-            None => PauseControl::new(engine, limits).bound(ranks),
+        let bound = match self.pause_controls.get(&load.group) {
+            Some(control) => control.bound(load.ranks),
+            None => PauseControl::new(engine, limits).bound(load.ranks),
+        };
+        if load.emptied_ranks == 0 {
+            return bound;
         }
+        let room = usable_slots(engine.slots, load.ranks - load.emptied_ranks);
+        bound.min(load.emptied_running.saturating_add(room))
     }
 
     /// Returns the loads of the groups that have ready upstreams.
@@ -264,11 +277,24 @@
                     running: calls,
                     ranks: 1,
                     bound: 0,
+                    emptied_running: 0,
+                    emptied_ranks: 0,
                     circuit_open: false,
                     stalled: false,
                 });
             }
         }
+        for upstream in upstreams.emptied(now, service) {
+            let group = upstream.group();
+            if !group.is_empty()
+                && let Some(load) = loads.iter_mut().find(|load| load.group == group)
+            {
+                load.running += upstream.calls();
+                load.ranks += 1;
+                load.emptied_running += upstream.calls();
+                load.emptied_ranks += 1;
+            }
+        }
         for load in &mut loads {
             let circuit = self.circuit_breakers.get(&load.group).copied();
             let circuit = circuit.unwrap_or_default();
@@ -276,7 +302,7 @@
             load.stalled = self.stalled.contains(&load.group);
             load.bound = match (load.circuit_open, circuit.allows_call(now)) {
                 (false, _) if load.stalled => 0,
-                (false, _) => self.bound(&load.group, load.ranks),
+                (false, _) => self.bound(load),
                 (true, true) => load.running + 1,
                 (true, false) => 0,
             };
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 //! | which prompt parts end upstreams, so that no call with them is sent | [`harmful_parts`] |
 //! | which requests end upstreams, so that they aren't sent again | [`harmful_requests`] |
 //! | which entry starts a call at an upstream that limits them | [`start_limits`] |
+//! | which zones are evacuated, so that nothing is sent there | [`evacuated_zones`] |
 //! | from which entry a newer configuration is fetched | `configuration_lag` |
 //! | whether an upstream has signalled that it takes no calls | `signals` |
 //! | whether a model group has stalled, or a single stream of it | `group_activity` |
@@ -34,6 +35,7 @@
 pub mod circuit_breaker;
 mod configuration_lag;
 mod decision_line;
+pub mod evacuated_zones;
 mod event;
 mod evidence;
 mod first_byte_latency;
@@ -58,6 +60,7 @@
 pub use call::{CallHead, CallKey, Prompt, PromptPart, PromptParts, RequestHash};
 pub use call_rate::{CallRate, InvalidCallRate};
 pub use decision_line::DecisionLine;
+pub use evacuated_zones::{EvacuatedZones, TopicPosition, ZoneSet};
 pub use event::{
     Attempt, AttemptEnd, ConfigurationSource, DispatchEffect, DispatchEvent, NotRunCause, Refusal,
     RefusalKind, UnknownCause, UpstreamSignal,
--- a/crates/egretstage_dispatch/src/peers.rs
+++ b/crates/egretstage_dispatch/src/peers.rs
@@ -4,7 +4,7 @@
 //! counts of the others, all would fill the same upstream, and the bound of a
 //! group would apply to each entry separately.
 
-use crate::{LimitReport, ListedUpstream, RequestReport, SuspectReport};
+use crate::{LimitReport, ListedUpstream, RequestReport, SuspectReport, ZoneSet};
 use egretstage_wire::InstanceId;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -126,6 +126,10 @@
     /// read it.
     #[serde(rename = "t", default, skip_serializing_if = "LimitReport::is_empty")]
     pub limits: LimitReport,
+    /// The evacuated zones, if any zone is known to have been evacuated. Entries of older
+    /// releases neither send nor read it.
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub zones: Option<ZoneSet>,
 }
 
 /// Identifies a model group in load reports: a hash of its name.
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod service;
 mod stop;
+mod zones;
 
 use crate::configuration_lag::ConfigurationLag;
 use crate::slow_ranks::SlowRanksReports;
@@ -280,6 +281,9 @@
                 self.apply_reported_limits(now, &report, fx);
                 self.apply_reported_version(now, &report, fx);
             }
+            if let Some(set) = &report.zones {
+                self.apply_reported_zones(now, &report.entry, set, fx);
+            }
             let parts = self.harmful_parts.apply_report(now, &report.suspects);
             let requests = self.harmful_requests.apply_report(now, &report.requests);
             self.refuse_harmful(now, &parts, &requests, fx);
@@ -390,12 +394,14 @@
             suspects: self.harmful_parts.take_report(now),
             requests: self.harmful_requests.take_report(now),
             limits: self.start_limits.report(now, self.report_count),
+            zones: self.upstreams.evacuated_zones().report(),
         })));
     }
 
     /// Runs the work that is due; called after each event and each wake-up.
     fn run_due_work(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
         self.end_expired_calls(now, fx);
+        self.end_zone_graces(now, fx);
         if let Some(peer) = self.configuration_lag.take_fetch(now) {
             fx.push(DispatchEffect::FetchConfiguration { peer });
         }
@@ -458,6 +464,7 @@
             DispatchEvent::Configured { table, source } => {
                 self.apply_configuration(now, table, source, fx);
             }
+            DispatchEvent::ZonesRead(set) => self.apply_read_zones(now, *set, fx),
             DispatchEvent::Listed(listed) => {
                 self.list_upstream(now, *listed, fx);
                 self.start_all_waiting(now, fx);
@@ -498,6 +505,7 @@
             report,
             stop,
             fetch,
+            self.upstreams.evacuated_zones().next_end(),
             Some(self.next_idle_report),
         ]
         .into_iter()
--- a/crates/egretstage_dispatch/src/reducer/calls/timeouts.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/timeouts.rs
@@ -73,6 +73,23 @@
         self.start_all_waiting(now, fx);
     }
 
+    /// Refuses the waiting calls of services without a ready upstream.
+    pub(in crate::reducer) fn refuse_waiting_without_upstream(
+        &mut self,
+        now: Instant,
+        fx: &mut Vec<DispatchEffect>,
+    ) {
+        let waiting = self.services.iter().filter(|(_, s)| !s.waiting.is_empty());
+        let is_stranded = |name: &ServiceName| self.upstreams.ready(now, name).next().is_none();
+        let stranded = waiting.filter(|(name, _)| is_stranded(name));
+        let stranded: SmallVec<[ServiceName; 4]> = stranded.map(|(name, _)| name.clone()).collect();
+        let calls = self.calls.iter().filter(|(_, call)| {
+            matches!(call.phase, Phase::Waiting) && stranded.contains(&call.service)
+        });
+        let calls: SmallVec<[CallKey; 8]> = calls.map(|(key, _)| *key).collect();
+        self.refuse_waiting(now, calls, RefusalKind::NoUpstream, fx);
+    }
+
     /// Returns the waiting calls whose upstreams have all asked for no calls until at
     /// least the end of the calls' longest wait.
     fn waiting_within_back_off(&self, now: Instant) -> SmallVec<[CallKey; 8]> {
--- a/crates/egretstage_dispatch/src/reducer/limits.rs
+++ b/crates/egretstage_dispatch/src/reducer/limits.rs
@@ -46,6 +46,8 @@
                 continue;
             }
             let service = self.services.get_mut(&upstream.listed.service);
+            // Nothing starts in an evacuated zone.
+            let service = service.filter(|_| !upstream.is_emptied(now));
             let demand = service.map_or(0, |service| {
                 let waiting = u32::try_from(service.waiting.len()).unwrap_or(u32::MAX);
                 let waiting = waiting.saturating_mul(WAITING_CALL_WEIGHT);
@@ -78,7 +80,8 @@
                 upstream.calls()
             }
         });
-        load.bound = load.bound.min(places.sum());
+        let places: u32 = places.sum();
+        load.bound = load.bound.min(places + load.emptied_running);
     }
 
     /// Returns the expected time between two starts of this entry at a service whose
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -1,5 +1,6 @@
 //! The upstreams that an entry may call.
 
+use crate::evacuated_zones::EvacuatedZones;
 use crate::signals::{RetainedSignals, UpstreamSignals};
 use crate::{UpstreamStart, UpstreamTag};
 use compact_str::CompactString;
@@ -99,6 +100,8 @@
     superseded: bool,
     /// Whether it refused a call as full, and has begun no answer since.
     is_full: bool,
+    /// Whether its zone is evacuated.
+    is_evacuated: bool,
     /// Signals that it sent in answers.
     pub signals: UpstreamSignals,
 }
@@ -125,6 +128,7 @@
             misdirected_calls: 0,
             superseded: false,
             is_full: false,
+            is_evacuated: false,
             signals: UpstreamSignals::default(),
         }
     }
@@ -144,6 +148,16 @@
     /// Returns whether it takes new work.
     #[must_use]
     pub fn is_ready(&self, now: Instant) -> bool {
+        !self.is_evacuated && self.would_be_ready(now)
+    }
+
+    /// Returns whether it takes no new work only because its zone is evacuated.
+    #[must_use]
+    pub fn is_emptied(&self, now: Instant) -> bool {
+        self.is_evacuated && self.would_be_ready(now)
+    }
+
+    fn would_be_ready(&self, now: Instant) -> bool {
         self.listed.state == UpstreamState::Ready
             && self.misdirected_until.is_none()
             && !self.superseded
@@ -172,6 +186,7 @@
     arena: SlotMap<UpstreamKey, Upstream>,
     by_instance: HashMap<InstanceId, UpstreamKey>,
     by_tag: HashMap<UpstreamTag, UpstreamKey>,
+    evacuated_zones: EvacuatedZones,
     retained_signals: RetainedSignals,
 }
 
@@ -182,11 +197,13 @@
             && let Some(known) = self.arena.get_mut(key)
             && known.listed.is_same_start(&listed)
         {
+            known.is_evacuated = self.evacuated_zones.contains(&listed.zone);
             known.listed = listed;
             return key;
         }
         let instance = listed.instance.clone();
         let mut upstream = Upstream::new(listed);
+        upstream.is_evacuated = self.evacuated_zones.contains(&upstream.listed.zone);
         upstream.signals = self.retained_signals.take(&upstream.listed);
         self.mark_superseded(&mut upstream);
         let tag = UpstreamTag::from(&instance);
@@ -282,6 +299,35 @@
         self.arena.iter().filter(move |(_, u)| of_service(u))
     }
 
+    /// Returns the upstreams of a service that take no new work only because their zones are
+    /// evacuated.
+    pub fn emptied<'a>(
+        &'a self,
+        now: Instant,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let of_service = move |u: &&Upstream| u.is_emptied(now) && u.listed.service == *service;
+        self.arena.values().filter(of_service)
+    }
+
+    /// Returns the evacuated zones.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> &EvacuatedZones {
+        &self.evacuated_zones
+    }
+
+    /// Changes the evacuated zones; returns what `change` returns.
+    pub fn change_evacuated_zones<T>(
+        &mut self,
+        change: impl FnOnce(&mut EvacuatedZones) -> T,
+    ) -> T {
+        let changed = change(&mut self.evacuated_zones);
+        for upstream in self.arena.values_mut() {
+            upstream.is_evacuated = self.evacuated_zones.contains(&upstream.listed.zone);
+        }
+        changed
+    }
+
     /// Returns the earliest end of the back-off requests of a service's
     /// upstreams, if none of them takes calls now.
     #[must_use]
@@ -292,6 +338,7 @@
         let of_service = |u: &&Upstream| {
             let accepts_work =
                 u.listed.state == UpstreamState::Ready && !u.superseded && !u.signals.is_leaving();
+            let accepts_work = accepts_work && !u.is_evacuated;
             accepts_work && u.listed.service == *service
         };
         let upstreams = self.arena.values().filter(of_service);
--- a/crates/egretstage_dispatch/src/waiting.rs
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -221,6 +221,17 @@
         self.drop_expired(now);
     }
 
+    /// Keeps `kept` of each `of` recorded starts: the others would have used room that is
+    /// gone.
+    pub fn reduce(&mut self, kept: u32, of: u32) {
+        let share = |index: u64| index * u64::from(kept.min(of)) / u64::from(of.max(1));
+        let mut index = 0;
+        self.starts.retain(|_| {
+            index += 1;
+            share(index) > share(index - 1)
+        });
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         while self
             .starts
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -44,6 +44,7 @@
         configuration: 1,
         loads: loads.iter().map(load).collect(),
         costs: SmallVec::new(),
+        zones: None,
         suspects: SuspectReport::default(),
         limits: LimitReport::default(),
         requests: egretstage_dispatch::RequestReport::default(),
--- a/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
@@ -234,6 +234,7 @@
                 configuration: 1,
                 loads: UpstreamLoads::default(),
                 costs: smallvec![GroupCost(GroupTag::from("g"), *cost)],
+                zones: None,
                 suspects: SuspectReport::default(),
                 limits: egretstage_dispatch::LimitReport::default(),
                 requests: egretstage_dispatch::RequestReport::default(),
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -109,6 +109,7 @@
         configuration: version,
         loads: UpstreamLoads::default(),
         costs: smallvec![],
+        zones: None,
         suspects: SuspectReport::default(),
         requests: RequestReport::default(),
         limits: LimitReport::default(),
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -145,6 +145,7 @@
             configuration: 1,
             loads: loads.into_iter().collect(),
             costs: SmallVec::new(),
+            zones: None,
             suspects: SuspectReport::default(),
             limits: LimitReport::default(),
             requests: egretstage_dispatch::RequestReport::default(),
--- a/crates/egretstage_gateway/src/dialect.rs
+++ b/crates/egretstage_gateway/src/dialect.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use egretstage_dispatch::{CallHead, CallRate, ListedUpstream, NotRunCause, RoutingTable};
 use egretstage_platform::{KeyedStore, RecordOrder};
-use egretstage_wire::{InstanceId, OrganisationName, RequestId};
+use egretstage_wire::{InstanceId, OrganisationName, RequestId, ZoneName};
 use hyper::HeaderMap;
 use hyper::http::{request, response};
 use std::sync::Arc;
@@ -103,6 +103,16 @@
         value: &[u8],
     ) -> Result<Option<RoutingTable>, DecodeError>;
 
+    /// Decodes the key of a record of the configuration's topic that evacuates an availability
+    /// zone, or returns `None` if it is another key. Each value evacuates the zone.
+    ///
+    /// Such a key applies as listed ([`RecordOrder::applies_as_listed`]).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the key holds no valid name.
+    fn decode_evacuated_zone(&self, key: &str) -> Result<Option<ZoneName>, DecodeError>;
+
     /// Decodes an upstream.
     ///
     /// # Errors
--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -2,6 +2,7 @@
 
 use crate::announcement::{Announcement, decode_entry_address};
 use crate::dialect::RecordDecoder;
+use crate::operator_records::OperatorRecords;
 use crate::peers::PeerDirectory;
 use crate::record_relay::{PeerQuery, QueryResult, RecordCache};
 use compact_str::CompactString;
@@ -74,7 +75,7 @@
         topic: KeyedTopic,
         timing: PollTiming,
         mut peer_query: Option<PeerQuery>,
-        mut to_event: impl FnMut(KeyedChange) -> Option<DispatchEvent>,
+        mut to_events: impl FnMut(&KeyedFollower, Vec<KeyedChange>) -> Vec<DispatchEvent>,
     ) {
         let mut follower = KeyedFollower::new(topic, self.decoder.clone());
         let mut failures = 0;
@@ -135,10 +136,8 @@
                     (adopted, until_read.min(RETRY_DELAY))
                 }
             };
-            for change in changes {
-                if let Some(event) = to_event(change)
-                    && self.tx.send(event).is_err()
-                {
+            for event in to_events(&follower, changes) {
+                if self.tx.send(event).is_err() {
                     return;
                 }
             }
@@ -148,20 +147,24 @@
         }
     }
 
-    /// Follows the configuration; `max_delay` is the longest time until a change
-    /// is active.
+    /// Follows the configuration and the evacuated zones; `max_delay` is the longest time
+    /// until a change is active.
     pub(crate) fn follow_configuration(&self, max_delay: Duration) {
         let timing = PollTiming {
             wait: max_delay.mul_f32(CONFIGURATION_WAIT_SHARE),
             pause: Duration::ZERO,
         };
-        self.follow(KeyedTopic::Configuration, timing, None, |change| {
-            let KeyedChange::Put { key, value, .. } = change else {
-                return None;
-            };
+        let mut records = OperatorRecords::default();
+        let to_events = |follower: &KeyedFollower, changes| {
+            let (zones, records) = records.apply(&*self.decoder, follower, changes);
+            let zones = zones.map(|set| DispatchEvent::ZonesRead(Box::new(set)));
             let source = ConfigurationSource::Store;
-            configured_event(&*self.decoder, &self.cache, key, value, source)
-        });
+            let configured = records.into_iter().filter_map(|(key, value)| {
+                configured_event(&*self.decoder, &self.cache, key, value, source)
+            });
+            zones.into_iter().chain(configured).collect()
+        };
+        self.follow(KeyedTopic::Configuration, timing, None, to_events);
     }
 
     /// Follows the upstreams; `max_delay` is the longest time until a leaving
@@ -178,13 +181,14 @@
             KeyedTopic::Upstreams,
             current_age,
         );
-        self.follow(KeyedTopic::Upstreams, timing, Some(peer_query), |change| {
-            let event = match change {
-                KeyedChange::Put { key, value, .. } => listed_event(&*self.decoder, &key, &value)?,
-                KeyedChange::Removed(key) => unlisted_event(&key)?,
-            };
-            Some(event)
-        });
+        let to_event = |change| match change {
+            KeyedChange::Put { key, value, .. } => listed_event(&*self.decoder, &key, &value),
+            KeyedChange::Removed(key) => unlisted_event(&key),
+        };
+        let to_events = |_: &KeyedFollower, changes: Vec<KeyedChange>| {
+            changes.into_iter().filter_map(to_event).collect()
+        };
+        self.follow(KeyedTopic::Upstreams, timing, Some(peer_query), to_events);
     }
 
     /// Follows the other entries' addresses, and announces that of this entry.
@@ -193,14 +197,16 @@
             wait: ENTRIES_WAIT,
             pause: ENTRIES_PAUSE,
         };
-        self.follow(KeyedTopic::Entries, timing, None, |change| {
-            if let KeyedChange::Put { key, value, .. } = change {
-                let name = InstanceId::try_from(key.as_str()).ok();
-                if let Some((name, address)) = name.zip(decode_entry_address(&value)) {
-                    self.peers.insert(&name, address);
+        self.follow(KeyedTopic::Entries, timing, None, |_, changes| {
+            for change in changes {
+                if let KeyedChange::Put { key, value, .. } = change {
+                    let name = InstanceId::try_from(key.as_str()).ok();
+                    if let Some((name, address)) = name.zip(decode_entry_address(&value)) {
+                        self.peers.insert(&name, address);
+                    }
                 }
             }
-            None
+            Vec::new()
         });
     }
 }
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod feeds;
 mod metrics;
+mod operator_records;
 mod peers;
 mod record_relay;
 mod relay;
@@ -34,6 +35,7 @@
     RecordDecoder,
 };
 pub use events::{EventSplitter, StreamEvent};
+pub use operator_records::{ConfigurationRecord, OperatorRecords};
 pub use settings::GatewaySettings;
 
 /// The items that most users of this crate need.
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The entry's metrics, recorded when its effects are carried out.
 
 use crate::record_relay::RecordCache;
-use egretstage_dispatch::{DispatchEffect, Refusal};
+use egretstage_dispatch::{DecisionLine, DispatchEffect, Refusal};
 use egretstage_observe::Metrics;
 use egretstage_platform::KeyedTopic;
 use opentelemetry::KeyValue;
@@ -15,6 +15,8 @@
     decisions: Counter<u64>,
     call_age: Histogram<f64>,
     configuration_version: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
+    zone_changes: Counter<u64>,
     passed_over_records: Counter<u64>,
     /// Kept because its callback ends with it.
     _configuration_age: ObservableGauge<f64>,
@@ -44,6 +46,14 @@
                 .u64_gauge("egret_configuration_version")
                 .with_description("Version of the active configuration")
                 .build(),
+            evacuated_zones: meter
+                .u64_gauge("egret_evacuated_zones")
+                .with_description("Number of evacuated availability zones")
+                .build(),
+            zone_changes: counter(
+                "egret_zone_changes",
+                "Zones evacuated or taken back, by reason, which names the source",
+            ),
             passed_over_records: counter(
                 "egret_store_records_passed_over",
                 "Records that a restored store lists and that aren't applied, by topic",
@@ -80,6 +90,7 @@
             DispatchEffect::Refuse { refusal, .. } => self.count_refusal(*refusal),
             DispatchEffect::Log(line) => {
                 self.decisions.add(1, &[KeyValue::new("verb", line.verb)]);
+                self.count_zone_change(line);
                 if line.verb == "end"
                     && let Some(age) = line.age_ms
                 {
@@ -94,6 +105,14 @@
         }
     }
 
+    fn count_zone_change(&self, line: &DecisionLine) {
+        if let (Some(evacuated), Some(reason)) = (line.evacuated, line.reason) {
+            self.zone_changes.add(1, &[KeyValue::new("reason", reason)]);
+            let evacuated = u64::try_from(evacuated).unwrap_or(u64::MAX);
+            self.evacuated_zones.record(evacuated, &[]);
+        }
+    }
+
     fn count_refusal(&self, refusal: Refusal) {
         let reason: &'static str = refusal.kind.into();
         self.refused.add(1, &[KeyValue::new("reason", reason)]);
--- a/crates/egretstage_platform/src/held_records.rs
+++ b/crates/egretstage_platform/src/held_records.rs
@@ -80,7 +80,12 @@
     /// written since. A record without a version may be either, so it is deferred: its
     /// writer writes a lost record again. A list from a store that wasn't restored is newer
     /// than what is held, except for records that were lost in an earlier restore.
+    ///
+    /// A key that applies as listed has neither: its reader knows the order of lists.
     pub(crate) fn judge(&self, record: &KeyedRecord, is_restored: bool) -> Listing {
+        if self.applies_as_listed(&record.key) {
+            return Listing::Apply;
+        }
         if let Some(held) = self.present.get(&record.key) {
             return match self.compare(record, held) {
                 Some(Ordering::Greater) => Listing::Apply,
@@ -129,6 +134,11 @@
         );
     }
 
+    /// Returns whether a key applies as the store has it at once.
+    pub(crate) fn applies_as_listed(&self, key: &str) -> bool {
+        self.order.applies_as_listed(self.topic, key)
+    }
+
     fn version(&self, key: &str, value: &[u8]) -> Option<RecordVersion> {
         self.order.version(self.topic, key, value)
     }
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -351,13 +351,18 @@
     }
 
     /// Removes a key, or defers its removal if the store was down within the last
-    /// [`REWRITE_GRACE`], or until the end of an earlier grace period.
+    /// [`REWRITE_GRACE`], or until the end of an earlier grace period. One that applies as
+    /// listed is removed at once.
     fn remove_or_defer(
         &mut self,
         now: Instant,
         key: CompactString,
         changes: &mut Vec<KeyedChange>,
     ) {
+        if self.held.applies_as_listed(&key) {
+            self.remove(now, key, changes);
+            return;
+        }
         let earlier = self.deferred.get(&key);
         let earlier = earlier.filter(|(record, _)| record.value.is_none());
         let grace_end = self.failed_at.map(|at| at + REWRITE_GRACE);
--- a/crates/egretstage_platform/src/record_order.rs
+++ b/crates/egretstage_platform/src/record_order.rs
@@ -28,6 +28,15 @@
 pub trait RecordOrder: std::fmt::Debug + Send + Sync {
     /// Returns the version of a record, or `None` if the record states none or is invalid.
     fn version(&self, topic: KeyedTopic, key: &str, value: &[u8]) -> Option<RecordVersion>;
+
+    /// Returns whether a key applies as the store has it at once, present or absent.
+    ///
+    /// That is for readers which order the states of such keys by the position of their read.
+    /// Otherwise a record without a version is deferred after a restore, and a missing one
+    /// after an outage.
+    fn applies_as_listed(&self, _topic: KeyedTopic, _key: &str) -> bool {
+        false
+    }
 }
 
 /// The order of records that state no version.
