--- a/crates/egretstage_dispatch/src/evacuated_zones.rs
+++ b/crates/egretstage_dispatch/src/evacuated_zones.rs
@@ -87,12 +87,13 @@
 /// let west: egretstage_wire::ZoneName = "west".try_into().unwrap();
 /// let position = |offset| TopicPosition { era: 0, offset };
 /// let mut zones = EvacuatedZones::default();
-/// zones.apply_read(now, ZoneSet { position: position(7), zones: [west.clone()].into() });
+/// let zones_at = |offset, zones: &[_]| ZoneSet { position: position(offset), zones: zones.into() };
+/// zones.apply_read(now, zones_at(7, std::slice::from_ref(&west)));
 /// // A stale list.
-/// zones.apply_read(now, ZoneSet { position: position(6), zones: [].into() });
+/// zones.apply_read(now, zones_at(6, &[]));
 /// assert!(zones.contains(&west));
 /// // Another entry has read further.
-/// zones.apply_report(now, &ZoneSet { position: position(8), zones: [].into() });
+/// zones.apply_report(now, &zones_at(8, &[]));
 /// assert!(!zones.contains(&west));
 /// ```
 #[derive(Clone, Debug, Default)]
--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -2,15 +2,13 @@
 
 use super::Dispatcher;
 use super::calls::millis;
-use crate::evacuated_zones::{EvacuatedZones, ZoneChanges};
+use crate::evacuated_zones::{EvacuatedZones, ZoneChange, ZoneChangeReason, ZoneChanges};
+use crate::upstream::Upstream;
 use crate::{DecisionLine, DispatchEffect, ZoneSet};
-use egretstage_wire::{InstanceId, ServiceName};
+use egretstage_wire::{InstanceId, ZoneName};
 use smallvec::SmallVec;
 use std::time::Instant;
 
-/// Services with the slots of their ready upstreams.
-type ReadySlots = SmallVec<[(ServiceName, u32); 4]>;
-
 impl Dispatcher {
     /// Applies the evacuated zones that were read in the store.
     pub(super) fn apply_read_zones(
@@ -51,7 +49,6 @@
         change: impl FnOnce(&mut EvacuatedZones) -> ZoneChanges,
         fx: &mut Vec<DispatchEffect>,
     ) {
-        let before = self.ready_slots(now);
         let changes = self.upstreams.change_evacuated_zones(change);
         if changes.is_empty() {
             return;
@@ -74,30 +71,30 @@
         let is_emptied: SmallVec<[_; 2]> = is_emptied.filter(|z| zones.contains(z)).collect();
         let emptied = upstreams.filter(|(_, u)| is_emptied.contains(&&u.listed.zone));
         fx.extend(emptied.map(|(_, u)| DispatchEffect::CloseIdle(u.listed.instance.clone())));
-        self.reduce_start_rates(now, &before);
+        self.reduce_start_rates(now, &changes);
         self.refuse_waiting_without_upstream(now, fx);
         self.start_all_waiting(now, fx);
     }
 
-    fn ready_slots(&self, now: Instant) -> ReadySlots {
-        let slots = |service: &ServiceName| {
-            let ready = self.upstreams.ready(now, service);
-            let slots = ready.map(|(_, upstream)| upstream.listed.slots);
-            slots.fold(0, u32::saturating_add)
-        };
-        let services = self.services.keys();
-        services.map(|name| (name.clone(), slots(name))).collect()
-    }
-
     /// Reduces the rates at which calls start by the share of the slots that is gone: the
     /// waits that are predicted with them would be too short for the length of their window.
-    fn reduce_start_rates(&mut self, now: Instant, before: &ReadySlots) {
-        let after = self.ready_slots(now);
-        for (service, slots) in after {
-            let earlier = before.iter().find(|(name, _)| *name == service);
-            let earlier = earlier.map_or(slots, |(_, slots)| *slots);
-            if slots < earlier {
-                self.service(&service).start_rate.reduce(slots, earlier);
+    fn reduce_start_rates(&mut self, now: Instant, changes: &ZoneChanges) {
+        let zones = self.upstreams.evacuated_zones();
+        let is_new = |zone: &ZoneName| {
+            let reason = ZoneChangeReason::Kept;
+            let is_of_zone = |change: &&ZoneChange| change.zone == *zone;
+            let change = changes.iter().find(is_of_zone);
+            zones.contains(zone) && change.is_some_and(|change| change.reason != reason)
+        };
+        let slots = |upstream: &Upstream| upstream.listed.slots;
+        for (service, state) in &mut self.services {
+            let left = self.upstreams.ready(now, service);
+            let left = left.map(|(_, u)| slots(u)).fold(0, u32::saturating_add);
+            let gone = self.upstreams.emptied(now, service);
+            let gone = gone.filter(|u| is_new(&u.listed.zone)).map(slots);
+            let gone = gone.fold(0, u32::saturating_add);
+            if gone > 0 {
+                state.start_rate.reduce(left, left.saturating_add(gone));
             }
         }
     }
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -1,6 +1,6 @@
 //! The upstreams that an entry may call.
 
-use crate::evacuated_zones::EvacuatedZones;
+use crate::evacuated_zones::{EvacuatedZones, ZoneChanges};
 use crate::signals::{RetainedSignals, UpstreamSignals};
 use crate::{UpstreamStart, UpstreamTag};
 use compact_str::CompactString;
@@ -316,16 +316,18 @@
         &self.evacuated_zones
     }
 
-    /// Changes the evacuated zones; returns what `change` returns.
-    pub fn change_evacuated_zones<T>(
+    /// Changes the evacuated zones; returns the changes.
+    pub fn change_evacuated_zones(
         &mut self,
-        change: impl FnOnce(&mut EvacuatedZones) -> T,
-    ) -> T {
-        let changed = change(&mut self.evacuated_zones);
-        for upstream in self.arena.values_mut() {
-            upstream.is_evacuated = self.evacuated_zones.contains(&upstream.listed.zone);
+        change: impl FnOnce(&mut EvacuatedZones) -> ZoneChanges,
+    ) -> ZoneChanges {
+        let changes = change(&mut self.evacuated_zones);
+        if !changes.is_empty() {
+            for upstream in self.arena.values_mut() {
+                upstream.is_evacuated = self.evacuated_zones.contains(&upstream.listed.zone);
+            }
         }
-        changed
+        changes
     }
 
     /// Returns the earliest end of the back-off requests of a service's
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod broken_groups;
 mod configuration_lag;
+mod evacuation;
 mod fleet;
 mod harmful_requests;
 mod late_in_stop;
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -4,9 +4,9 @@
 use egretstage_dispatch::harmful_requests::RunEnd;
 use egretstage_dispatch::start_limits::JOIN_DELAY;
 use egretstage_dispatch::{
-    CallRate, DispatchEffect, DispatchEvent, HarmfulParts, HarmfulRequests, LimitReport,
-    LoadReport, PeerLoads, PromptPart, RequestHash, StartLimits, SuspectReport, UpstreamLoad,
-    UpstreamStart, UpstreamTag,
+    CallRate, DispatchEffect, DispatchEvent, GroupCost, HarmfulParts, HarmfulRequests, LimitReport,
+    LoadReport, PeerLoads, PromptPart, RequestHash, RequestReport, StartLimits, SuspectReport,
+    TopicPosition, UpstreamLoad, UpstreamLoads, UpstreamStart, UpstreamTag, ZoneSet,
 };
 use egretstage_wire::InstanceId;
 use rand::{Rng, SeedableRng};
@@ -151,6 +151,76 @@
     assert_eq!(written, bytes, "without limits, nothing has changed");
 }
 
+/// A report of `entry-7` with a limit and a suspect request, as c225cd6 wrote it: the last build
+/// before the evacuated zones.
+const REPORT_WITHOUT_ZONES: &str = "a8616567656e7472792d37616901616e0c617601616c46e00c398e0005\
+    6167806171a1617381a461720761751ae5ca4c116161006164183c6174a26168f5616c81a461751ae5ca4c116172\
+    1909c461611907d0616400";
+
+#[test]
+fn a_report_without_zones_is_read() {
+    let bytes = decode_hex(REPORT_WITHOUT_ZONES);
+    let report: LoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
+    assert_eq!((report.entry.as_str(), report.number), ("entry-7", 12));
+    assert!(!report.limits.is_empty() && !report.requests.is_empty());
+    assert_eq!(report.zones, None);
+    let mut written = Vec::new();
+    ciborium::into_writer(&report, &mut written).expect("encodable");
+    assert_eq!(written, bytes, "without zones, nothing has changed");
+}
+
+/// The report as c225cd6 declares it.
+#[derive(serde::Deserialize)]
+struct LoadReportWithoutZones {
+    #[serde(rename = "e")]
+    entry: InstanceId,
+    #[serde(rename = "i")]
+    incarnation: u64,
+    #[serde(rename = "n")]
+    number: u64,
+    #[serde(rename = "v")]
+    configuration: u64,
+    #[serde(rename = "l")]
+    loads: UpstreamLoads,
+    #[serde(rename = "g", default)]
+    costs: SmallVec<[GroupCost; 4]>,
+    #[serde(rename = "p", default)]
+    suspects: SuspectReport,
+    #[serde(rename = "q", default)]
+    requests: RequestReport,
+    #[serde(rename = "t", default)]
+    limits: LimitReport,
+}
+
+#[test]
+fn a_report_with_zones_is_read_by_an_older_release() {
+    let bytes = decode_hex(REPORT_WITHOUT_ZONES);
+    let report: LoadReport = ciborium::from_reader(&bytes[..]).expect("a report");
+    let zones = ["east", "west"].map(|name| name.try_into().expect("valid name"));
+    let position = TopicPosition { era: 1, offset: 9 };
+    for zones in [zones.into_iter().collect(), SmallVec::new()] {
+        let mut report = report.clone();
+        report.zones = Some(ZoneSet { position, zones });
+        assert_read_by_both_releases(&report);
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&report, &mut bytes).expect("encodable");
+        let older: LoadReportWithoutZones = ciborium::from_reader(&bytes[..]).expect("a report");
+        let read = LoadReport {
+            entry: older.entry,
+            incarnation: older.incarnation,
+            number: older.number,
+            configuration: older.configuration,
+            loads: older.loads,
+            costs: older.costs,
+            suspects: older.suspects,
+            requests: older.requests,
+            limits: older.limits,
+            zones: report.zones.clone(),
+        };
+        assert_eq!(read, report);
+    }
+}
+
 /// Asserts that a report of `entry-7` with number 12 is read by an older release, and that
 /// this one reads what it has written.
 fn assert_read_by_both_releases(report: &LoadReport) {
--- a/crates/egretstage_platform/tests/keyed_follower/main.rs
+++ b/crates/egretstage_platform/tests/keyed_follower/main.rs
@@ -3,6 +3,7 @@
 
 mod adopted_copies;
 mod newest_records;
+mod operators_records;
 mod schedules;
 mod store;
 
