--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -10,7 +10,7 @@
     AttemptEnd, CallKey, DecisionLine, DispatchEffect, DispatchEvent, LoadReport, NotRunCause,
     RefusalKind, TopicPosition, UnknownCause, ZoneSet,
 };
-use egretstage_wire::ZoneName;
+use egretstage_wire::{InstanceId, ZoneName};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -184,11 +184,11 @@
         }
     }
     let is_touched = |effect: &DispatchEffect| {
-        let touched = match effect {
-            DispatchEffect::Abandon { call, .. } | DispatchEffect::Refuse { call, .. } => call,
-            _ => return false,
+        let (DispatchEffect::Abandon { call, .. } | DispatchEffect::Refuse { call, .. }) = effect
+        else {
+            return false;
         };
-        streams.contains(touched)
+        streams.contains(call)
     };
     assert!(!effects.iter().any(is_touched));
     let (call, cause) = (streams[0], UnknownCause::ConnectionLost);
@@ -351,7 +351,10 @@
         [("west".to_owned(), "reported-evacuated")]
     );
     assert_eq!(
-        zone_lines(&effects)[0].peer.as_ref().map(|p| p.as_str()),
+        zone_lines(&effects)[0]
+            .peer
+            .as_ref()
+            .map(InstanceId::as_str),
         Some("peer")
     );
     assert_eq!(zones_called(&mut harness, "/look/1"), names(&["east"]));
@@ -381,9 +384,7 @@
         read(&mut harness, set(0, 70, &["west"]));
         let effects = read(&mut harness, set(1, 60, &[]));
         assert_eq!(reasons(&effects), [("west".to_owned(), "kept")]);
-        harness
-            .sim
-            .advance(RESTORE_GRACE - Duration::from_millis(10));
+        harness.sim.advance(RESTORE_GRACE.mul_f32(0.999));
         assert_eq!(zones_called(&mut harness, "/look/1"), names(&["east"]));
         if is_written_again {
             assert_eq!(reasons(&read(&mut harness, set(1, 61, &["west"]))), []);
