Bound the starts of calls at cold upstreams

Cause: a cold upstream tolerates a stated rate of calls from all entries together and ends well above it; its record and its service's record were decoded into nothing.

Change: each entry keeps to its share of the rate by the number of entries that have reported within two minutes, in a window of 1.1 s; an upstream without a start left counts as without capacity. Services without a rate are served as before.

--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -11,7 +11,8 @@
     /// pass on), `retry`, `refuse`, `end`, or a change of state: `configure`,
     /// `behind` (another entry has a higher version of the configuration), `upstream`,
     /// `group`, `part` (a prompt part has become harmful), `request` (a request has
-    /// become harmful), `ready`, `stop`.
+    /// become harmful), `ready`, `stop`; or `wait` (a new call waits although an upstream
+    /// has a free slot).
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -71,6 +72,12 @@
     /// Calls per second that the upstream takes from all entries together.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub limit_per_s: Option<f64>,
+    /// For how much longer the upstream is cold, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_ms: Option<u64>,
+    /// Number of cold upstreams.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub cold_upstreams: Option<u32>,
     /// Version of the configuration that the decision used.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub configuration: Option<u64>,
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 //! | which prompt parts end upstreams, so that no call with them is sent | [`harmful_parts`] |
 //! | which requests end upstreams, so that they aren't sent again | [`harmful_requests`] |
 //! | which entry starts a call at an upstream that limits them | [`start_limits`] |
+//! | how many calls an entry starts at a cold upstream | [`cold_starts`] |
 //! | from which entry a newer configuration is fetched | `configuration_lag` |
 //! | whether an upstream has signalled that it takes no calls | `signals` |
 //! | whether a model group has stalled, or a single stream of it | `group_activity` |
@@ -32,6 +33,7 @@
 mod call;
 mod call_rate;
 pub mod circuit_breaker;
+pub mod cold_starts;
 mod configuration_lag;
 mod decision_line;
 mod event;
@@ -57,6 +59,7 @@
 pub use admission::StreamLimits;
 pub use call::{CallHead, CallKey, Prompt, PromptPart, PromptParts, RequestHash};
 pub use call_rate::{CallRate, InvalidCallRate};
+pub use cold_starts::{ColdChange, ColdProfile, ColdStarts};
 pub use decision_line::DecisionLine;
 pub use event::{
     Attempt, AttemptEnd, ConfigurationSource, DispatchEffect, DispatchEvent, NotRunCause, Refusal,
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -1,6 +1,7 @@
 //! The reducer over the events of calls, upstreams and other entries.
 
 mod calls;
+mod cold;
 mod group_status;
 mod harmful;
 mod limits;
@@ -11,7 +12,7 @@
 use crate::slow_ranks::SlowRanksReports;
 use crate::waiting::RouteBudgets;
 use crate::{
-    CallKey, ConfigurationSource, DecisionLine, DispatchEffect, DispatchEvent, GroupTag,
+    CallKey, ColdStarts, ConfigurationSource, DecisionLine, DispatchEffect, DispatchEvent, GroupTag,
     HarmfulParts, HarmfulRequests, ListedUpstream, LoadReport, PeerLoads, RoutingTable,
     StartLimits, UpstreamKey, UpstreamLoad, UpstreamSignal, UpstreamState, UpstreamTag, Upstreams,
 };
@@ -96,6 +97,7 @@
     harmful_parts: HarmfulParts,
     harmful_requests: HarmfulRequests,
     start_limits: StartLimits,
+    cold_starts: ColdStarts,
     calls: HashMap<CallKey, Call>,
     /// Requests whose bodies are being read.
     reading: HashSet<CallKey>,
@@ -128,6 +130,7 @@
     ) -> Self {
         Self {
             start_limits: StartLimits::new(now, entry.clone(), incarnation),
+            cold_starts: ColdStarts::new(now, entry.clone()),
             entry,
             zone,
             incarnation,
@@ -181,6 +184,7 @@
             let limits = table.stream_limits(&profile.name);
             let service = self.service(&profile.name);
             service.configure(profile, limits);
+            self.cold_starts.configure(&profile.name, profile.cold);
         }
         fx.push(DispatchEffect::Log(Box::new(DecisionLine {
             verb: "configure",
@@ -204,6 +208,7 @@
         let previous_state = self.upstreams.find(&instance).map(|u| u.listed.state);
         let accepted_before = self.record_accepts_calls(&instance);
         let group = CompactString::from(listed.membership.as_ref().map_or("", |m| &m.group));
+        self.record_cold(now, &listed);
         self.upstreams.upsert(listed);
         if let Some(report) = self.slow_ranks.of_group(&group) {
             self.upstreams.set_slow_ranks(report);
@@ -225,7 +230,8 @@
         instance: &InstanceId,
         fx: &mut Vec<DispatchEffect>,
     ) {
-        if self.upstreams.find(instance).is_some() {
+        if let Some(upstream) = self.upstreams.find(instance) {
+            self.cold_starts.record_unlisted(&upstream.listed);
             self.upstreams.remove(now, instance);
             fx.push(DispatchEffect::CloseIdle(instance.clone()));
             fx.push(upstream_line(instance.clone(), "gone"));
@@ -276,6 +282,7 @@
         fx: &mut Vec<DispatchEffect>,
     ) {
         if report.entry != self.entry {
+            self.cold_starts.record_report(now, &report.entry);
             if !self.peers.is_outdated(&report) {
                 self.apply_reported_limits(now, &report, fx);
                 self.apply_reported_version(now, &report, fx);
@@ -412,6 +419,7 @@
             self.update_peer_costs(now);
             self.check_stalled_groups(now, fx);
             self.hand_out_starts(now);
+            self.log_cold_changes(now, fx);
             self.move_streams_off_slow_ranks(now, fx);
             self.check_waiting_calls(now, fx);
         }
@@ -435,6 +443,7 @@
     type Effect = DispatchEffect;
 
     fn reduce(&mut self, now: Instant, event: DispatchEvent, fx: &mut Vec<DispatchEffect>) {
+        self.cold_starts.record_run(now);
         match event {
             DispatchEvent::HeadArrived { call } => {
                 self.reading.insert(call);
@@ -480,6 +489,7 @@
     }
 
     fn wake(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        self.cold_starts.record_run(now);
         self.run_due_work(now, fx);
     }
 
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -13,7 +13,7 @@
     RequestHash, Route, RouteMissing, UpstreamKey,
 };
 use compact_str::CompactString;
-use egretstage_wire::{OrganisationName, ServiceName};
+use egretstage_wire::{OrganisationName, RequestId, ServiceName};
 use smallvec::SmallVec;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -83,6 +83,14 @@
         &self.service
     }
 
+    pub(super) fn request(&self) -> &RequestId {
+        &self.head.request
+    }
+
+    pub(super) fn arrived(&self) -> Instant {
+        self.arrived
+    }
+
     pub(super) fn priority(&self) -> u8 {
         self.priority
     }
@@ -185,6 +193,11 @@
         }
         self.enqueue(now, key);
         self.start_waiting(now, &service, fx);
+        if let Some(call) = self.calls.get(&key)
+            && matches!(call.phase, Phase::Waiting)
+        {
+            fx.extend(self.cold_wait_line(now, call));
+        }
     }
 
     fn admit(&self, head: &CallHead) -> Result<Admission, RefusalKind> {
--- a/crates/egretstage_dispatch/src/reducer/calls/moving.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/moving.rs
@@ -119,7 +119,11 @@
         let ready = self.upstreams.ready(now, service);
         let sound = ready.filter(|(_, u)| u.group() == group && !u.slowdown.is_slow());
         sound
-            .map(|(_, u)| u64::from(u.listed.slots.saturating_sub(u.calls())))
+            .map(|(_, u)| {
+                let free = u.listed.slots.saturating_sub(u.calls());
+                let starts = self.starts_left_at(now, u);
+                u64::from(starts.map_or(free, |starts| free.min(starts)))
+            })
             .sum()
     }
 }
--- a/crates/egretstage_dispatch/src/reducer/limits.rs
+++ b/crates/egretstage_dispatch/src/reducer/limits.rs
@@ -1,4 +1,4 @@
-//! Starts at upstreams that limit the calls of all entries together.
+//! Starts at upstreams that limit the calls of all entries together, or are cold.
 
 use super::Dispatcher;
 use super::calls::Call;
@@ -58,15 +58,43 @@
         self.load_changed |= self.start_limits.hand_out(now).to_others;
     }
 
-    /// Returns whether a call may start at an upstream, as far as its limit goes.
+    /// Returns whether no upstream limits starts, and none counts as cold.
+    fn allows_all_starts(&self, now: Instant) -> bool {
+        self.start_limits.is_empty() && !self.cold_starts.is_active(now)
+    }
+
+    /// Returns whether a call may start at an upstream, as far as its limit and, while it is
+    /// cold, its bound go.
     pub(super) fn may_start_at(&self, now: Instant, upstream: &Upstream) -> bool {
-        self.start_limits.is_empty() || self.start_limits.may_start(now, upstream.start())
+        self.starts_left_at(now, upstream) != Some(0)
+    }
+
+    /// Returns the starts that this entry may use now at an upstream; `None` if they are
+    /// unlimited.
+    pub(super) fn starts_left_at(&self, now: Instant, upstream: &Upstream) -> Option<u32> {
+        if self.allows_all_starts(now) {
+            return None;
+        }
+        let start = upstream.start();
+        let of_limit = self.start_limits.is_limited(start);
+        let of_limit = of_limit.then(|| self.start_limits.starts_left(now, start));
+        let of_bound = self.cold_starts.starts_left(now, start);
+        [of_limit, of_bound].into_iter().flatten().min()
+    }
+
+    /// Returns the rate at which this entry is expected to get starts at an upstream, in calls
+    /// per second; `None` if they are unlimited.
+    fn expected_rate_at(&self, now: Instant, upstream: &Upstream) -> Option<f64> {
+        let start = upstream.start();
+        let of_limit = self.start_limits.expected_rate(now, start);
+        let of_bound = self.cold_starts.rate(now, start);
+        of_limit.into_iter().chain(of_bound).reduce(f64::min)
     }
 
     /// Reduces the bounds of groups to the slots at which calls may start: ranks that take
     /// no start only count with the calls that they run.
     pub(super) fn apply_limits(&self, now: Instant, service: &ServiceName, load: &mut GroupLoad) {
-        if self.start_limits.is_empty() || load.group.is_empty() {
+        if self.allows_all_starts(now) || load.group.is_empty() {
             return;
         }
         let ready = self.upstreams.ready(now, service);
@@ -88,14 +116,11 @@
         now: Instant,
         service: &ServiceName,
     ) -> Option<Duration> {
-        if self.start_limits.is_empty() {
+        if self.allows_all_starts(now) {
             return None;
         }
         let ready = self.upstreams.ready(now, service);
-        let rates = ready.map(|(_, upstream)| {
-            let start = upstream.start();
-            self.start_limits.expected_rate(now, start)
-        });
+        let rates = ready.map(|(_, upstream)| self.expected_rate_at(now, upstream));
         let rate = rates.sum::<Option<f64>>().filter(|rate| *rate > 0.0)?;
         Duration::try_from_secs_f64(1.0 / rate).ok()
     }
@@ -106,17 +131,31 @@
         let service = call.service();
         let interval = self.limited_start_interval(now, service)?;
         let ready = self.upstreams.ready(now, service);
-        let left = ready.map(|(_, u)| self.start_limits.starts_left(now, u.start()));
+        let left = ready.filter_map(|(_, upstream)| self.starts_left_at(now, upstream));
         let left: u32 = left.sum();
         let ahead = self.services.get(service).map_or(0, |state| {
             let ahead = state.waiting.ahead_of(call.priority(), call.class());
             u32::try_from(ahead).unwrap_or(u32::MAX)
         });
-        Some(interval.saturating_mul(ahead.saturating_add(1).saturating_sub(left)))
+        let wait = interval.saturating_mul(ahead.saturating_add(1).saturating_sub(left));
+        let until_warm = self.time_until_warm(now, service);
+        Some(until_warm.map_or(wait, |until_warm| wait.min(until_warm)))
+    }
+
+    /// Returns the time until the first of a service's cold upstreams is warm and limits its
+    /// starts in no other way.
+    fn time_until_warm(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
+        let starts = self.upstreams.ready(now, service).map(|(_, u)| u.start());
+        let warm_at = starts
+            .filter(|start| !self.start_limits.is_limited(*start))
+            .filter_map(|start| self.cold_starts.warm_at(now, start));
+        let first = warm_at.min()?;
+        Some(first.saturating_duration_since(now))
     }
 
-    /// Uses a start at an upstream, if it limits them.
+    /// Uses a start at an upstream, if it limits them or may be cold.
     pub(super) fn take_start(&mut self, now: Instant, start: UpstreamStart) {
+        self.cold_starts.record_start(now, start);
         if !self.start_limits.is_empty() {
             self.start_limits.take_start(now, start);
         }
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -1,5 +1,6 @@
 //! The routing table: the service of a call, and the rules for it.
 
+use crate::ColdProfile;
 use crate::admission::StreamLimits;
 use compact_str::CompactString;
 use egretstage_wire::{OrganisationName, ServiceName};
@@ -152,6 +153,8 @@
     pub max_connections: u32,
     /// The engine, if model groups run the service.
     pub engine: Option<EngineProfile>,
+    /// How the calls at its cold upstreams are bounded, if they are.
+    pub cold: Option<ColdProfile>,
 }
 
 /// Organisation with the keys of its callers.
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -55,6 +55,8 @@
     pub state: UpstreamState,
     /// Its model group, if it is a rank of one.
     pub membership: Option<GroupMembership>,
+    /// For how much longer it is cold, if its record says so: zero once it is warm.
+    pub cold_for: Option<Duration>,
 }
 
 impl ListedUpstream {
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -71,11 +71,13 @@
                 read_per_s: 60_000.0,
                 experts: None,
             }),
+            cold: None,
         },
         ServiceProfile {
             name: "booking".try_into().expect("valid name"),
             max_connections: 100,
             engine: None,
+            cold: None,
         },
     ];
     let organisations = vec![Organisation {
@@ -128,6 +130,7 @@
             group: group.into(),
             accepts_calls: true,
         }),
+        cold_for: None,
     }
 }
 
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -16,6 +16,8 @@
     call_age: Histogram<f64>,
     configuration_version: Gauge<u64>,
     passed_over_records: Counter<u64>,
+    cold_upstreams: Gauge<u64>,
+    held_back: Counter<u64>,
     /// Kept because its callback ends with it.
     _configuration_age: ObservableGauge<f64>,
 }
@@ -48,6 +50,14 @@
                 "egret_store_records_passed_over",
                 "Records that a restored store lists and that aren't applied, by topic",
             ),
+            cold_upstreams: meter
+                .u64_gauge("egret_cold_upstreams")
+                .with_description("Upstreams at which calls are bounded because they are cold")
+                .build(),
+            held_back: counter(
+                "egret_held_back",
+                "New calls that wait although a cold upstream has a free slot",
+            ),
             _configuration_age: meter
                 .f64_observable_gauge("egret_configuration_read_age_seconds")
                 .with_description("Time since the configuration was last read in the store")
@@ -80,6 +90,12 @@
             DispatchEffect::Refuse { refusal, .. } => self.count_refusal(*refusal),
             DispatchEffect::Log(line) => {
                 self.decisions.add(1, &[KeyValue::new("verb", line.verb)]);
+                if let Some(cold) = line.cold_upstreams {
+                    self.cold_upstreams.record(cold.into(), &[]);
+                }
+                if line.verb == "wait" {
+                    self.held_back.add(1, &[]);
+                }
                 if line.verb == "end"
                     && let Some(age) = line.age_ms
                 {
