Test the starts at cold upstreams

Cause: the bound must hold over all entries together, whatever befalls them.

Change: tests of one entry, of a fleet in virtual time (a zone that returns cold in a burst; entries that restart, are cut off and lose reports), and of the shares alone under endless demand with entries lost, frozen, cut off, restarted and added.

--- a/crates/egretstage_dispatch/tests/dispatch/fleet.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/fleet.rs
@@ -1,8 +1,8 @@
 //! Test harness: several entries in virtual time that share upstreams and exchange reports.
 
-use crate::support::{configured, table, upstream};
+use crate::support::{configured, table_with_cold, upstream};
 use egretstage_dispatch::{
-    CallHead, CallKey, CallRate, DispatchEffect, DispatchEvent, DispatchLimits, Dispatcher,
+    CallHead, CallKey, CallRate, ColdProfile, DispatchEffect, DispatchEvent, DispatchLimits, Dispatcher,
     ListedUpstream, LoadReport, PromptParts, Refusal, RequestHash, UpstreamKey, UpstreamSignal,
 };
 use egretstage_runtime::VirtualLoop;
@@ -26,6 +26,7 @@
     Head(CallKey, UpstreamKey, InstanceId),
     End(CallKey),
     Report(Box<LoadReport>),
+    Listed(Box<ListedUpstream>),
 }
 
 struct FleetEntry {
@@ -49,6 +50,7 @@
 pub(crate) struct Fleet {
     entries: Vec<FleetEntry>,
     upstreams: Vec<ListedUpstream>,
+    cold: Option<ColdProfile>,
     now: Instant,
     rng: ChaCha8Rng,
     later: BTreeMap<(Instant, u64), (usize, u64, Later)>,
@@ -70,11 +72,22 @@
     /// Creates entries and the upstreams of both services: `ranks` ranks of one group, and
     /// three upstreams without a group.
     pub(crate) fn new(seed: u64, entries: usize, ranks: usize) -> Self {
+        Self::with_cold(seed, entries, ranks, None)
+    }
+
+    /// Creates entries and upstreams at which calls are bounded while they are cold.
+    pub(crate) fn with_cold(
+        seed: u64,
+        entries: usize,
+        ranks: usize,
+        cold: Option<ColdProfile>,
+    ) -> Self {
         let ranks = (0..ranks).map(|rank| upstream(&format!("rank-{rank}"), "drafting", Some("g")));
         let desks = (0..3).map(|desk| upstream(&format!("desk-{desk}"), "booking", None));
         let mut fleet = Self {
             entries: Vec::new(),
             upstreams: with_addresses(ranks.chain(desks)),
+            cold,
             now: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             later: BTreeMap::new(),
@@ -108,7 +121,7 @@
         let seed = incarnation * 1_000 + index as u64;
         let dispatcher = Dispatcher::new(self.now, name.clone(), zone, seed, limits);
         let mut sim = VirtualLoop::starting_at(self.now, dispatcher);
-        sim.event(configured(table(1, "key")));
+        sim.event(configured(table_with_cold(1, "key", self.cold)));
         for listed in &self.upstreams {
             sim.event(DispatchEvent::Listed(Box::new(listed.clone())));
         }
@@ -145,6 +158,28 @@
         }
     }
 
+    /// Restarts upstreams under the names that they had, cold for a time. Each entry has read
+    /// all their records after a delay of up to `max_read_delay`, and knows none before.
+    pub(crate) fn return_cold(&mut self, names: &[&str], time: Duration, max_read_delay: Duration) {
+        let returns = |u: &&mut ListedUpstream| names.contains(&u.instance.as_str());
+        for listed in self.upstreams.iter_mut().filter(returns) {
+            listed.started_ms = listed.started_ms.map(|at| at + 1);
+            listed.cold_for = Some(time);
+        }
+        let listed = self.upstreams.iter();
+        let listed = listed.filter(|u| names.contains(&u.instance.as_str()));
+        let listed: Vec<ListedUpstream> = listed.cloned().collect();
+        for index in 0..self.entries.len() {
+            let delay = max_read_delay.mul_f64(self.rng.random_range(0.0..1.0));
+            for listed in &listed {
+                let gone = DispatchEvent::Unlisted(listed.instance.clone());
+                let effects = self.entries[index].sim.event(gone);
+                self.carry_out(index, effects);
+                self.add_later(delay, index, Later::Listed(Box::new(listed.clone())));
+            }
+        }
+    }
+
     fn add_later(&mut self, delay: Duration, entry: usize, later: Later) {
         let incarnation = self.entries[entry].incarnation;
         self.next_event += 1;
@@ -216,6 +251,7 @@
                 sim.event(DispatchEvent::Ended { call, whole: true })
             }
             Later::Report(report) => sim.event(DispatchEvent::PeerReported(report)),
+            Later::Listed(listed) => sim.event(DispatchEvent::Listed(listed)),
         };
         self.carry_out(index, effects);
     }
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod at_most_once;
 mod broken_groups;
+mod cold_starts;
 mod configuration_lag;
 mod fleet;
 mod harmful_requests;
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -1,7 +1,7 @@
 //! Test harness: a dispatcher in virtual time, with a routing table.
 
 use egretstage_dispatch::{
-    Attempt, CallHead, CallKey, CallerLimits, ConfigurationSource, DispatchEffect, DispatchEvent,
+    Attempt, CallHead, CallKey, CallerLimits, ColdProfile, ConfigurationSource, DispatchEffect, DispatchEvent,
     DispatchLimits, Dispatcher, EngineProfile, GroupMembership, LimitReport, ListedUpstream,
     LoadReport, Organisation, Prompt, PromptParts, Refusal, RequestHash, RequestReport, Route,
     RouteKind, RoutingTable, ServiceProfile, SuspectReport, UpstreamLoads, UpstreamState,
@@ -50,6 +50,15 @@
 }
 
 pub(crate) fn table(version: u64, api_key: &str) -> Arc<RoutingTable> {
+    table_with_cold(version, api_key, None)
+}
+
+/// Returns a routing table whose services bound the calls at cold upstreams.
+pub(crate) fn table_with_cold(
+    version: u64,
+    api_key: &str,
+    cold: Option<ColdProfile>,
+) -> Arc<RoutingTable> {
     let stream = RouteKind::Stream {
         resumable: true,
         max_pause: MAX_PAUSE,
@@ -71,13 +80,13 @@
                 read_per_s: 60_000.0,
                 experts: None,
             }),
-            cold: None,
+            cold,
         },
         ServiceProfile {
             name: "booking".try_into().expect("valid name"),
             max_connections: 100,
             engine: None,
-            cold: None,
+            cold,
         },
     ];
     let organisations = vec![Organisation {
