--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -12,8 +12,8 @@
 use crate::slow_ranks::SlowRanksReports;
 use crate::waiting::RouteBudgets;
 use crate::{
-    CallKey, ColdStarts, ConfigurationSource, DecisionLine, DispatchEffect, DispatchEvent, GroupTag,
-    HarmfulParts, HarmfulRequests, ListedUpstream, LoadReport, PeerLoads, RoutingTable,
+    CallKey, ColdStarts, ConfigurationSource, DecisionLine, DispatchEffect, DispatchEvent,
+    GroupTag, HarmfulParts, HarmfulRequests, ListedUpstream, LoadReport, PeerLoads, RoutingTable,
     StartLimits, UpstreamKey, UpstreamLoad, UpstreamSignal, UpstreamState, UpstreamTag, Upstreams,
 };
 use calls::{Call, millis};
