--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 //! | which requests end upstreams, so that they aren't sent again | [`harmful_requests`] |
 //! | which entry starts a call at an upstream that limits them | [`start_limits`] |
 //! | which zones are evacuated, so that nothing is sent there | [`evacuated_zones`] |
+//! | how many calls an entry starts at a cold upstream | [`cold_starts`] |
 //! | from which entry a newer configuration is fetched | `configuration_lag` |
 //! | whether an upstream has signalled that it takes no calls | `signals` |
 //! | whether a model group has stalled, or a single stream of it | `group_activity` |
@@ -34,6 +35,7 @@
 mod call;
 mod call_rate;
 pub mod circuit_breaker;
+pub mod cold_starts;
 mod configuration_lag;
 mod decision_line;
 pub mod evacuated_zones;
@@ -61,6 +63,7 @@
 pub use admission::StreamLimits;
 pub use call::{CallHead, CallKey, Prompt, PromptPart, PromptParts, RequestHash};
 pub use call_rate::{CallRate, InvalidCallRate};
+pub use cold_starts::{ColdChange, ColdProfile, ColdStarts};
 pub use decision_line::DecisionLine;
 pub use evacuated_zones::{EvacuatedZones, TopicPosition, ZoneSet};
 pub use event::{
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -1,11 +1,11 @@
 //! Test harness: a dispatcher in virtual time, with a routing table.
 
 use egretstage_dispatch::{
-    Attempt, CallHead, CallKey, CallerLimits, ConfigurationSource, DispatchEffect, DispatchEvent,
-    DispatchLimits, Dispatcher, EngineProfile, GroupMembership, LimitReport, ListedUpstream,
-    LoadReport, Organisation, Prompt, PromptParts, Refusal, RequestHash, RequestReport, Route,
-    RouteKind, RoutingTable, ServiceProfile, SuspectReport, UpstreamLoads, UpstreamState,
-    WeightedService,
+    Attempt, CallHead, CallKey, CallerLimits, ColdProfile, ConfigurationSource, DispatchEffect,
+    DispatchEvent, DispatchLimits, Dispatcher, EngineProfile, GroupMembership, LimitReport,
+    ListedUpstream, LoadReport, Organisation, Prompt, PromptParts, Refusal, RequestHash,
+    RequestReport, Route, RouteKind, RoutingTable, ServiceProfile, SuspectReport, UpstreamLoads,
+    UpstreamState, WeightedService,
 };
 use egretstage_runtime::VirtualLoop;
 use smallvec::smallvec;
@@ -50,6 +50,15 @@
 }
 
 pub(crate) fn table(version: u64, api_key: &str) -> Arc<RoutingTable> {
+    table_with_cold(version, api_key, None)
+}
+
+/// Returns a routing table whose services bound the calls at cold upstreams.
+pub(crate) fn table_with_cold(
+    version: u64,
+    api_key: &str,
+    cold: Option<ColdProfile>,
+) -> Arc<RoutingTable> {
     let stream = RouteKind::Stream {
         resumable: true,
         max_pause: MAX_PAUSE,
@@ -60,7 +69,7 @@
         route("look", RouteKind::Idempotent, "booking", 1_500),
     ];
     let organisations = vec![organisation("carrier", None, api_key)];
-    table_with(version, routes, organisations)
+    table_of(version, routes, organisations, cold)
 }
 
 pub(crate) fn organisation(name: &str, priority: Option<u8>, api_key: &str) -> Organisation {
@@ -76,6 +85,15 @@
     version: u64,
     routes: Vec<Route>,
     organisations: Vec<Organisation>,
+) -> Arc<RoutingTable> {
+    table_of(version, routes, organisations, None)
+}
+
+fn table_of(
+    version: u64,
+    routes: Vec<Route>,
+    organisations: Vec<Organisation>,
+    cold: Option<ColdProfile>,
 ) -> Arc<RoutingTable> {
     let services = vec![
         ServiceProfile {
@@ -89,11 +107,13 @@
                 read_per_s: 60_000.0,
                 experts: None,
             }),
+            cold,
         },
         ServiceProfile {
             name: "booking".try_into().expect("valid name"),
             max_connections: 100,
             engine: None,
+            cold,
         },
     ];
     let limits = CallerLimits {
@@ -142,6 +162,7 @@
             group: group.into(),
             accepts_calls: true,
         }),
+        cold_for: None,
     }
 }
 
