Test more strictly that streams and listed upstreams leave an evacuated zone

Cause: two tests passed with their mechanism off: a stream resumed elsewhere by its load alone, and an upstream was marked by its second record. Change: more streams run before, and each record is followed by calls.

--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -143,9 +143,11 @@
     read(&mut harness, set(0, 7, &["west"]));
     let mut new = upstream("west-9", "booking", None);
     new.zone = zone("west");
-    harness.list(new.clone());
-    harness.list(new);
-    assert_eq!(zones_called(&mut harness, "/look/1"), names(&["east"]));
+    for slots in [60, 61] {
+        new.slots = slots;
+        harness.list(new.clone());
+        assert_eq!(zones_called(&mut harness, "/look/1"), names(&["east"]));
+    }
 }
 
 /// An attempt that provably didn't run is repeated, but not in the evacuated zone.
@@ -168,10 +170,10 @@
 fn running_streams_end_by_themselves_and_resume_elsewhere() {
     let mut harness = two_zones();
     let mut streams = Vec::new();
-    while streams.len() < 2 {
+    for _ in 0..8 {
         let (call, effects) = harness.call("/draft/1", 8_000);
+        harness.sim.event(DispatchEvent::FirstByte { call });
         if zone_of(&effects, call).as_deref() == Some("west") {
-            harness.sim.event(DispatchEvent::FirstByte { call });
             streams.push(call);
         }
     }
@@ -191,10 +193,12 @@
         streams.contains(call)
     };
     assert!(!effects.iter().any(is_touched));
-    let (call, cause) = (streams[0], UnknownCause::ConnectionLost);
-    let end = AttemptEnd::Unknown { cause };
-    let effects = harness.sim.event(DispatchEvent::AttemptEnded { call, end });
-    assert_eq!(zone_of(&effects, call).as_deref(), Some("east"));
+    for call in streams {
+        let cause = UnknownCause::ConnectionLost;
+        let end = AttemptEnd::Unknown { cause };
+        let effects = harness.sim.event(DispatchEvent::AttemptEnded { call, end });
+        assert_eq!(zone_of(&effects, call).as_deref(), Some("east"));
+    }
 }
 
 /// Sends streams until some wait; returns those that run, with their zones, and the number of
