Show evacuated zones from the entries' logs in egretctl

Cause: an operator couldn't see which zones are evacuated, since when, and which entries know it; a request's timeline left out an evacuation that was older than six seconds. Change: egretctl zones reads the logs of all entries; story keeps lines of zones.

--- a/crates/egretstage_control/src/args.rs
+++ b/crates/egretstage_control/src/args.rs
@@ -27,6 +27,8 @@
   egretctl explain ORGANISATION SERVICE  shows which rule and runners apply
   egretctl story REQUEST [FILE...]       shows one request's log lines in order,
                                          from files or standard input
+  egretctl zones [FILE...]               shows the evacuated zones, by the logs of
+                                         all entries, from files or standard input
 
 Options:
   --log URL        base URL of the platform's log service
@@ -48,8 +50,9 @@
   6  status: a node does not answer, lags, or can't read all objects";
 
 /// The names of the commands.
-const COMMANDS: [&str; 10] = [
+const COMMANDS: [&str; 11] = [
     "check", "apply", "get", "history", "diff", "upgrade", "reset", "status", "explain", "story",
+    "zones",
 ];
 
 /// A command of the operator.
@@ -83,6 +86,8 @@
     /// Shows the log lines of a request, from files or, without one, standard
     /// input.
     Story(RequestId, Vec<PathBuf>),
+    /// Shows the evacuated zones, from log files or, without one, standard input.
+    Zones(Vec<PathBuf>),
 }
 
 /// A command with its options.
@@ -182,10 +187,9 @@
         ),
         "story" => Command::Story(
             parse_name(&free_argument::<String>(args, "REQUEST")?)?,
-            std::iter::from_fn(|| args.opt_free_from_str().transpose())
-                .collect::<Result<_, pico_args::Error>>()
-                .map_err(|e| UsageError::new(&e))?,
+            parse_files(args)?,
         ),
+        "zones" => Command::Zones(parse_files(args)?),
         other => {
             let allowed = suggest::list_allowed(other, COMMANDS.into_iter());
             let message = format!("unknown command {other:?}, allowed are {allowed}");
@@ -194,6 +198,12 @@
     })
 }
 
+fn parse_files(args: &mut Arguments) -> Result<Vec<PathBuf>, UsageError> {
+    std::iter::from_fn(|| args.opt_free_from_str().transpose())
+        .collect::<Result<_, pico_args::Error>>()
+        .map_err(|e| UsageError::new(&e))
+}
+
 fn free_argument<T: FromStr>(args: &mut Arguments, name: &str) -> Result<T, UsageError>
 where
     T::Err: std::fmt::Display,
--- a/crates/egretstage_control/src/lib.rs
+++ b/crates/egretstage_control/src/lib.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod story;
 mod table;
+mod zones;
 
 pub use apply::{ApplyError, ApplyOutcome, ApplyReport, RetryPolicy, publish};
 pub use args::{Command, Invocation, UsageError};
@@ -25,6 +26,7 @@
 pub use reset::{ResetError, reset};
 pub use settings::{Endpoints, SETTINGS_VARIABLE};
 pub use story::{RequestTimeline, TimelineEntry, TimelineReader};
+pub use zones::{EvacuatedZone, ZoneAtEntry, ZoneReader};
 
 use egretstage_platform::{AppendLog, HttpAppendLog};
 use egretstage_wire::{OrganisationName, RequestId, ServiceName};
@@ -33,7 +35,7 @@
 use std::collections::BTreeSet;
 use std::ffi::{OsStr, OsString};
 use std::fs::File;
-use std::io::BufReader;
+use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use strum::FromRepr;
@@ -94,7 +96,9 @@
 fn try_run(args: Vec<OsString>) -> miette::Result<Exit> {
     let invocation = args::parse(args)?;
     let endpoints = match invocation.command {
-        Command::Help | Command::Version | Command::Story(..) => invocation.endpoints,
+        Command::Help | Command::Version | Command::Story(..) | Command::Zones(_) => {
+            invocation.endpoints
+        }
         _ => invocation.endpoints.fill_from_file(invocation.settings)?,
     };
     let context = CommandContext {
@@ -117,6 +121,7 @@
         Command::Status => return context.status(),
         Command::Explain(organisation, service) => context.explain(organisation, service)?,
         Command::Story(request, files) => return context.story(request, &files),
+        Command::Zones(files) => context.zones(&files)?,
     }
     Ok(Exit::Done)
 }
@@ -271,22 +276,7 @@
 
     fn story(&self, request: RequestId, files: &[PathBuf]) -> miette::Result<Exit> {
         let mut reader = TimelineReader::new(request);
-        if files.is_empty() {
-            reader
-                .read("-", std::io::stdin().lock())
-                .into_diagnostic()?;
-        }
-        for path in files {
-            let displayed = path.display().to_string();
-            let name = path
-                .file_stem()
-                .map_or_else(|| displayed.clone().into(), OsStr::to_string_lossy);
-            let file = File::open(path)
-                .into_diagnostic()
-                .wrap_err(displayed.clone())?;
-            let result = reader.read(&name, BufReader::new(file));
-            result.into_diagnostic().wrap_err(displayed)?;
-        }
+        read_logs(files, |name, input| reader.read(name, input))?;
         let timeline = reader.finish();
         self.print(&timeline, story::print_timeline);
         if timeline.lines.is_empty() {
@@ -296,6 +286,13 @@
         Ok(Exit::Done)
     }
 
+    fn zones(&self, files: &[PathBuf]) -> miette::Result<()> {
+        let mut reader = ZoneReader::default();
+        read_logs(files, |name, input| reader.read(name, input))?;
+        self.print(&*reader.finish(), zones::print_zones);
+        Ok(())
+    }
+
     fn explain(&self, organisation: OrganisationName, service: ServiceName) -> miette::Result<()> {
         let log = self.log()?;
         let view = LogView::open(&log).into_diagnostic()?;
@@ -306,3 +303,25 @@
         Ok(())
     }
 }
+
+/// Passes each log file with its name to `read`, or standard input if there is none.
+fn read_logs(
+    files: &[PathBuf],
+    mut read: impl FnMut(&str, &mut dyn BufRead) -> io::Result<()>,
+) -> miette::Result<()> {
+    if files.is_empty() {
+        read("-", &mut io::stdin().lock()).into_diagnostic()?;
+    }
+    for path in files {
+        let displayed = path.display().to_string();
+        let name = path
+            .file_stem()
+            .map_or_else(|| displayed.clone().into(), OsStr::to_string_lossy);
+        let file = File::open(path)
+            .into_diagnostic()
+            .wrap_err(displayed.clone())?;
+        let result = read(&name, &mut BufReader::new(file));
+        result.into_diagnostic().wrap_err(displayed)?;
+    }
+    Ok(())
+}
--- a/crates/egretstage_control/src/story.rs
+++ b/crates/egretstage_control/src/story.rs
@@ -90,11 +90,7 @@
     }
 
     fn add_line(&mut self, name: &str, text: &str) {
-        let start = text.find('{').unwrap_or(text.len());
-        let (prefix, json) = text.split_at(start);
-        // A collector may also write the time; the name is the word before the JSON.
-        let process = prefix.split_whitespace().next_back().unwrap_or(name);
-        let Some(line) = parse(process, json) else {
+        let Some(line) = parse_line(name, text) else {
             self.unreadable += 1;
             return;
         };
@@ -116,7 +112,9 @@
             let upstreams: BTreeSet<_> =
                 self.own.iter().filter_map(|l| l.upstream.clone()).collect();
             self.state_changes.retain(|line| {
-                let in_period = line.time >= first - LOOKBACK && line.time <= last;
+                // An evacuation lasts; its line may be much older.
+                let is_recent = line.time >= first - LOOKBACK || line.verb == "zone";
+                let in_period = is_recent && line.time <= last;
                 let upstream = line.upstream.as_ref();
                 // The line of a group names only one of its ranks, so its upstream
                 // is not compared.
@@ -142,6 +140,17 @@
     }
 }
 
+/// Parses a line of an input; none if it isn't a log line of egretstage.
+///
+/// `name` is the process of lines that have no name before them.
+pub(crate) fn parse_line(name: &str, text: &str) -> Option<TimelineEntry> {
+    let start = text.find('{').unwrap_or(text.len());
+    let (prefix, json) = text.split_at(start);
+    // A collector may also write the time; the name is the word before the JSON.
+    let process = prefix.split_whitespace().next_back().unwrap_or(name);
+    parse(process, json)
+}
+
 /// Parses a log line; none if it isn't one of egretstage.
 ///
 /// A line without a decision, such as that of a lost or regained dependency, has
