Search for emptied ranks only while a zone is evacuated

Cause: each placement searched all upstreams once more, also without evacuations. Change: the search is skipped then.

--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -307,7 +307,9 @@
         service: &'a ServiceName,
     ) -> impl Iterator<Item = &'a Upstream> {
         let of_service = move |u: &&Upstream| u.is_emptied(now) && u.listed.service == *service;
-        self.arena.values().filter(of_service)
+        // Without evacuated zones, the upstreams aren't searched for each call.
+        let upstreams = (!self.evacuated_zones.is_empty()).then(|| self.arena.values());
+        upstreams.into_iter().flatten().filter(of_service)
     }
 
     /// Returns the evacuated zones.
