Let upstreams count as cold where their records may be late

Cause: an upstream turns cold between two reads of its record; after a zone's evacuation or a standstill of the entry that is likely, not rare.

Change: `expect_cold` bounds one upstream for 2 s whatever its record says; the standstill of the entry uses it for all. The part on evacuations may call it as a zone is taken back.

--- a/crates/egretstage_dispatch/src/cold_starts.rs
+++ b/crates/egretstage_dispatch/src/cold_starts.rs
@@ -12,7 +12,8 @@
 //! know the others yet starts nothing for [`JOIN_DELAY`].
 //!
 //! An upstream is cold for the time that its record states, counted from when it was read, so
-//! that it is never taken for warm too soon.
+//! that it is never taken for warm too soon. Where records may have changed without an entry's
+//! knowledge, upstreams count as cold until it has read them again.
 
 use crate::peers::hash32;
 use crate::{ListedUpstream, UpstreamStart};
@@ -34,9 +35,9 @@
 /// have turned cold without its knowledge.
 const MAX_STANDSTILL: Duration = Duration::from_secs(1);
 
-/// Time after a standstill for which all upstreams count as cold: longer than the time between
-/// two reads of their records.
-const STANDSTILL_CAUTION: Duration = Duration::from_secs(2);
+/// Time for which an upstream counts as cold that may have turned so without this entry's
+/// knowledge: longer than the time between two reads of the records.
+pub const CAUTION_TIME: Duration = Duration::from_secs(2);
 
 /// How an operator bounds the calls at a service's cold upstreams.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -69,6 +70,8 @@
     /// What its last record stated.
     stated: Option<Duration>,
     cold_until: Option<Instant>,
+    /// Until when it counts as cold, whatever its records state.
+    caution_until: Option<Instant>,
     /// This entry's share, if its service bounds the calls at cold upstreams.
     share: Option<Share>,
     /// When this entry last started calls there, the oldest first.
@@ -82,6 +85,12 @@
         self.share.is_some() && self.cold_until.is_some_and(|until| now < until)
     }
 
+    /// Returns this entry's share, if the upstream counts as cold.
+    fn bound(&self, now: Instant) -> Option<Share> {
+        let is_cautious = self.caution_until.is_some_and(|until| now < until);
+        self.share.filter(|_| is_cautious || self.is_cold(now))
+    }
+
     /// Returns whether the upstream may be called, or called again under the same start.
     fn is_needed(&self, now: Instant) -> bool {
         let window = self.share.map_or(Duration::ZERO, |share| share.window);
@@ -118,13 +127,11 @@
     joined_at: Instant,
     /// When it last ran.
     last_run: Instant,
-    /// Until when all upstreams count as cold.
-    caution_until: Option<Instant>,
     profiles: HashMap<ServiceName, ColdProfile>,
     /// The other entries, with the time of their last reports.
     entries: HashMap<InstanceId, Instant>,
     upstreams: HashMap<UpstreamStart, Known>,
-    /// Latest end of an upstream's coldness.
+    /// When the last upstream stops counting as cold.
     latest_end: Option<Instant>,
 }
 
@@ -136,7 +143,6 @@
             entry,
             joined_at: now + JOIN_DELAY,
             last_run: now,
-            caution_until: None,
             profiles: HashMap::new(),
             entries: HashMap::new(),
             upstreams: HashMap::new(),
@@ -159,10 +165,21 @@
     /// while.
     pub fn record_run(&mut self, now: Instant) {
         let stood_still = now.saturating_duration_since(self.last_run);
+        self.last_run = now;
         if stood_still > MAX_STANDSTILL {
-            self.caution_until = Some(now + STANDSTILL_CAUTION);
+            let upstreams: Vec<UpstreamStart> = self.upstreams.keys().copied().collect();
+            for upstream in upstreams {
+                self.expect_cold(now, upstream);
+            }
+        }
+    }
+
+    /// Lets an upstream count as cold for [`CAUTION_TIME`], whatever its record states.
+    pub fn expect_cold(&mut self, now: Instant, upstream: UpstreamStart) {
+        if let Some(known) = self.upstreams.get_mut(&upstream) {
+            known.caution_until = Some(now + CAUTION_TIME);
+            self.latest_end = self.latest_end.max(known.caution_until);
         }
-        self.last_run = now;
     }
 
     /// Records that another entry has reported.
@@ -186,6 +203,7 @@
             is_listed: true,
             stated: None,
             cold_until: None,
+            caution_until: None,
             share: None,
             starts: SmallVec::new(),
             is_reported: false,
@@ -221,9 +239,7 @@
     /// Returns whether an upstream may count as cold.
     #[must_use]
     pub fn is_active(&self, now: Instant) -> bool {
-        let is_cautious = self.caution_until.is_some_and(|until| now < until);
-        let has_cold = self.latest_end.is_some_and(|end| now < end);
-        !self.profiles.is_empty() && (is_cautious || has_cold)
+        !self.profiles.is_empty() && self.latest_end.is_some_and(|end| now < end)
     }
 
     /// Returns the starts that this entry may use now at an upstream; `None` if they aren't
@@ -251,7 +267,7 @@
     #[must_use]
     pub fn warm_at(&self, now: Instant, upstream: UpstreamStart) -> Option<Instant> {
         let (known, _) = self.bounded(now, upstream)?;
-        known.cold_until.max(self.caution_until)
+        known.cold_until.max(known.caution_until)
     }
 
     /// Returns an upstream with this entry's share of its starts, if they are bounded now.
@@ -260,8 +276,7 @@
             return None;
         }
         let known = self.upstreams.get(&upstream)?;
-        let is_cautious = self.caution_until.is_some_and(|until| now < until);
-        (is_cautious || known.is_cold(now)).then_some((known, known.share?))
+        Some((known, known.bound(now)?))
     }
 
     /// Records a start at an upstream, also at a warm one: it may turn cold within the window.
--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
@@ -358,6 +358,20 @@
     assert_eq!(starts.starts_left(woken + COLD, start), None);
 }
 
+/// An upstream that is expected to have turned cold counts so until its record must have been
+/// read, even if an earlier one that is read meanwhile says that it is warm.
+#[test]
+fn an_upstream_that_may_have_turned_cold_is_bounded() {
+    let (mut starts, now) = joined(2.0);
+    let start = UpstreamStart::from(&stated(1, None));
+    starts.record_listed(now, &stated(1, Some(Duration::ZERO)));
+    starts.expect_cold(now, start);
+    starts.record_listed(now, &stated(1, Some(Duration::ZERO)));
+    assert_eq!(starts.starts_left(now, start), Some(2));
+    assert_eq!(starts.starts_left(now + MAX_READ_DELAY, start), Some(2));
+    assert_eq!(starts.starts_left(now + COLD, start), None);
+}
+
 /// A start at a warm upstream counts if it turns cold within the window.
 #[test]
 fn starts_just_before_an_upstream_turned_cold_count() {
