Refuse at once what a cold service can't start in time

Cause: an entry that has just started, or has no share at any cold upstream of a service, held calls until their longest wait and refused them then.

Change: the expected wait counts the time until the entry may use its share, and without any share the time until the first upstream is warm.

--- a/crates/egretstage_dispatch/src/cold_starts.rs
+++ b/crates/egretstage_dispatch/src/cold_starts.rs
@@ -263,6 +263,15 @@
         Some(share.per_second())
     }
 
+    /// Returns the time until this entry may use its share at an upstream; zero unless it has
+    /// just started and the starts are bounded.
+    #[must_use]
+    pub fn time_until_joined(&self, now: Instant, upstream: UpstreamStart) -> Duration {
+        let bounded = self.bounded(now, upstream);
+        let joined_at = bounded.map(|_| self.joined_at);
+        joined_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now))
+    }
+
     /// Returns when a bounded upstream turns warm, as far as is known.
     #[must_use]
     pub fn warm_at(&self, now: Instant, upstream: UpstreamStart) -> Option<Instant> {
--- a/crates/egretstage_dispatch/src/reducer/limits.rs
+++ b/crates/egretstage_dispatch/src/reducer/limits.rs
@@ -121,8 +121,12 @@
         }
         let ready = self.upstreams.ready(now, service);
         let rates = ready.map(|(_, upstream)| self.expected_rate_at(now, upstream));
-        let rate = rates.sum::<Option<f64>>().filter(|rate| *rate > 0.0)?;
-        Duration::try_from_secs_f64(1.0 / rate).ok()
+        let rate = rates.sum::<Option<f64>>()?;
+        if rate > 0.0 {
+            return Duration::try_from_secs_f64(1.0 / rate).ok();
+        }
+        // This entry has no share at any of them.
+        self.time_until_warm(now, service)
     }
 
     /// Returns the expected wait of a new call until it starts, if all upstreams of its
@@ -138,19 +142,24 @@
             u32::try_from(ahead).unwrap_or(u32::MAX)
         });
         let wait = interval.saturating_mul(ahead.saturating_add(1).saturating_sub(left));
+        let wait = wait.saturating_add(self.time_until_joined(now, service));
         let until_warm = self.time_until_warm(now, service);
+        let until_warm = until_warm.filter(|_| self.start_limits.is_empty());
         Some(until_warm.map_or(wait, |until_warm| wait.min(until_warm)))
     }
 
-    /// Returns the time until the first of a service's cold upstreams is warm and limits its
-    /// starts in no other way.
+    /// Returns the time until the first of a service's cold upstreams is warm.
     fn time_until_warm(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
-        let starts = self.upstreams.ready(now, service).map(|(_, u)| u.start());
-        let warm_at = starts
-            .filter(|start| !self.start_limits.is_limited(*start))
-            .filter_map(|start| self.cold_starts.warm_at(now, start));
-        let first = warm_at.min()?;
-        Some(first.saturating_duration_since(now))
+        let ready = self.upstreams.ready(now, service);
+        let warm_at = ready.filter_map(|(_, u)| self.cold_starts.warm_at(now, u.start()));
+        Some(warm_at.min()?.saturating_duration_since(now))
+    }
+
+    /// Returns the time until this entry may use its share at one of a service's upstreams.
+    fn time_until_joined(&self, now: Instant, service: &ServiceName) -> Duration {
+        let ready = self.upstreams.ready(now, service);
+        let times = ready.map(|(_, u)| self.cold_starts.time_until_joined(now, u.start()));
+        times.min().unwrap_or_default()
     }
 
     /// Uses a start at an upstream, if it limits them or may be cold.
--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
@@ -3,7 +3,7 @@
 mod shares;
 
 use crate::fleet::Fleet;
-use crate::support::{Harness, configured, refused, sent, table_with_cold, upstream};
+use crate::support::{Harness, configured, refused, report_of, sent, table_with_cold, upstream};
 use egretstage_dispatch::cold_starts::{ENTRY_RETENTION, JOIN_DELAY, START_WINDOW};
 use egretstage_dispatch::{
     AttemptEnd, CallKey, ColdProfile, ColdStarts, DecisionLine, DispatchEffect, DispatchEvent,
@@ -196,6 +196,50 @@
     }
 }
 
+/// All upstreams are cold and the entry has just started: a call is refused at once if it
+/// would wait in vain, and waits if the entry may start it in time.
+#[test]
+fn an_entry_that_has_just_started_refuses_what_it_cannot_start_in_time() {
+    let mut harness = Harness::unready();
+    harness
+        .sim
+        .event(configured(table_with_cold(1, "key", Some(profile(6.0)))));
+    harness.list(cold("desk-0", "booking", COLD));
+    // The longest wait is 0.9 s.
+    let (key, effects) = harness.call("/look/1", 3_000);
+    let refusal = refused(&effects, key).expect("a refusal");
+    assert_eq!(refusal.kind, RefusalKind::NoRoom);
+    assert!(refusal.retry_after.is_some_and(|delay| delay >= JOIN_DELAY));
+    harness.sim.advance(JOIN_DELAY.mul_f64(0.7));
+    let (key, effects) = harness.call("/look/1", 3_000);
+    assert!(refused(&effects, key).is_none() && sent(&effects, key).is_none());
+    let effects = harness.sim.advance(JOIN_DELAY.mul_f64(0.4));
+    assert!(sent(&effects, key).is_some());
+}
+
+/// More entries than the rate: one without a share can start nothing until an upstream is
+/// warm.
+#[test]
+fn an_entry_without_a_share_refuses_until_upstreams_are_warm() {
+    let mut harness = Harness::unready();
+    harness
+        .sim
+        .event(configured(table_with_cold(1, "key", Some(profile(1.0)))));
+    for entry in 0..40 {
+        harness
+            .sim
+            .event(report_of(&format!("entry-{entry}"), 1, 1));
+    }
+    harness.sim.advance(JOIN_DELAY);
+    harness.list(cold("desk-0", "booking", COLD));
+    let (key, effects) = harness.call("/look/1", 3_000);
+    let refusal = refused(&effects, key).expect("a refusal");
+    assert_eq!(refusal.kind, RefusalKind::NoRoom);
+    assert!(refusal.retry_after.is_some_and(|delay| delay >= COLD));
+    harness.sim.advance(COLD);
+    assert_eq!(send(&mut harness, 1).len(), 1);
+}
+
 /// Returns the largest number of calls at an upstream within a second, from a time on.
 fn most_in_a_second(fleet: &Fleet, name: &str, from: Instant) -> f64 {
     let most = fleet.most_arrivals(name, Duration::from_secs(1), from);
