--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -11,7 +11,8 @@
     /// pass on), `retry`, `refuse`, `end`, or a change of state: `configure`,
     /// `behind` (another entry has a higher version of the configuration), `upstream`,
     /// `group`, `part` (a prompt part has become harmful), `request` (a request has
-    /// become harmful), `ready`, `stop`.
+    /// become harmful), `room` (room begins or ends to be kept for more urgent calls),
+    /// `ready`, `stop`.
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -44,6 +44,11 @@
         self.running < self.bound
     }
 
+    /// Returns whether the bound comes from the pauses of the group's streams.
+    pub(crate) fn is_bounded(&self) -> bool {
+        self.bound != u32::MAX && !self.circuit_open
+    }
+
     /// Compares by the used share of the bound.
     pub(crate) fn cmp_utilization(&self, other: &Self) -> std::cmp::Ordering {
         let cross_product = |a: &Self, b: &Self| u64::from(a.running) * u64::from(b.bound);
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 //! | which ranks are slow, and until when that counts | `slow_ranks` |
 //! | which streams move off slow ranks | `reducer` (`calls/moving`) |
 //! | how the operator's priorities order calls | `urgency` |
+//! | which part of a bound is kept for more urgent calls | [`urgency_room`] |
 //! | in which order waiting calls start | [`waiting`] |
 //! | until when a waiting call can be in time | `first_byte_latency` |
 //! | whether a model group takes calls at all | [`circuit_breaker`] |
@@ -54,6 +55,7 @@
 pub mod start_limits;
 mod upstream;
 mod urgency;
+pub mod urgency_room;
 pub mod waiting;
 
 pub use admission::StreamLimits;
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -181,6 +181,7 @@
             let limits = table.stream_limits(&profile.name);
             let service = self.service(&profile.name);
             service.configure(profile, limits);
+            service.set_has_urgencies(table.has_urgencies(&profile.name));
         }
         fx.push(DispatchEffect::Log(Box::new(DecisionLine {
             verb: "configure",
@@ -414,6 +415,7 @@
             self.hand_out_starts(now);
             self.move_streams_off_slow_ranks(now, fx);
             self.check_waiting_calls(now, fx);
+            self.log_kept_room(now, fx);
         }
         self.continue_stop(now, fx);
         self.report_readiness(fx);
--- a/crates/egretstage_dispatch/src/reducer/calls.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls.rs
@@ -175,7 +175,11 @@
         };
         let call = self.new_call(now, key, head, content, admission);
         let service = call.service.clone();
-        self.service(&service).arrivals.record(now);
+        let state = self.service(&service);
+        state.arrivals.record(now);
+        if let Some(room) = &mut state.room {
+            room.record_arrival(now, call.urgency);
+        }
         let refusal_kind = self.early_refusal(now, &call);
         self.expiries.insert((call.expires, key));
         self.calls.insert(key, call);
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -1,6 +1,6 @@
 //! Placement of waiting calls at upstreams.
 
-use super::{Phase, millis};
+use super::{Call, Phase, millis};
 use crate::groups::GroupLoad;
 use crate::reducer::Dispatcher;
 use crate::waiting::QueueClass;
@@ -52,11 +52,21 @@
     ) {
         let state = self.service(service);
         state.waiting.demote_overdue(now, &state.first_byte_latency);
-        while let Some(key) = self.service(service).waiting.first() {
-            let Some(upstream) = self.choose_upstream(now, service, key) else {
+        while let Some(key) = self.service(service).next_to_start(now) {
+            let upstream = self.choose_upstream(now, service, key);
+            let urgency = self.calls.get(&key).map(|call| call.urgency);
+            let state = self.service(service);
+            let Some(upstream) = upstream else {
+                if let Some(room) = &mut state.room
+                    && let Some((most_urgent, _)) = state.waiting.first_of_each_urgency().next()
+                {
+                    room.record_wait(now, most_urgent);
+                }
                 return;
             };
-            let state = self.service(service);
+            if let Some((room, urgency)) = state.room.as_mut().zip(urgency) {
+                room.record_start(now, urgency);
+            }
             state.waiting.remove(key);
             state.start_rate.record_start(now);
             self.send(now, key, upstream, fx);
@@ -79,6 +89,38 @@
         loads
     }
 
+    /// Leaves room in groups for calls that are more urgent than one of a service.
+    fn keep_room(&self, now: Instant, call: &Call, loads: &mut [GroupLoad]) {
+        let state = self.services.get(&call.service);
+        let Some(room) = state.and_then(|state| state.room.as_ref()) else {
+            return;
+        };
+        if room.is_owed_start(now, call.urgency) {
+            return;
+        }
+        let share = room.share(now, call.urgency);
+        let bounded = loads.iter_mut().filter(|load| load.is_bounded());
+        for load in bounded {
+            load.bound = part_of(load.bound, share);
+        }
+    }
+
+    /// Logs when room begins or ends to be kept for more urgent calls.
+    pub(in crate::reducer) fn log_kept_room(&mut self, now: Instant, fx: &mut Vec<DispatchEffect>) {
+        for (name, state) in &mut self.services {
+            let is_kept = state.room.as_ref().is_some_and(|room| room.is_kept(now));
+            if std::mem::replace(&mut state.was_room_kept, is_kept) != is_kept {
+                fx.push(DispatchEffect::Log(Box::new(DecisionLine {
+                    verb: "room",
+                    service: Some(name.clone()),
+                    reason: Some(if is_kept { "kept" } else { "open" }),
+                    waiting: Some(state.waiting.len()),
+                    ..DecisionLine::default()
+                })));
+            }
+        }
+    }
+
     /// Returns the number of calls that a service runs and that it may run, over
     /// all entries.
     pub(super) fn running_and_bound(&self, now: Instant, service: &ServiceName) -> (u32, u32) {
@@ -101,6 +143,9 @@
         let mut loads = self.group_loads(now, service);
         // A stream that moves within a group that is full has freed its place there.
         let is_resumed = call.is_resumed();
+        if !is_resumed {
+            self.keep_room(now, call, &mut loads);
+        }
         loads.retain(|load| load.has_capacity() || (is_resumed && load.bound > 0));
         loads.sort_by(GroupLoad::cmp_utilization);
         let max_queue = if call.route.kind.is_stream() {
@@ -201,3 +246,14 @@
         fx.push(DispatchEffect::Send { call: key, attempt });
     }
 }
+
+/// Returns a part of a bound, rounded down.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "bounds are small, and the conversion saturates"
+)]
+fn part_of(bound: u32, share: f32) -> u32 {
+    (bound as f32 * share) as u32
+}
--- a/crates/egretstage_dispatch/src/reducer/service.rs
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -4,8 +4,9 @@
 use crate::admission::StreamLimits;
 use crate::groups::Groups;
 use crate::retry_slots::{RetrySlotLimits, RetrySlots};
+use crate::urgency_room::UrgencyRoom;
 use crate::waiting::{StartRate, WaitingCalls};
-use crate::{FirstByteLatency, ServiceProfile};
+use crate::{CallKey, FirstByteLatency, ServiceProfile};
 use egretstage_routing::{RetryBudget, RetryLimits};
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,10 @@
     pub(super) retry_budget: RetryBudget,
     /// Its model groups, each with a bound on its streams.
     pub(super) groups: Groups,
+    /// The room that is kept for more urgent calls, if its routes differ in priority.
+    pub(super) room: Option<UrgencyRoom>,
+    /// Whether room was kept at the last check.
+    pub(super) was_room_kept: bool,
 }
 
 impl ServiceState {
@@ -82,6 +87,8 @@
                 burst: limits.retry_burst,
             }),
             groups: Groups::default(),
+            room: None,
+            was_room_kept: false,
         }
     }
 
@@ -90,4 +97,24 @@
         let limits = limits.unwrap_or(DEFAULT_STREAM_LIMITS);
         self.groups.configure(profile.engine, limits);
     }
+
+    /// Keeps room for more urgent calls, or none if the routes don't differ in priority.
+    pub(super) fn set_has_urgencies(&mut self, has_urgencies: bool) {
+        if has_urgencies {
+            self.room.get_or_insert_default();
+        } else {
+            self.room = None;
+        }
+    }
+
+    /// Returns the waiting call that starts next: the first one of an urgency that is owed
+    /// a start, or else the most urgent one.
+    pub(super) fn next_to_start(&self, now: Instant) -> Option<CallKey> {
+        let Some(room) = &self.room else {
+            return self.waiting.first();
+        };
+        let mut firsts = self.waiting.first_of_each_urgency();
+        let owed = firsts.find(|(urgency, _)| room.is_owed_start(now, *urgency));
+        owed.map_or_else(|| self.waiting.first(), |(_, call)| Some(call))
+    }
 }
--- a/crates/egretstage_dispatch/src/routes.rs
+++ b/crates/egretstage_dispatch/src/routes.rs
@@ -373,6 +373,17 @@
         self.services.values()
     }
 
+    /// Returns whether the routes that lead streams to a service differ in priority.
+    #[must_use]
+    pub fn has_urgencies(&self, service: &ServiceName) -> bool {
+        let routes = self.by_host.values().flatten();
+        let to_service = routes.filter(|r| r.services.iter().any(|s| s.service == *service));
+        let streams = to_service.filter(|route| route.kind.is_stream());
+        let mut priorities = streams.map(|route| route.priority);
+        let first = priorities.next();
+        priorities.any(|priority| Some(priority) != first)
+    }
+
     /// Returns the strictest limits that routes set on a service's streams, if a route
     /// leads streams to it.
     #[must_use]
--- a/crates/egretstage_dispatch/src/waiting.rs
+++ b/crates/egretstage_dispatch/src/waiting.rs
@@ -155,6 +155,15 @@
         self.queue.keys().next().map(|position| position.call)
     }
 
+    /// Returns the call of each urgency that starts next, the most urgent first.
+    pub fn first_of_each_urgency(&self) -> impl Iterator<Item = (Urgency, CallKey)> + '_ {
+        let mut last = None;
+        self.queue.keys().filter_map(move |position| {
+            let is_first = last.replace(position.urgency) != Some(position.urgency);
+            is_first.then_some((position.urgency, position.call))
+        })
+    }
+
     /// Returns the number of waiting calls.
     #[must_use]
     pub fn len(&self) -> usize {
