--- a/crates/egretstage_dispatch/src/urgency_room.rs
+++ b/crates/egretstage_dispatch/src/urgency_room.rs
@@ -25,7 +25,7 @@
 
 /// Part of the bound that is kept free if all arrivals are more urgent: bursts add half to
 /// two thirds to the arrivals of an urgency.
-const LIKELY_BURST: f32 = 0.5;
+const LIKELY_BURST: f32 = 0.7;
 
 /// Minimum share of the arrivals of an urgency that are started.
 const MIN_STARTED_SHARE: f32 = 0.3;
