--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -17,3 +17,4 @@
 mod under_load;
 mod upstream_signals;
 mod urgency;
+mod urgency_bursts;
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -18,6 +18,16 @@
 /// Maximum number of attempts of a call that may be repeated.
 pub(crate) const MAX_ATTEMPTS: u32 = 2;
 
+/// Engine of the service "drafting".
+pub(crate) const ENGINE: EngineProfile = EngineProfile {
+    slots: 12,
+    step_ms: 4.5,
+    stream_step_ms: 0.15,
+    steps_per_event: 4,
+    read_per_s: 60_000.0,
+    experts: None,
+};
+
 pub(crate) struct Harness {
     pub(crate) sim: VirtualLoop<Dispatcher>,
     next_call: u64,
@@ -60,7 +70,7 @@
         route("look", RouteKind::Idempotent, "booking", 1_500),
     ];
     let organisations = vec![organisation("carrier", None, api_key)];
-    table_with(version, routes, organisations)
+    table_with(version, routes, organisations, ENGINE)
 }
 
 pub(crate) fn organisation(name: &str, priority: Option<u8>, api_key: &str) -> Organisation {
@@ -76,19 +86,13 @@
     version: u64,
     routes: Vec<Route>,
     organisations: Vec<Organisation>,
+    engine: EngineProfile,
 ) -> Arc<RoutingTable> {
     let services = vec![
         ServiceProfile {
             name: "drafting".try_into().expect("valid name"),
             max_connections: 100,
-            engine: Some(EngineProfile {
-                slots: 12,
-                step_ms: 4.5,
-                stream_step_ms: 0.15,
-                steps_per_event: 4,
-                read_per_s: 60_000.0,
-                experts: None,
-            }),
+            engine: Some(engine),
         },
         ServiceProfile {
             name: "booking".try_into().expect("valid name"),
