--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -12,8 +12,9 @@
     /// pass on), `retry`, `refuse`, `end`, or a change of state: `configure`,
     /// `behind` (another entry has a higher version of the configuration), `upstream`,
     /// `group`, `part` (a prompt part has become harmful), `request` (a request has
-    /// become harmful), `zone` (a zone is evacuated or taken back), `ready`, `stop`; or `wait`
-    /// (a new call waits although an upstream has a free slot).
+    /// become harmful), `zone` (a zone is evacuated or taken back), `room` (room begins or ends
+    /// to be kept for more urgent calls), `ready`, `stop`; or `wait` (a new call waits although
+    /// an upstream has a free slot).
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -185,6 +185,7 @@
             let limits = table.stream_limits(&profile.name);
             let service = self.service(&profile.name);
             service.configure(profile, limits);
+            service.set_has_urgencies(table.has_urgencies(&profile.name));
             self.cold_starts.configure(&profile.name, profile.cold);
         }
         fx.push(DispatchEffect::Log(Box::new(DecisionLine {
@@ -428,6 +429,7 @@
             self.log_cold_changes(now, fx);
             self.move_streams_off_slow_ranks(now, fx);
             self.check_waiting_calls(now, fx);
+            self.log_kept_room(now, fx);
         }
         self.continue_stop(now, fx);
         self.report_readiness(fx);
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -19,3 +19,4 @@
 mod under_load;
 mod upstream_signals;
 mod urgency;
+mod urgency_bursts;
