Bound what callers make an entry hold

Cause: each request could hold a whole body up to the limit of one, as slices of larger read buffers, and nothing bounded all of them together, nor the number of connections. Callers outside the limits ended a process that way.

A full account gives up the unfinished bodies without progress first; small bodies have room that large ones don't get; a body that is whole is never given up. A body is copied into one buffer that grows by a factor up to the announced size. An announced length over the limit is refused with 413 at once, and the connection is closed without reading on. A body is waited for 10 s, and longer only while it comes at 64 KiB/s or more. Gauges, a counter by reason and one log line in 10 s.

--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends a call to an upstream once.
 
+use crate::caller_bounds::HeldBody;
 use crate::dialect::{AnswerHead, ForwardHead, HttpDialect, NamedLimit};
 use crate::exchange::Gateway;
 use crate::upstream_pool::{Connection, UpstreamPool};
@@ -37,6 +38,8 @@
     pub(crate) request: RequestId,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// Kept until the body isn't needed any more.
+    pub(crate) _room: HeldBody,
 }
 
 /// An upstream's answer whose head has been read.
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -1,12 +1,14 @@
 //! Runs an entry as a process.
 
 use crate::announcement::Announcement;
+use crate::caller_account::CallerLimits;
+use crate::caller_bounds::CallerBounds;
 use crate::configuration_fetch::ConfigurationFetcher;
 use crate::dialect::Platform;
 use crate::driver::{Driver, EffectTargets, LoggedDecision};
 use crate::exchange::Gateway;
 use crate::feeds::Feed;
-use crate::metrics::GatewayMetrics;
+use crate::metrics::{CallerMetrics, GatewayMetrics};
 use crate::peers::{self, PeerDirectory};
 use crate::record_relay::{self, RecordCache};
 use crate::settings::GatewaySettings;
@@ -92,7 +94,10 @@
         },
     );
     let pool = Rc::new(UpstreamPool::default());
+    let machine = settings.limits;
+    let limits = CallerLimits::for_machine(machine.memory_bytes(), machine.descriptors());
     let gateway = Rc::new(Gateway {
+        bounds: CallerBounds::new(limits, CallerMetrics::new(&metrics)),
         driver: Rc::clone(&driver),
         pool: Rc::clone(&pool),
         dialect: Rc::from(platform.dialect),
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -1,9 +1,10 @@
 //! Handles one request of a caller, from its head to its answer.
 
-use crate::answers::{AnswerBody, full_body, own_answer, refusal_answer};
+use crate::answers::{AnswerBody, closing_answer, full_body, own_answer, refusal_answer};
 use crate::attempt::strip_connection_headers;
 use crate::attempt::{BufferedRequest, CompleteAnswer, OpenAnswer, SendOutcome};
 use crate::attempt::{lost_connection_cause, read_to_end, send};
+use crate::caller_bounds::{CallerBounds, GrowingBody, HeldBody, TurnedAway};
 use crate::dialect::HttpDialect;
 use crate::driver::{Command, Driver};
 use crate::relay;
@@ -11,27 +12,24 @@
 use egretstage_dispatch::{
     Attempt, AttemptEnd, CallHead, CallKey, DispatchEvent, RequestHash, RoutingTable,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Bytes, Incoming};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
 /// Largest body in bytes until a configuration sets the limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
 
-/// Longest wait for the whole body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// State that all requests share.
 pub(crate) struct Gateway {
     pub(crate) driver: Rc<Driver>,
     pub(crate) pool: Rc<UpstreamPool>,
+    pub(crate) bounds: Rc<CallerBounds>,
     pub(crate) dialect: Rc<dyn HttpDialect>,
     pub(crate) table: watch::Receiver<Option<Arc<RoutingTable>>>,
     pub(crate) closing: watch::Receiver<bool>,
@@ -87,7 +85,11 @@
 
 impl Gateway {
     /// Answers a request.
-    pub(crate) async fn serve(self: Rc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+    pub(crate) async fn serve(
+        self: Rc<Self>,
+        req: Request<Incoming>,
+        growing: GrowingBody,
+    ) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
         let call_head = match self.dialect.parse_call_head(&head) {
             Ok(call_head) => call_head,
@@ -97,7 +99,7 @@
         let guard = CallGuard::new(&self.driver, call);
         self.driver
             .handle_event(DispatchEvent::HeadArrived { call });
-        let body = match self.read_body(body).await {
+        let (body, room) = match self.read_body(body, growing).await {
             Ok(body) => body,
             Err(resp) => return resp,
         };
@@ -113,11 +115,17 @@
             request,
             head,
             body,
+            _room: room,
         };
         self.run(guard, commands, req).await
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Response<AnswerBody>> {
+    /// Reads a body into one buffer, which grows up to the length that is announced.
+    async fn read_body(
+        &self,
+        mut body: Incoming,
+        mut growing: GrowingBody,
+    ) -> Result<(Bytes, HeldBody), Response<AnswerBody>> {
         let limit = self
             .table
             .borrow()
@@ -125,15 +133,47 @@
             .map_or(DEFAULT_MAX_BODY_BYTES, |table| {
                 table.limits().max_body_bytes
             });
-        let collected = Limited::new(body, limit).collect();
-        match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => {
-                Err(own_answer(413, &format!("the body is over {limit} bytes")))
+        let announced = body.size_hint().exact();
+        let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if announced.is_some_and(|length| length > limit) {
+            return Err(self.body_too_large(limit));
+        }
+        let max_bytes = announced.unwrap_or(limit);
+        loop {
+            let expires = tokio::time::Instant::from_std(growing.expires());
+            let frame = tokio::select! {
+                biased;
+                () = growing.given_up() => return Err(no_room()),
+                frame = tokio::time::timeout_at(expires, body.frame()) => frame,
+            };
+            let data = match frame {
+                Ok(None) => break,
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => data,
+                    Err(_) => continue,
+                },
+                Ok(Some(Err(e))) => {
+                    return Err(own_answer(400, &format!("the body is broken: {e}")));
+                }
+                Err(_) => {
+                    self.bounds.record(TurnedAway::BodyTooSlow);
+                    return Err(closing_answer(408, "the body did not arrive in time"));
+                }
+            };
+            if data.len() > limit - growing.len() {
+                return Err(self.body_too_large(limit));
+            }
+            if !growing.extend(&data, max_bytes) {
+                self.bounds.record(TurnedAway::NoRoomForBody);
+                return Err(no_room());
             }
-            Ok(Err(e)) => Err(own_answer(400, &format!("the body is broken: {e}"))),
-            Err(_) => Err(own_answer(408, "the body did not arrive in time")),
         }
+        growing.complete().ok_or_else(no_room)
+    }
+
+    fn body_too_large(&self, limit: usize) -> Response<AnswerBody> {
+        self.bounds.record(TurnedAway::BodyTooLarge);
+        closing_answer(413, &format!("the body is over {limit} bytes"))
     }
 
     /// Carries out the dispatcher's commands for a call.
@@ -241,6 +281,11 @@
     ])
 }
 
+/// Answers a request whose body has no room; the request hasn't run and never will.
+fn no_room() -> Response<AnswerBody> {
+    closing_answer(503, "there is no room for the body")
+}
+
 /// Result of an attempt, with the whole answer unless it is a stream.
 enum AttemptOutcome {
     Complete(Box<CompleteAnswer>),
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -13,6 +13,8 @@
 mod announcement;
 mod answers;
 mod attempt;
+mod caller_account;
+mod caller_bounds;
 mod configuration_fetch;
 pub mod daemon;
 mod dialect;
@@ -29,12 +31,15 @@
 mod upstream_pool;
 
 pub use announcement::decode_entry_address;
+pub use caller_account::{
+    BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
+};
 pub use dialect::{
     AnswerHead, CallError, DecodeError, ForwardHead, HttpDialect, NamedLimit, Platform,
     RecordDecoder,
 };
 pub use events::{EventSplitter, StreamEvent};
-pub use settings::GatewaySettings;
+pub use settings::{GatewaySettings, LimitsSettings};
 
 /// The items that most users of this crate need.
 pub mod prelude {
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -1,5 +1,7 @@
 //! The callers' HTTP server.
 
+use crate::answers::KeepingBody;
+use crate::caller_bounds::OpenConnection;
 use crate::exchange::Gateway;
 use egretstage_caller_io::{run_until_closed, watch_caller};
 use hyper::server::conn::http1::Connection;
@@ -34,11 +36,15 @@
     loop {
         match listener.accept().await {
             Ok((tcp, _)) => {
-                let (gateway, guard) = (Rc::clone(&gateway), guard.clone());
+                let Some(open) = gateway.bounds.open() else {
+                    continue;
+                };
+                let (serving, guard) = (Rc::clone(&gateway), guard.clone());
                 tokio::task::spawn_local(async move {
-                    serve_connection(tcp, gateway).await;
+                    serve_connection(tcp, serving, open).await;
                     drop(guard);
                 });
+                gateway.bounds.has_room().await;
             }
             Err(e) => {
                 log::warn!(error:display = e; "a caller's connection can't be accepted");
@@ -48,7 +54,7 @@
     }
 }
 
-async fn serve_connection(tcp: TcpStream, gateway: Rc<Gateway>) {
+async fn serve_connection(tcp: TcpStream, gateway: Rc<Gateway>, open: OpenConnection) {
     if let Err(e) = tcp.set_nodelay(true) {
         log::debug!(error:display = e; "TCP_NODELAY can't be set on a caller's connection");
     }
@@ -61,15 +67,19 @@
         )
     };
     let (stream, watch) = watch_caller(tcp);
+    let open = &open;
     let (mut closing, mut ending) = (gateway.closing.clone(), gateway.ending.clone());
     // A graceful shutdown would close a connection on which nothing has been read yet.
     let is_closing = *closing.borrow();
     let marker = watch.marker();
     let service = service_fn(move |req| {
         let (gateway, call) = (Rc::clone(&gateway), marker.begin());
+        let (kept, body) = open.begin();
         async move {
             let _call = call;
-            Ok::<_, Infallible>(gateway.serve(req).await)
+            let resp = gateway.serve(req, body).await;
+            let keep = |body| KeepingBody { body, _kept: kept };
+            Ok::<_, Infallible>(resp.map(keep))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
@@ -96,6 +106,10 @@
     };
     let end = tokio::select! {
         biased;
+        () = open.given_up() => {
+            log::debug!("a caller's connection is closed for a new one");
+            return;
+        }
         end = run => end,
         () = ended_unread => {
             log::debug!("a connection without a request is closed at the end of the stop");
--- a/crates/egretstage_gateway/src/settings.rs
+++ b/crates/egretstage_gateway/src/settings.rs
@@ -27,6 +27,50 @@
     pub freshness: FreshnessSettings,
     /// Planned stops.
     pub stop: StopSettings,
+    /// Limits of the machine.
+    #[serde(default)]
+    pub limits: LimitsSettings,
+}
+
+/// Memory in megabytes, at least one.
+type Megabytes = Bounded<1, 16_777_216>;
+
+/// Number of descriptors, at least 16.
+type Descriptors = Bounded<16, 16_777_216>;
+
+/// Bytes in a megabyte.
+const MEGABYTE_BYTES: u64 = 1_000_000;
+
+/// Memory of the machine if the settings don't state it, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 1_024;
+
+/// Number of descriptors that the process may have open if the settings don't state it.
+const DEFAULT_DESCRIPTORS: u64 = 16_384;
+
+/// Limits of the machine that the entry runs on.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LimitsSettings {
+    /// Memory that the process may use, in megabytes; 1,024 if absent.
+    pub memory_mb: Option<Megabytes>,
+    /// Number of descriptors that the process may have open; 16,384 if absent.
+    pub max_fds: Option<Descriptors>,
+}
+
+impl LimitsSettings {
+    /// Returns the memory that the process may use, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let megabytes = self.memory_mb.map_or(DEFAULT_MEMORY_MB, Bounded::get);
+        usize::try_from(megabytes * MEGABYTE_BYTES).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the number of descriptors that the process may have open.
+    #[must_use]
+    pub fn descriptors(&self) -> usize {
+        let descriptors = self.max_fds.map_or(DEFAULT_DESCRIPTORS, Bounded::get);
+        usize::try_from(descriptors).unwrap_or(usize::MAX)
+    }
 }
 
 /// Addresses at which callers and the platform's balancer reach the entry.
