--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -134,7 +134,11 @@
     spawn_local(peers::receive_reports(socket, Rc::clone(&driver), peers));
     let records_listener = bind_listener(settings.peers.listen).and_then(TcpListener::from_std);
     let records_listener = records_listener.into_diagnostic()?;
-    spawn_local(record_relay::serve(records_listener, cache));
+    spawn_local(record_relay::serve(
+        records_listener,
+        cache,
+        machine.descriptors(),
+    ));
     spawn_local(handle_events(events_rx, Rc::clone(&driver)));
     spawn_local(close_idle_connections(close_idle_rx, pool));
     let (connection_guard, mut all_closed) = channel(1);
--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -22,6 +22,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 
 /// Prefix of the paths under which records are served.
 const RECORDS_PATH: &str = "/records/";
@@ -47,6 +48,18 @@
 /// again.
 const MAX_BATCHES: usize = 2;
 
+/// Largest head of a peer's request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// Longest time for a peer's request and its answer: longer than a peer waits.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Maximum number of connections of peers. Each may hold an answer.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Part of the process's descriptors that connections of peers may take.
+const DESCRIPTOR_SHARE: usize = 8;
+
 /// Cache of the records that an entry has read.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RecordCache(Arc<Mutex<CacheState>>);
@@ -302,8 +315,11 @@
     Some(snapshot)
 }
 
-/// Serves the cached records to peers for as long as the process runs.
-pub(crate) async fn serve(listener: TcpListener, cache: RecordCache) {
+/// Serves the cached records to peers for as long as the process runs, on a limited number of
+/// connections: one beyond it is closed at once.
+pub(crate) async fn serve(listener: TcpListener, cache: RecordCache, descriptors: usize) {
+    let max_connections = MAX_CONNECTIONS.min(descriptors / DESCRIPTOR_SHARE);
+    let places = Arc::new(Semaphore::new(max_connections));
     loop {
         let tcp = match listener.accept().await {
             Ok((tcp, _)) => tcp,
@@ -313,17 +329,28 @@
                 continue;
             }
         };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            log::debug!("a peer's connection is closed for want of room");
+            continue;
+        };
         let cache = cache.clone();
         let service = service_fn(move |req| {
             let resp = answer(&req, &cache);
             async move { Ok::<_, Infallible>(resp) }
         });
         tokio::task::spawn_local(async move {
-            let connection = hyper::server::conn::http1::Builder::new();
-            let served = connection.serve_connection(TokioIo::new(tcp), service);
-            if let Err(e) = served.await {
-                log::debug!(error:display = e; "a peer's connection ended with an error");
+            let served = hyper::server::conn::http1::Builder::new()
+                .max_buf_size(MAX_HEAD_BYTES)
+                .keep_alive(false)
+                .serve_connection(TokioIo::new(tcp), service);
+            match tokio::time::timeout(CONNECTION_TIMEOUT, served).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) => {
+                    log::debug!(error:display = e; "a peer's connection ended with an error");
+                }
+                Err(_) => log::debug!("a peer's connection is closed after its time"),
             }
+            drop(place);
         });
     }
 }
--- a/crates/egretstage_gateway/tests/caller_account.rs
+++ b/crates/egretstage_gateway/tests/caller_account.rs
@@ -90,10 +90,14 @@
 #[test]
 fn room_is_kept_for_small_bodies() {
     let (mut account, now) = (account(), Instant::now());
-    for _ in 0..3 {
-        begin(&mut account, now, LARGE);
+    for _ in 0..4 {
+        let connection = open(&mut account, now);
+        let body = account.begin(now, connection);
+        // The last one is refused and stays without room.
+        account.grow(now, body, LARGE);
+        account.complete(body, 0);
     }
-    for _ in 3..CONNECTIONS {
+    for _ in 4..CONNECTIONS {
         begin(&mut account, now, SMALL);
     }
 }
