Move the bounds on callers to the crate of callers' connections

Cause: the product's own entry bounds each body and its connections, but not all bodies together; it needs the same account.

Change: the account, its tasks and the reading of bodies move from egretstage_gateway to egretstage_caller_io, with their tests; shared state is behind a mutex instead of a cell, as the other entry has several threads. Behaviour stays.

--- a/crates/egretstage_caller_io/src/lib.rs
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -9,6 +9,19 @@
 //! Load pattern: callers send requests one after the other without waiting, and
 //! leave while the first one waits or runs.
 
+mod account;
+mod body;
+mod bounds;
+
+pub use account::{
+    BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
+};
+pub use body::{UnreadBody, read_body};
+pub use bounds::{
+    CallOnConnection, CallerBounds, GrowingBody, HeldBody, KeepingBody, OpenConnection, TurnedAway,
+    TurnedAwayCounter,
+};
+
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
--- a/crates/egretstage_gateway/tests/caller_account.rs
+++ b/crates/egretstage_caller_io/tests/account.rs
@@ -1,6 +1,6 @@
 //! Tests of the decisions on which callers an entry turns away, in virtual time.
 
-use egretstage_gateway::{
+use egretstage_caller_io::{
     BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
 };
 use std::time::{Duration, Instant};
--- a/crates/egretstage_gateway/src/answers.rs
+++ b/crates/egretstage_gateway/src/answers.rs
@@ -4,7 +4,7 @@
 use egretstage_dispatch::Refusal;
 use egretstage_wire::RequestId;
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use hyper::body::{Body, Bytes, Frame, SizeHint};
+use hyper::body::{Body, Bytes, Frame};
 use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use std::pin::Pin;
@@ -62,32 +62,6 @@
     resp
 }
 
-/// A body that keeps a value until it has ended.
-pub(crate) struct KeepingBody<T> {
-    pub(crate) body: AnswerBody,
-    pub(crate) _kept: T,
-}
-
-impl<T: Unpin> Body for KeepingBody<T> {
-    type Data = Bytes;
-    type Error = AnswerAborted;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerAborted>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Returns the answer to a refused call; `close` asks the caller to close the
 /// connection.
 pub(crate) fn refusal_answer(
--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -1,10 +1,10 @@
 //! Sends a call to an upstream once.
 
-use crate::caller_bounds::HeldBody;
 use crate::dialect::{AnswerHead, ForwardHead, HttpDialect, NamedLimit};
 use crate::exchange::Gateway;
 use crate::upstream_pool::{Connection, UpstreamPool};
 use compact_str::CompactString;
+use egretstage_caller_io::HeldBody;
 use egretstage_dispatch::{
     Attempt, AttemptEnd, DispatchEvent, NotRunCause, UnknownCause, UpstreamSignal,
 };
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -1,19 +1,18 @@
 //! Runs an entry as a process.
 
 use crate::announcement::Announcement;
-use crate::caller_account::CallerLimits;
-use crate::caller_bounds::CallerBounds;
 use crate::configuration_fetch::ConfigurationFetcher;
 use crate::dialect::Platform;
 use crate::driver::{Driver, EffectTargets, LoggedDecision};
 use crate::exchange::Gateway;
 use crate::feeds::Feed;
-use crate::metrics::{CallerMetrics, GatewayMetrics};
+use crate::metrics::{CallerMetrics, GatewayMetrics, turned_away_counter};
 use crate::peers::{self, PeerDirectory};
 use crate::record_relay::{self, RecordCache};
 use crate::settings::GatewaySettings;
 use crate::upstream_pool::UpstreamPool;
 use crate::{RecordDecoder, server};
+use egretstage_caller_io::{CallerBounds, CallerLimits};
 use egretstage_dispatch::{DispatchEvent, DispatchLimits, Dispatcher};
 use egretstage_observe::{AdminServer, DecisionLog, Health, Metrics};
 use egretstage_platform::KeyedStore;
@@ -96,8 +95,10 @@
     let pool = Rc::new(UpstreamPool::default());
     let machine = settings.limits;
     let limits = CallerLimits::for_machine(machine.memory_bytes(), machine.descriptors());
+    let bounds = CallerBounds::new(limits, turned_away_counter(&metrics));
+    let _caller_metrics = CallerMetrics::new(&metrics, &bounds);
     let gateway = Rc::new(Gateway {
-        bounds: CallerBounds::new(limits, CallerMetrics::new(&metrics)),
+        bounds: Arc::clone(&bounds),
         driver: Rc::clone(&driver),
         pool: Rc::clone(&pool),
         dialect: Rc::from(platform.dialect),
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -4,16 +4,15 @@
 use crate::attempt::strip_connection_headers;
 use crate::attempt::{BufferedRequest, CompleteAnswer, OpenAnswer, SendOutcome};
 use crate::attempt::{lost_connection_cause, read_to_end, send};
-use crate::caller_bounds::{CallerBounds, GrowingBody, HeldBody, TurnedAway};
 use crate::dialect::HttpDialect;
 use crate::driver::{Command, Driver};
 use crate::relay;
 use crate::upstream_pool::UpstreamPool;
+use egretstage_caller_io::{CallerBounds, GrowingBody, HeldBody, UnreadBody, read_body};
 use egretstage_dispatch::{
     Attempt, AttemptEnd, CallHead, CallKey, DispatchEvent, RequestHash, RoutingTable,
 };
-use http_body_util::BodyExt;
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Bytes, Incoming};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
@@ -29,7 +28,7 @@
 pub(crate) struct Gateway {
     pub(crate) driver: Rc<Driver>,
     pub(crate) pool: Rc<UpstreamPool>,
-    pub(crate) bounds: Rc<CallerBounds>,
+    pub(crate) bounds: Arc<CallerBounds>,
     pub(crate) dialect: Rc<dyn HttpDialect>,
     pub(crate) table: watch::Receiver<Option<Arc<RoutingTable>>>,
     pub(crate) closing: watch::Receiver<bool>,
@@ -120,11 +119,10 @@
         self.run(guard, commands, req).await
     }
 
-    /// Reads a body into one buffer, which grows up to the length that is announced.
     async fn read_body(
         &self,
-        mut body: Incoming,
-        mut growing: GrowingBody,
+        body: Incoming,
+        growing: GrowingBody,
     ) -> Result<(Bytes, HeldBody), Response<AnswerBody>> {
         let limit = self
             .table
@@ -133,47 +131,18 @@
             .map_or(DEFAULT_MAX_BODY_BYTES, |table| {
                 table.limits().max_body_bytes
             });
-        let announced = body.size_hint().exact();
-        let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
-        if announced.is_some_and(|length| length > limit) {
-            return Err(self.body_too_large(limit));
-        }
-        let max_bytes = announced.unwrap_or(limit);
-        loop {
-            let expires = tokio::time::Instant::from_std(growing.expires());
-            let frame = tokio::select! {
-                biased;
-                () = growing.given_up() => return Err(no_room()),
-                frame = tokio::time::timeout_at(expires, body.frame()) => frame,
-            };
-            let data = match frame {
-                Ok(None) => break,
-                Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => data,
-                    Err(_) => continue,
-                },
-                Ok(Some(Err(e))) => {
-                    return Err(own_answer(400, &format!("the body is broken: {e}")));
-                }
-                Err(_) => {
-                    self.bounds.record(TurnedAway::BodyTooSlow);
-                    return Err(closing_answer(408, "the body did not arrive in time"));
-                }
-            };
-            if data.len() > limit - growing.len() {
-                return Err(self.body_too_large(limit));
-            }
-            if !growing.extend(&data, max_bytes) {
-                self.bounds.record(TurnedAway::NoRoomForBody);
-                return Err(no_room());
+        match read_body(body, growing, limit, &self.bounds).await {
+            Ok((body, room)) => Ok((Bytes::from(body), room)),
+            Err(e) => {
+                let status = match e {
+                    UnreadBody::TooLarge { .. } => 413,
+                    UnreadBody::TooSlow => 408,
+                    UnreadBody::NoRoom => 503,
+                    UnreadBody::Broken(_) => 400,
+                };
+                Err(closing_answer(status, &e.to_string()))
             }
         }
-        growing.complete().ok_or_else(no_room)
-    }
-
-    fn body_too_large(&self, limit: usize) -> Response<AnswerBody> {
-        self.bounds.record(TurnedAway::BodyTooLarge);
-        closing_answer(413, &format!("the body is over {limit} bytes"))
     }
 
     /// Carries out the dispatcher's commands for a call.
@@ -281,11 +250,6 @@
     ])
 }
 
-/// Answers a request whose body has no room; the request hasn't run and never will.
-fn no_room() -> Response<AnswerBody> {
-    closing_answer(503, "there is no room for the body")
-}
-
 /// Result of an attempt, with the whole answer unless it is a stream.
 enum AttemptOutcome {
     Complete(Box<CompleteAnswer>),
--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -13,8 +13,6 @@
 mod announcement;
 mod answers;
 mod attempt;
-mod caller_account;
-mod caller_bounds;
 mod configuration_fetch;
 pub mod daemon;
 mod dialect;
@@ -31,9 +29,6 @@
 mod upstream_pool;
 
 pub use announcement::decode_entry_address;
-pub use caller_account::{
-    BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
-};
 pub use dialect::{
     AnswerHead, CallError, DecodeError, ForwardHead, HttpDialect, NamedLimit, Platform,
     RecordDecoder,
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -1,14 +1,13 @@
 //! The entry's metrics, recorded when its effects are carried out.
 
-use crate::caller_bounds::TurnedAway;
 use crate::record_relay::RecordCache;
+use egretstage_caller_io::{CallerBounds, TurnedAwayCounter};
 use egretstage_dispatch::{DispatchEffect, Refusal};
 use egretstage_observe::Metrics;
 use egretstage_platform::KeyedTopic;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, ObservableGauge};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// Counts an entry's decisions and records the age of calls at their end.
 #[derive(Debug)]
@@ -103,71 +102,49 @@
     }
 }
 
-/// What callers make the entry hold at present.
-#[derive(Debug, Default)]
-pub(crate) struct CallerGauges {
-    connections: AtomicUsize,
-    body_bytes: AtomicUsize,
-}
-
-impl CallerGauges {
-    pub(crate) fn set(&self, connections: usize, body_bytes: usize) {
-        self.connections.store(connections, Ordering::Relaxed);
-        self.body_bytes.store(body_bytes, Ordering::Relaxed);
-    }
-}
-
 /// Metrics of the bounds on what callers make the entry hold.
 #[derive(Debug)]
 pub(crate) struct CallerMetrics {
-    turned_away: Counter<u64>,
-    gauges: Arc<CallerGauges>,
     /// Kept because their callbacks end with them.
     _observed: [ObservableGauge<u64>; 2],
 }
 
 impl CallerMetrics {
-    pub(crate) fn new(metrics: &Metrics) -> Self {
-        let gauges = Arc::new(CallerGauges::default());
+    pub(crate) fn new(metrics: &Metrics, bounds: &Arc<CallerBounds>) -> Self {
         let meter = metrics.meter();
-        let observe = |name, description, read: fn(&CallerGauges) -> &AtomicUsize| {
-            let gauges = Arc::clone(&gauges);
+        let observe = |name, description, read: fn((usize, usize)) -> usize| {
+            let bounds = Arc::clone(bounds);
             let gauge = meter.u64_observable_gauge(name);
             let gauge = gauge.with_description(description);
             let gauge = gauge.with_callback(move |observer| {
-                let value = read(&gauges).load(Ordering::Relaxed);
-                observer.observe(value as u64, &[]);
+                observer.observe(read(bounds.held()) as u64, &[]);
             });
             gauge.build()
         };
-        let observed = [
-            observe(
-                "egret_caller_connections",
-                "Open connections of callers",
-                |gauges| &gauges.connections,
-            ),
-            observe(
-                "egret_caller_body_bytes",
-                "Room that the bodies of callers' requests take",
-                |gauges| &gauges.body_bytes,
-            ),
-        ];
-        let turned_away = meter.u64_counter("egret_callers_turned_away");
-        let turned_away = turned_away.with_description("Callers turned away, by reason");
+        let connections = observe(
+            "egret_caller_connections",
+            "Open connections of callers",
+            |(connections, _)| connections,
+        );
+        let body_bytes = observe(
+            "egret_caller_body_bytes",
+            "Room that the bodies of callers' requests take",
+            |(_, body_bytes)| body_bytes,
+        );
         Self {
-            turned_away: turned_away.build(),
-            gauges,
-            _observed: observed,
+            _observed: [connections, body_bytes],
         }
     }
+}
 
-    pub(crate) fn gauges(&self) -> Arc<CallerGauges> {
-        Arc::clone(&self.gauges)
-    }
-
-    /// Counts a caller that is turned away.
-    pub(crate) fn count(&self, why: TurnedAway) {
+/// Returns what counts callers that are turned away.
+pub(crate) fn turned_away_counter(metrics: &Metrics) -> TurnedAwayCounter {
+    let meter = metrics.meter();
+    let counter = meter.u64_counter("egret_callers_turned_away");
+    let counter = counter.with_description("Callers turned away, by reason");
+    let counter = counter.build();
+    Box::new(move |why| {
         let reason: &'static str = why.into();
-        self.turned_away.add(1, &[KeyValue::new("reason", reason)]);
-    }
+        counter.add(1, &[KeyValue::new("reason", reason)]);
+    })
 }
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -1,9 +1,7 @@
 //! The callers' HTTP server.
 
-use crate::answers::KeepingBody;
-use crate::caller_bounds::OpenConnection;
 use crate::exchange::Gateway;
-use egretstage_caller_io::{run_until_closed, watch_caller};
+use egretstage_caller_io::{KeepingBody, OpenConnection, run_until_closed, watch_caller};
 use hyper::server::conn::http1::Connection;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -78,8 +76,7 @@
         async move {
             let _call = call;
             let resp = gateway.serve(req, body).await;
-            let keep = |body| KeepingBody { body, _kept: kept };
-            Ok::<_, Infallible>(resp.map(keep))
+            Ok::<_, Infallible>(resp.map(|body| KeepingBody::new(body, kept)))
         }
     });
     let connection = hyper::server::conn::http1::Builder::new()
