--- a/crates/egretstage_standins/src/lib.rs
+++ b/crates/egretstage_standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod append_log;
 pub mod balance_run;
 pub mod caller;
+pub mod crowd;
 pub mod engine;
 pub mod engine_cache;
 pub mod expert_demand;
@@ -16,6 +17,7 @@
 pub mod placement;
 pub mod plain_service;
 pub mod ports;
+pub mod process_watch;
 pub mod program;
 pub mod queueing;
 pub mod rank_engine;
--- a/platform/tests/hostile_callers/process.rs
+++ b/crates/egretstage_standins/src/process_watch.rs
@@ -19,18 +19,26 @@
 const SPARE_DESCRIPTORS: usize = 20;
 
 /// Reads the state of a process.
-pub(crate) struct ProcessWatch {
+#[derive(Debug)]
+pub struct ProcessWatch {
     directory: PathBuf,
 }
 
 impl ProcessWatch {
-    pub(crate) fn new(id: u32) -> Self {
+    /// Watches the process with an id.
+    #[must_use]
+    pub fn new(id: u32) -> Self {
         let directory = PathBuf::from(format!("/proc/{id}"));
         Self { directory }
     }
 
     /// Returns the largest memory that the process has had, 0 if it has ended.
-    pub(crate) fn peak_memory_bytes(&self) -> usize {
+    ///
+    /// # Panics
+    ///
+    /// Panics when the kernel's text has another form.
+    #[must_use]
+    pub fn peak_memory_bytes(&self) -> usize {
         let status = fs::read_to_string(self.directory.join("status")).unwrap_or_default();
         let mut lines = status.lines();
         let line = lines.find_map(|line| line.strip_prefix("VmHWM:"));
@@ -39,12 +47,13 @@
     }
 
     /// Returns the number of open descriptors, 0 if the process has ended.
-    pub(crate) fn descriptors(&self) -> usize {
+    #[must_use]
+    pub fn descriptors(&self) -> usize {
         fs::read_dir(self.directory.join("fd")).map_or(0, Iterator::count)
     }
 
     /// Returns the largest number of open descriptors seen until an end.
-    pub(crate) fn peak_descriptors_until(&self, end: &AtomicBool) -> usize {
+    pub fn peak_descriptors_until(&self, end: &AtomicBool) -> usize {
         let mut peak = 0;
         while !end.load(Ordering::Relaxed) {
             peak = peak.max(self.descriptors());
@@ -63,7 +72,7 @@
     }
 
     /// Waits until the process has nothing left to do, at most [`CALM_TIMEOUT`].
-    pub(crate) fn await_idle(&self) {
+    pub fn await_idle(&self) {
         let start = Instant::now();
         let mut ticks = self.processor_ticks();
         while start.elapsed() < CALM_TIMEOUT {
@@ -78,7 +87,7 @@
     }
 
     /// Waits until the process has closed the connections of a crowd.
-    pub(crate) fn await_descriptors(&self, calm: usize) {
+    pub fn await_descriptors(&self, calm: usize) {
         let start = Instant::now();
         while self.descriptors() > calm + SPARE_DESCRIPTORS && start.elapsed() < CALM_TIMEOUT {
             std::thread::sleep(IDLE_TIME);
