Bound what callers make the product's own entry hold

Change: egret-entry uses the same account for connections and bodies (new optional setting callers.max_all_bodies_bytes, 512 MiB if absent). It still discards up to 16 MiB of a body over the limit, while that connection may be given up. A planned stop waits as long as a body may now take.

The tests of path, egretstage_config, egretstage_entry and egretstage_caller_io pass.

--- a/crates/egretstage_caller_io/src/account.rs
+++ b/crates/egretstage_caller_io/src/account.rs
@@ -37,6 +37,17 @@
 /// upstreams, peers, the store and files.
 const DESCRIPTOR_SHARE: usize = 2;
 
+/// Returns the longest time for which a body of a size is waited for.
+#[must_use]
+pub fn longest_body_time(bytes: usize) -> Duration {
+    BODY_PATIENCE + time_earned_by(bytes)
+}
+
+/// Returns the time by which bytes that arrive move on the end of a body's patience.
+fn time_earned_by(bytes: usize) -> Duration {
+    Duration::from_nanos((bytes as u64).saturating_mul(1_000_000_000) / MIN_BODY_RATE)
+}
+
 /// Bounds of what callers make an entry hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -263,8 +274,7 @@
     /// on.
     pub fn receive(&mut self, now: Instant, body: BodyKey, bytes: usize) {
         if let Some(body) = self.bodies.get_mut(&body) {
-            let nanos = bytes as u64 * 1_000_000_000 / MIN_BODY_RATE;
-            let earned = body.expires + Duration::from_nanos(nanos);
+            let earned = body.expires + time_earned_by(bytes);
             body.expires = earned.min(now + BODY_PATIENCE);
         }
     }
--- a/crates/egretstage_caller_io/src/body.rs
+++ b/crates/egretstage_caller_io/src/body.rs
@@ -2,7 +2,7 @@
 
 use crate::bounds::{CallerBounds, GrowingBody, HeldBody, TurnedAway};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 
 /// Why a body can't be read to its end. The rest of the request isn't read.
 #[derive(Debug, thiserror::Error)]
@@ -37,6 +37,43 @@
     limit: usize,
     bounds: &CallerBounds,
 ) -> Result<(Vec<u8>, HeldBody), UnreadBody> {
+    fill(&mut body, &mut growing, limit, bounds).await?;
+    growing.complete().ok_or(UnreadBody::NoRoom)
+}
+
+/// Reads a body as [`read_body`] does. Of one over the limit, it discards up to
+/// `discarded_bytes` more, so that a caller that is still sending reads the answer.
+///
+/// # Errors
+///
+/// Returns the errors of [`read_body`].
+pub async fn read_body_discarding(
+    mut body: Incoming,
+    mut growing: GrowingBody,
+    limit: usize,
+    discarded_bytes: usize,
+    bounds: &CallerBounds,
+) -> Result<(Vec<u8>, HeldBody), UnreadBody> {
+    let filled = fill(&mut body, &mut growing, limit, bounds).await;
+    if matches!(filled, Err(UnreadBody::TooLarge { .. })) {
+        let mut discarded = 0;
+        while discarded < discarded_bytes {
+            match next_data(&mut body, &growing, bounds).await {
+                Ok(Some(data)) => discarded += data.len(),
+                Ok(None) | Err(_) => break,
+            }
+        }
+    }
+    filled?;
+    growing.complete().ok_or(UnreadBody::NoRoom)
+}
+
+async fn fill(
+    body: &mut Incoming,
+    growing: &mut GrowingBody,
+    limit: usize,
+    bounds: &CallerBounds,
+) -> Result<(), UnreadBody> {
     let too_large = || {
         bounds.record(TurnedAway::BodyTooLarge);
         UnreadBody::TooLarge { limit }
@@ -47,6 +84,24 @@
         return Err(too_large());
     }
     let max_bytes = announced.unwrap_or(limit);
+    while let Some(data) = next_data(body, growing, bounds).await? {
+        if data.len() > limit - growing.len() {
+            return Err(too_large());
+        }
+        if !growing.extend(&data, max_bytes) {
+            bounds.record(TurnedAway::NoRoomForBody);
+            return Err(UnreadBody::NoRoom);
+        }
+    }
+    Ok(())
+}
+
+/// Returns the next bytes of a body, `None` at its end.
+async fn next_data(
+    body: &mut Incoming,
+    growing: &GrowingBody,
+    bounds: &CallerBounds,
+) -> Result<Option<Bytes>, UnreadBody> {
     loop {
         let expires = tokio::time::Instant::from_std(growing.expires());
         let frame = tokio::select! {
@@ -59,18 +114,10 @@
             return Err(UnreadBody::TooSlow);
         };
         let Some(frame) = frame else {
-            break;
-        };
-        let Ok(data) = frame?.into_data() else {
-            continue;
+            return Ok(None);
         };
-        if data.len() > limit - growing.len() {
-            return Err(too_large());
-        }
-        if !growing.extend(&data, max_bytes) {
-            bounds.record(TurnedAway::NoRoomForBody);
-            return Err(UnreadBody::NoRoom);
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
         }
     }
-    growing.complete().ok_or(UnreadBody::NoRoom)
 }
--- a/crates/egretstage_caller_io/src/lib.rs
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -12,15 +12,18 @@
 mod account;
 mod body;
 mod bounds;
+mod metrics;
 
 pub use account::{
     BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
+    longest_body_time,
 };
-pub use body::{UnreadBody, read_body};
+pub use body::{UnreadBody, read_body, read_body_discarding};
 pub use bounds::{
     CallOnConnection, CallerBounds, GrowingBody, HeldBody, KeepingBody, OpenConnection, TurnedAway,
     TurnedAwayCounter,
 };
+pub use metrics::CallerGauges;
 
 use std::future::Future;
 use std::io;
--- /dev/null
+++ b/crates/egretstage_caller_io/src/metrics.rs
@@ -0,0 +1,52 @@
+//! Metrics of the bounds on what callers make a process hold.
+
+use crate::account::CallerLimits;
+use crate::bounds::CallerBounds;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Meter, ObservableGauge};
+use std::sync::Arc;
+
+/// Gauges of what callers make a process hold.
+#[derive(Debug)]
+pub struct CallerGauges {
+    /// Kept because their callbacks end with them.
+    _observed: [ObservableGauge<u64>; 2],
+}
+
+impl CallerBounds {
+    /// Creates an empty account with metrics; the gauges end when they are dropped.
+    #[must_use]
+    pub fn with_metrics(limits: CallerLimits, meter: &Meter) -> (Arc<Self>, CallerGauges) {
+        let counter = meter.u64_counter("egret_callers_turned_away");
+        let counter = counter.with_description("Callers turned away, by reason");
+        let counter = counter.build();
+        let count = move |why| {
+            let reason: &'static str = <&'static str>::from(why);
+            counter.add(1, &[KeyValue::new("reason", reason)]);
+        };
+        let bounds = Self::new(limits, Box::new(count));
+        let observe = |name, description, read: fn((usize, usize)) -> usize| {
+            let bounds = Arc::clone(&bounds);
+            let gauge = meter.u64_observable_gauge(name);
+            let gauge = gauge.with_description(description);
+            let gauge = gauge.with_callback(move |observer| {
+                observer.observe(read(bounds.held()) as u64, &[]);
+            });
+            gauge.build()
+        };
+        let connections = observe(
+            "egret_caller_connections",
+            "Open connections of callers",
+            |(connections, _)| connections,
+        );
+        let body_bytes = observe(
+            "egret_caller_body_bytes",
+            "Room that the bodies of callers' requests take",
+            |(_, body_bytes)| body_bytes,
+        );
+        let gauges = CallerGauges {
+            _observed: [connections, body_bytes],
+        };
+        (bounds, gauges)
+    }
+}
--- a/crates/egretstage_caller_io/tests/account.rs
+++ b/crates/egretstage_caller_io/tests/account.rs
@@ -2,6 +2,7 @@
 
 use egretstage_caller_io::{
     BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
+    longest_body_time,
 };
 use std::time::{Duration, Instant};
 
@@ -159,6 +160,10 @@
     assert_eq!(account.expires(minute, stopped), now + BODY_PATIENCE);
     let trickled = account.expires(minute, trickling);
     assert!(trickled < now + BODY_PATIENCE + Duration::from_secs(1));
+    assert_eq!(
+        longest_body_time(60 * 64 * 1024),
+        BODY_PATIENCE + Duration::from_mins(1)
+    );
 }
 
 /// A connection whose body has stopped is closed before silent ones, and these before those
--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -176,6 +176,12 @@
         deserialize_with = "bounded::<_, _, 1, 3_145_728>"
     )]
     pub max_body_bytes: usize,
+    /// Maximum size of the bodies of all requests together, in bytes.
+    #[serde(
+        default = "default_max_all_bodies_bytes",
+        deserialize_with = "bounded::<_, _, 1, 1_099_511_627_776>"
+    )]
+    pub max_all_bodies_bytes: usize,
     /// Budget of a request that names none, in milliseconds.
     #[serde(
         default = "default_budget_ms",
@@ -218,6 +224,10 @@
     1024 * 1024
 }
 
+fn default_max_all_bodies_bytes() -> usize {
+    512 * 1024 * 1024
+}
+
 fn default_budget_ms() -> u64 {
     30_000
 }
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -5,6 +5,7 @@
 use crate::owners_append::{self, OwnersAppend};
 use crate::{DecisionLine, EntryEffect, EntryEvent, EntryLimits, EntryReducer, feeds};
 use crossbeam_channel::Sender;
+use egretstage_caller_io::{CallerBounds, CallerLimits};
 use egretstage_config::settings::EntrySettings;
 use egretstage_link::{LinkId, LinkIdentity, LinkObserver, LinkTable, dial};
 use egretstage_observe::{
@@ -86,12 +87,17 @@
         (reducer, Box::new(move |effect| executor.execute(effect)))
     });
     spawned.into_diagnostic()?;
+    let callers = CallerLimits {
+        connections: settings.callers.max_connections,
+        body_bytes: settings.callers.max_all_bodies_bytes,
+    };
+    let (bounds, _caller_gauges) = CallerBounds::with_metrics(callers, &metrics.meter());
     let admin = settings.process.admin_listen;
     AdminServer::start(admin, health, metrics, board.page()).into_diagnostic()?;
     start_list_feed(settings, &events)?;
     let tx = events.clone();
     on_stop_signal(move || tx.send(EntryEvent::Stop)).into_diagnostic()?;
-    let server = CallerServer::new(events, answers, incarnation, &settings.callers);
+    let server = CallerServer::new(events, answers, incarnation, &settings.callers, bounds);
     runtime.block_on(async move {
         let address = settings.callers.listen;
         let listener = bind_listener(address)
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -6,7 +6,10 @@
     AnswerPart, CallKey, CallRequest, EntryEvent, InvalidRequest, RawRequest, Refusal, RefusalKind,
     RequestLimits,
 };
-use egretstage_caller_io::{run_until_closed, watch_caller};
+use egretstage_caller_io::{
+    CallerBounds, GrowingBody, HeldBody, KeepingBody, OpenConnection, UnreadBody,
+    longest_body_time, read_body_discarding, run_until_closed, watch_caller,
+};
 use egretstage_runtime::EventSender;
 use egretstage_wire::{Incarnation, RequestId};
 use http_body_util::BodyExt;
@@ -29,9 +32,6 @@
 /// Maximum time to receive the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Maximum time to receive the body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Maximum number of bytes above the body limit that are read and discarded.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 
@@ -96,6 +96,7 @@
     pub(crate) limits: RequestLimits,
     pub(crate) max_body_bytes: usize,
     pub(crate) max_connections: usize,
+    bounds: Arc<CallerBounds>,
     next_call: AtomicU64,
 }
 
@@ -105,6 +106,7 @@
         answers: AnswerRouter,
         incarnation: Incarnation,
         settings: &egretstage_config::settings::CallerSettings,
+        bounds: Arc<CallerBounds>,
     ) -> Self {
         Self {
             events,
@@ -116,6 +118,7 @@
             },
             max_body_bytes: settings.max_body_bytes,
             max_connections: settings.max_connections,
+            bounds,
             next_call: AtomicU64::new(0),
         }
     }
@@ -127,14 +130,15 @@
         listener: TcpListener,
         mut stop: watch::Receiver<bool>,
     ) {
-        let permits = Arc::new(Semaphore::new(self.max_connections));
+        let all_permits = u32::try_from(self.max_connections + 1).unwrap_or(u32::MAX);
+        let permits = Arc::new(Semaphore::new(self.max_connections + 1));
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = stop_requested(&mut stop) => break,
             };
             match accepted {
-                Ok((tcp, _)) => self.start_connection(tcp, &permits, &stop),
+                Ok((tcp, _)) => self.start_connection(tcp, &permits, &stop).await,
                 Err(e) => {
                     log::warn!(error:display = e; "can't accept a caller's connection");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -143,8 +147,10 @@
         }
         self.accept_backlog(&listener, &permits, &stop).await;
         drop(listener);
-        let all_permits = u32::try_from(self.max_connections).unwrap_or(u32::MAX);
-        let drain_timeout = HEADER_TIMEOUT + BODY_TIMEOUT + self.limits.max_budget + FLUSH_TIMEOUT;
+        let drain_timeout = HEADER_TIMEOUT
+            + longest_body_time(self.max_body_bytes)
+            + self.limits.max_budget
+            + FLUSH_TIMEOUT;
         if timeout(drain_timeout, permits.acquire_many(all_permits))
             .await
             .is_err()
@@ -164,16 +170,21 @@
         stop: &watch::Receiver<bool>,
     ) {
         while let Ok(Ok((tcp, _))) = timeout(BACKLOG_WAIT, listener.accept()).await {
-            self.start_connection(tcp, permits, stop);
+            self.start_connection(tcp, permits, stop).await;
         }
     }
 
-    fn start_connection(
+    /// Serves a new connection; waits until the one that gives way to it is closed.
+    async fn start_connection(
         self: &Arc<Self>,
         tcp: TcpStream,
         permits: &Arc<Semaphore>,
         stop: &watch::Receiver<bool>,
     ) {
+        let Some(open) = self.bounds.open() else {
+            log::warn!(limit = self.max_connections; "connection refused: the connection limit is reached");
+            return;
+        };
         let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
             log::warn!(limit = self.max_connections; "connection refused: the connection limit is reached");
             return;
@@ -181,20 +192,29 @@
         let server = Arc::clone(self);
         let stop = stop.clone();
         tokio::spawn(async move {
-            server.serve_connection(tcp, stop).await;
-            drop(permit);
+            server.serve_connection(tcp, stop, &open).await;
+            drop((open, permit));
         });
+        self.bounds.has_room().await;
     }
 
-    async fn serve_connection(self: Arc<Self>, tcp: TcpStream, mut stop: watch::Receiver<bool>) {
+    async fn serve_connection(
+        self: Arc<Self>,
+        tcp: TcpStream,
+        mut stop: watch::Receiver<bool>,
+        open: &OpenConnection,
+    ) {
         let _ = tcp.set_nodelay(true);
         let (stream, watch) = watch_caller(tcp);
         let marker = watch.marker();
         let service = service_fn(|req| {
             let (server, call) = (Arc::clone(&self), marker.begin());
+            let (kept, growing) = open.begin();
             async move {
                 let _call = call;
-                Ok::<_, Infallible>(server.handle_request(req).await)
+                let (resp, room) = server.handle_request(req, growing).await;
+                let kept = (kept, room);
+                Ok::<_, Infallible>(resp.map(|body| KeepingBody::new(body, kept)))
             }
         });
         let connection = hyper::server::conn::http1::Builder::new()
@@ -206,55 +226,64 @@
         tokio::pin!(connection);
         let stop = stop_requested(&mut stop);
         let run = run_until_closed(connection, &watch, stop, Connection::graceful_shutdown);
-        match run.await {
+        let end = tokio::select! {
+            biased;
+            () = open.given_up() => {
+                log::debug!("a caller's connection is closed for a new one");
+                return;
+            }
+            end = run => end,
+        };
+        match end {
             Some(Ok(())) => {}
             Some(Err(e)) => log::debug!("a caller's connection failed: {e}"),
             None => log::debug!("a caller has closed its connection"),
         }
     }
 
-    async fn handle_request(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+    /// Answers a request; returns the room of its body, too, which may be in use until the
+    /// answer has ended.
+    async fn handle_request(
+        &self,
+        req: Request<Incoming>,
+        growing: GrowingBody,
+    ) -> (Response<ResponseBody>, Option<HeldBody>) {
         let sequence = self.next_call.fetch_add(1, Ordering::Relaxed);
         let id_text = format!("{:016x}-{sequence:x}", self.incarnation.0);
         let request =
             RequestId::try_from(id_text.as_str()).expect("hexadecimal digits are allowed");
         let call = CallKey(sequence);
-        match self.read_request(req, call, &request).await {
-            Ok(parsed) => self.wait_for_answer(parsed, &request).await,
-            Err(response) => response,
+        match self.read_request(req, growing, call, &request).await {
+            Ok((parsed, room)) => (self.wait_for_answer(parsed, &request).await, Some(room)),
+            Err(response) => (response, None),
         }
     }
 
     async fn read_request(
         &self,
         req: Request<Incoming>,
+        growing: GrowingBody,
         call: CallKey,
         request: &RequestId,
-    ) -> Result<CallRequest, Response<ResponseBody>> {
+    ) -> Result<(CallRequest, HeldBody), Response<ResponseBody>> {
         let (head, body) = req.into_parts();
         if head.version < Version::HTTP_11 {
             let message =
                 "HTTP/1.1 is needed: older versions can't tell a cut answer from a whole one";
             return Err(invalid_response(505, "http_version", message, request));
         }
-        let body = read_body(body, self.max_body_bytes);
-        let body = match timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(Some(body))) => body,
-            Ok(Ok(None)) => {
-                let message = format!("the body is over {} bytes", self.max_body_bytes);
-                return Err(invalid_response(413, "body_too_large", &message, request));
-            }
-            Ok(Err(e)) => {
-                return Err(invalid_response(
-                    400,
-                    "body_broken",
-                    &e.to_string(),
-                    request,
-                ));
-            }
-            Err(_) => {
-                let message = "the body did not arrive in time";
-                return Err(invalid_response(408, "body_too_slow", message, request));
+        let limit = self.max_body_bytes;
+        let read = read_body_discarding(body, growing, limit, MAX_DISCARDED_BYTES, &self.bounds);
+        let (body, room) = match read.await {
+            Ok(read) => read,
+            Err(e) => {
+                let (status, code) = match e {
+                    UnreadBody::TooLarge { .. } => (413, "body_too_large"),
+                    UnreadBody::TooSlow => (408, "body_too_slow"),
+                    UnreadBody::NoRoom => (503, "no_room"),
+                    UnreadBody::Broken(_) => (400, "body_broken"),
+                };
+                return Err(invalid_response(status, code, &e.to_string(), request));
             }
         };
         let header_text = |name: &str| header_value(&head.headers, name);
@@ -272,13 +301,15 @@
             content_type: header_text("content-type"),
             body,
         };
-        CallRequest::from_raw(raw, call, request.clone(), &self.limits).map_err(|e| {
+        let parsed = CallRequest::from_raw(raw, call, request.clone(), &self.limits);
+        let parsed = parsed.map_err(|e| {
             let code = match e {
                 InvalidRequest::Token => "no_token",
                 _ => "invalid_request",
             };
             invalid_response(e.status(), code, &e.to_string(), request)
-        })
+        })?;
+        Ok((parsed, room))
     }
 
     async fn wait_for_answer(
@@ -321,27 +352,6 @@
     }
 }
 
-/// Reads a body; returns `None` if it is too large.
-///
-/// Bytes above the limit are read and discarded, up to a bound, because a
-/// caller that is still sending wouldn't read the answer.
-async fn read_body(mut body: Incoming, limit: usize) -> hyper::Result<Option<Vec<u8>>> {
-    let mut kept = Vec::new();
-    let mut read = 0;
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        read += data.len();
-        if read <= limit {
-            kept.extend_from_slice(&data);
-        } else if read > limit.saturating_add(MAX_DISCARDED_BYTES) {
-            break;
-        }
-    }
-    Ok((read <= limit).then_some(kept))
-}
-
 /// Waits until a stop is requested.
 async fn stop_requested(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await.is_ok();
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -6,7 +6,7 @@
 use crate::driver::{Driver, EffectTargets, LoggedDecision};
 use crate::exchange::Gateway;
 use crate::feeds::Feed;
-use crate::metrics::{CallerMetrics, GatewayMetrics, turned_away_counter};
+use crate::metrics::GatewayMetrics;
 use crate::peers::{self, PeerDirectory};
 use crate::record_relay::{self, RecordCache};
 use crate::settings::GatewaySettings;
@@ -95,10 +95,9 @@
     let pool = Rc::new(UpstreamPool::default());
     let machine = settings.limits;
     let limits = CallerLimits::for_machine(machine.memory_bytes(), machine.descriptors());
-    let bounds = CallerBounds::new(limits, turned_away_counter(&metrics));
-    let _caller_metrics = CallerMetrics::new(&metrics, &bounds);
+    let (bounds, _caller_gauges) = CallerBounds::with_metrics(limits, &metrics.meter());
     let gateway = Rc::new(Gateway {
-        bounds: Arc::clone(&bounds),
+        bounds,
         driver: Rc::clone(&driver),
         pool: Rc::clone(&pool),
         dialect: Rc::from(platform.dialect),
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -1,13 +1,11 @@
 //! The entry's metrics, recorded when its effects are carried out.
 
 use crate::record_relay::RecordCache;
-use egretstage_caller_io::{CallerBounds, TurnedAwayCounter};
 use egretstage_dispatch::{DispatchEffect, Refusal};
 use egretstage_observe::Metrics;
 use egretstage_platform::KeyedTopic;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, ObservableGauge};
-use std::sync::Arc;
 
 /// Counts an entry's decisions and records the age of calls at their end.
 #[derive(Debug)]
@@ -101,50 +99,3 @@
         self.refused.add(1, &[KeyValue::new("reason", reason)]);
     }
 }
-
-/// Metrics of the bounds on what callers make the entry hold.
-#[derive(Debug)]
-pub(crate) struct CallerMetrics {
-    /// Kept because their callbacks end with them.
-    _observed: [ObservableGauge<u64>; 2],
-}
-
-impl CallerMetrics {
-    pub(crate) fn new(metrics: &Metrics, bounds: &Arc<CallerBounds>) -> Self {
-        let meter = metrics.meter();
-        let observe = |name, description, read: fn((usize, usize)) -> usize| {
-            let bounds = Arc::clone(bounds);
-            let gauge = meter.u64_observable_gauge(name);
-            let gauge = gauge.with_description(description);
-            let gauge = gauge.with_callback(move |observer| {
-                observer.observe(read(bounds.held()) as u64, &[]);
-            });
-            gauge.build()
-        };
-        let connections = observe(
-            "egret_caller_connections",
-            "Open connections of callers",
-            |(connections, _)| connections,
-        );
-        let body_bytes = observe(
-            "egret_caller_body_bytes",
-            "Room that the bodies of callers' requests take",
-            |(_, body_bytes)| body_bytes,
-        );
-        Self {
-            _observed: [connections, body_bytes],
-        }
-    }
-}
-
-/// Returns what counts callers that are turned away.
-pub(crate) fn turned_away_counter(metrics: &Metrics) -> TurnedAwayCounter {
-    let meter = metrics.meter();
-    let counter = meter.u64_counter("egret_callers_turned_away");
-    let counter = counter.with_description("Callers turned away, by reason");
-    let counter = counter.build();
-    Box::new(move |why| {
-        let reason: &'static str = why.into();
-        counter.add(1, &[KeyValue::new("reason", reason)]);
-    })
-}
--- a/tests/hostile_callers.rs
+++ b/tests/hostile_callers.rs
@@ -19,7 +19,7 @@
 const MAX_DESCRIPTORS: usize = 200;
 
 /// Settings that bound what callers make the entry hold.
-const LIMIT_SETTINGS: &str = "max_connections = 100\n";
+const LIMIT_SETTINGS: &str = "max_connections = 100\nmax_all_bodies_bytes = 12582912\n";
 
 /// Makes the tests run one at a time.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
