--- a/crates/egretstage_caller_io/src/bounds.rs
+++ b/crates/egretstage_caller_io/src/bounds.rs
@@ -47,6 +47,8 @@
 
 /// The account of a process, and the tasks that hold what it counts.
 pub struct CallerBounds {
+    /// Name of the listener in the log.
+    listener: &'static str,
     state: Mutex<State>,
     /// Notifies the task that accepts connections that one is closed.
     closed: Notify,
@@ -54,14 +56,19 @@
 }
 
 impl CallerBounds {
-    /// Creates an empty account.
+    /// Creates an empty account for a listener, which has a name in the log.
     #[must_use]
-    pub fn new(limits: CallerLimits, counter: TurnedAwayCounter) -> Arc<Self> {
+    pub fn new(
+        listener: &'static str,
+        limits: CallerLimits,
+        counter: TurnedAwayCounter,
+    ) -> Arc<Self> {
         log::info!(
-            connections = limits.connections, body_bytes = limits.body_bytes;
+            listener, connections = limits.connections, body_bytes = limits.body_bytes;
             "callers are bounded"
         );
         Arc::new(Self {
+            listener,
             state: Mutex::new(State {
                 account: CallerAccount::new(limits),
                 connections: HashMap::new(),
@@ -131,7 +138,7 @@
             drop(state);
             let reason: &'static str = why.into();
             log::warn!(
-                reason, connections, body_bytes;
+                listener = self.listener, reason, connections, body_bytes;
                 "a caller outside the limits is turned away"
             );
         }
--- a/crates/egretstage_caller_io/src/metrics.rs
+++ b/crates/egretstage_caller_io/src/metrics.rs
@@ -24,7 +24,7 @@
             let reason: &'static str = <&'static str>::from(why);
             counter.add(1, &[KeyValue::new("reason", reason)]);
         };
-        let bounds = Self::new(limits, Box::new(count));
+        let bounds = Self::new("callers", limits, Box::new(count));
         let observe = |name, description, read: fn((usize, usize)) -> usize| {
             let bounds = Arc::clone(&bounds);
             let gauge = meter.u64_observable_gauge(name);
