Bound the answers that callers don't read

Cause: an answer was counted while it was read from an upstream, and no longer until its caller had read it, so callers that read nothing made the entry hold answers without a bound. Found by a crowd of our own.

Change: answers that are held whole are part of the account until their last byte is written: a sixth of the memory for all together, instead of 32 MiB on every machine, with a part kept for small ones. When it is full, connections that have had their whole answer for a second without reading it are closed, the longest first; then the new answer is dropped, as one over the limits was before (502).

--- a/crates/egretstage_caller_io/src/account.rs
+++ b/crates/egretstage_caller_io/src/account.rs
@@ -33,6 +33,9 @@
 /// Part of a machine's memory that all bodies may take, and that all connections may take.
 const MEMORY_SHARE: usize = 3;
 
+/// Part of a machine's memory that the answers to callers may take until they are written.
+const ANSWER_MEMORY_SHARE: usize = 6;
+
 /// Part of a process's descriptors that callers' connections may take. The others are for
 /// upstreams, peers, the store and files.
 const DESCRIPTOR_SHARE: usize = 2;
@@ -55,6 +58,8 @@
     pub connections: usize,
     /// Maximum size of all bodies together, in bytes.
     pub body_bytes: usize,
+    /// Maximum size of all answers that are held whole until they are written, in bytes.
+    pub answer_bytes: usize,
 }
 
 impl CallerLimits {
@@ -66,6 +71,7 @@
         Self {
             connections: by_memory.min(descriptors / DESCRIPTOR_SHARE).max(1),
             body_bytes: share,
+            answer_bytes: memory_bytes / ANSWER_MEMORY_SHARE,
         }
     }
 }
@@ -78,6 +84,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BodyKey(u64);
 
+/// Names an answer that is held whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AnswerKey(u64);
+
 /// Decision on a new connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Opening {
@@ -104,6 +114,19 @@
     Refused,
 }
 
+/// Decision on more room for an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerGrowth {
+    /// The answer may grow; the connections in `given_up` must be closed, because their callers
+    /// don't read.
+    Granted {
+        /// Connections that are to be closed.
+        given_up: Vec<ConnectionKey>,
+    },
+    /// There is no room. The answer must be dropped.
+    Refused,
+}
+
 #[derive(Debug)]
 struct Connection {
     /// When it was opened, or the last request on it ended.
@@ -127,6 +150,12 @@
     expires: Instant,
 }
 
+#[derive(Debug)]
+struct Answer {
+    connection: ConnectionKey,
+    bytes: usize,
+}
+
 /// How readily a connection is closed for a new one: the smallest first, and the one that has
 /// waited longest among equals.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -144,6 +173,8 @@
     connections: HashMap<ConnectionKey, Connection>,
     bodies: HashMap<BodyKey, Body>,
     body_bytes: usize,
+    answers: HashMap<AnswerKey, Answer>,
+    answer_bytes: usize,
     next_key: u64,
 }
 
@@ -156,6 +187,8 @@
             connections: HashMap::new(),
             bodies: HashMap::new(),
             body_bytes: 0,
+            answers: HashMap::new(),
+            answer_bytes: 0,
             next_key: 0,
         }
     }
@@ -179,6 +212,94 @@
         self.body_bytes
     }
 
+    /// Returns the size of all answers, in bytes.
+    #[must_use]
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Starts the answer to a request whose body is held; returns `None` if the body isn't.
+    pub fn begin_answer(&mut self, body: BodyKey) -> Option<AnswerKey> {
+        let connection = self.bodies.get(&body)?.connection;
+        let key = AnswerKey(self.new_key());
+        let answer = Answer {
+            connection,
+            bytes: 0,
+        };
+        self.answers.insert(key, answer);
+        Some(key)
+    }
+
+    /// Decides on `more` bytes of room for an answer.
+    pub fn grow_answer(&mut self, now: Instant, answer: AnswerKey, more: usize) -> AnswerGrowth {
+        let Some(bytes) = self.answers.get(&answer).map(|answer| answer.bytes + more) else {
+            return AnswerGrowth::Refused;
+        };
+        let room = room_for(self.limits.answer_bytes, bytes);
+        let excess = (self.answer_bytes + more).saturating_sub(room);
+        let Some(given_up) = self.unread_answers_to_give_up(now, excess) else {
+            return AnswerGrowth::Refused;
+        };
+        for key in &given_up {
+            self.give_up_answers(*key);
+        }
+        if let Some(answer) = self.answers.get_mut(&answer) {
+            answer.bytes = bytes;
+            self.answer_bytes += more;
+        }
+        AnswerGrowth::Granted { given_up }
+    }
+
+    /// Returns the connections whose callers haven't read their answers for longest and hold
+    /// `excess` bytes of them; `None` if there aren't enough.
+    fn unread_answers_to_give_up(&self, now: Instant, excess: usize) -> Option<Vec<ConnectionKey>> {
+        if excess == 0 {
+            return Some(Vec::new());
+        }
+        let mut unread: HashMap<ConnectionKey, usize> = HashMap::new();
+        for answer in self.answers.values() {
+            *unread.entry(answer.connection).or_default() += answer.bytes;
+        }
+        let unread = unread.into_iter().filter_map(|(key, bytes)| {
+            let connection = self.connections.get(&key)?;
+            let quiet = now.saturating_duration_since(connection.quiet_since);
+            let is_unread =
+                connection.calls == 0 && !connection.is_given_up && quiet >= STALLED_AFTER;
+            is_unread.then_some((connection.quiet_since, key, bytes))
+        });
+        let mut unread: Vec<_> = unread.collect();
+        unread.sort_unstable();
+        let mut freed = 0;
+        let mut given_up = Vec::new();
+        for (_, key, bytes) in unread {
+            if freed >= excess {
+                break;
+            }
+            freed += bytes;
+            given_up.push(key);
+        }
+        (freed >= excess).then_some(given_up)
+    }
+
+    fn give_up_answers(&mut self, connection: ConnectionKey) {
+        let answers = self.answers.iter();
+        let of_connection = answers.filter(|(_, answer)| answer.connection == connection);
+        let keys: Vec<AnswerKey> = of_connection.map(|(key, _)| *key).collect();
+        for key in keys {
+            self.release_answer(key);
+        }
+        if let Some(connection) = self.connections.get_mut(&connection) {
+            connection.is_given_up = true;
+        }
+    }
+
+    /// Frees the room of an answer; does nothing for one that was given up before.
+    pub fn release_answer(&mut self, answer: AnswerKey) {
+        if let Some(removed) = self.answers.remove(&answer) {
+            self.answer_bytes -= removed.bytes;
+        }
+    }
+
     /// Decides on a new connection.
     pub fn open(&mut self, now: Instant) -> Opening {
         let is_full = self.connections.len() >= self.limits.connections;
@@ -284,7 +405,7 @@
         let Some(bytes) = self.bodies.get(&body).map(|body| body.bytes + more) else {
             return Growth::Refused;
         };
-        let room = self.room_for(bytes);
+        let room = room_for(self.limits.body_bytes, bytes);
         let excess = (self.body_bytes + more).saturating_sub(room);
         let Some(given_up) = self.bodies_to_give_up(now, body, bytes, excess) else {
             return Growth::Refused;
@@ -299,16 +420,6 @@
         Growth::Granted { given_up }
     }
 
-    /// Returns the room for all bodies together while one grows to a size.
-    fn room_for(&self, bytes: usize) -> usize {
-        let room = self.limits.body_bytes;
-        if bytes <= SMALL_BODY_BYTES {
-            room
-        } else {
-            room - room / SMALL_BODIES_SHARE
-        }
-    }
-
     /// Returns the unfinished bodies that make `excess` bytes of room for one that grows to
     /// `size`: those without progress, the longest first, and for a small body also the
     /// largest ones. Returns `None` if they aren't enough.
@@ -398,6 +509,16 @@
     }
 }
 
+/// Returns the part of the room that all bodies, or all answers, may take together while one
+/// grows to a size.
+fn room_for(room: usize, bytes: usize) -> usize {
+    if bytes <= SMALL_BODY_BYTES {
+        room
+    } else {
+        room - room / SMALL_BODIES_SHARE
+    }
+}
+
 fn is_stalled(body: &Body, now: Instant) -> bool {
     let left = body.expires.saturating_duration_since(now);
     left + STALLED_AFTER <= BODY_PATIENCE
--- a/crates/egretstage_caller_io/src/bounds.rs
+++ b/crates/egretstage_caller_io/src/bounds.rs
@@ -1,7 +1,9 @@
 //! Keeps a process within its [`CallerAccount`]: closes connections and drops bodies that the
 //! account gives up.
 
-use crate::account::{BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening};
+use crate::account::{
+    AnswerGrowth, AnswerKey, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
+};
 use hyper::body::{Body, Bytes};
 use std::collections::HashMap;
 use std::pin::Pin;
@@ -17,6 +19,9 @@
 /// Room that a body gets at first, in bytes.
 const FIRST_BODY_BYTES: usize = 4 * 1024;
 
+/// Room that an answer gets at first, in bytes.
+const FIRST_ANSWER_BYTES: usize = 1024;
+
 /// Why a caller is turned away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -29,6 +34,10 @@
     NoRoomForBody,
     /// A body that lost its room to another one.
     BodyGivenUp,
+    /// An answer for which there is no room.
+    NoRoomForAnswer,
+    /// A connection whose caller doesn't read its answer.
+    UnreadAnswer,
     /// A connection for which there is no room.
     NoRoomForConnection,
     /// A connection that lost its place to another one.
@@ -45,6 +54,17 @@
     warned_at: Option<Instant>,
 }
 
+/// What callers make a process hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Open connections.
+    pub connections: usize,
+    /// Bytes of the bodies of their requests.
+    pub body_bytes: usize,
+    /// Bytes of the answers that aren't written yet.
+    pub answer_bytes: usize,
+}
+
 /// The account of a process, and the tasks that hold what it counts.
 pub struct CallerBounds {
     /// Name of the listener in the log.
@@ -64,7 +84,8 @@
         counter: TurnedAwayCounter,
     ) -> Arc<Self> {
         log::info!(
-            listener, connections = limits.connections, body_bytes = limits.body_bytes;
+            listener, connections = limits.connections, body_bytes = limits.body_bytes,
+            answer_bytes = limits.answer_bytes;
             "callers are bounded"
         );
         Arc::new(Self {
@@ -84,11 +105,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the number of open connections and the bytes that bodies take.
+    /// Returns what callers make the process hold at present.
     #[must_use]
-    pub fn held(&self) -> (usize, usize) {
+    pub fn held(&self) -> Held {
         let state = self.state();
-        (state.account.connections(), state.account.body_bytes())
+        Held {
+            connections: state.account.connections(),
+            body_bytes: state.account.body_bytes(),
+            answer_bytes: state.account.answer_bytes(),
+        }
     }
 
     /// Opens the account of a new connection; returns `None` if it must be closed.
@@ -220,6 +245,110 @@
     }
 }
 
+impl HeldBody {
+    /// Begins the answer to the request.
+    #[must_use]
+    pub fn begin_answer(&self) -> GrowingAnswer {
+        let key = self.bounds.state().account.begin_answer(self.key);
+        let room = AnswerRoom {
+            bounds: Arc::clone(&self.bounds),
+            key,
+        };
+        let bytes = Vec::new();
+        GrowingAnswer { bytes, room }
+    }
+}
+
+/// Room of an answer; dropping it frees the room.
+struct AnswerRoom {
+    bounds: Arc<CallerBounds>,
+    key: Option<AnswerKey>,
+}
+
+impl Drop for AnswerRoom {
+    fn drop(&mut self) {
+        if let Some(key) = self.key {
+            self.bounds.state().account.release_answer(key);
+        }
+    }
+}
+
+/// An answer that is being read into one buffer, and keeps its room until it is written.
+pub struct GrowingAnswer {
+    bytes: Vec<u8>,
+    room: AnswerRoom,
+}
+
+impl GrowingAnswer {
+    /// Returns the number of bytes that have been read.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Returns whether nothing has been read.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Copies bytes to the end of the answer. Returns whether there is room, within
+    /// `max_bytes`.
+    pub fn extend(&mut self, bytes: &[u8], max_bytes: usize) -> bool {
+        let needed = self.bytes.len() + bytes.len();
+        if needed > max_bytes {
+            return false;
+        }
+        let capacity = self.bytes.capacity();
+        if needed > capacity {
+            let larger = (2 * capacity).max(FIRST_ANSWER_BYTES).min(max_bytes);
+            let more = larger.max(needed) - capacity;
+            if !self.room.grow(more) {
+                return false;
+            }
+            self.bytes.reserve_exact(capacity + more - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(bytes);
+        true
+    }
+
+    /// Returns the answer, which keeps its room until its last copy is dropped.
+    #[must_use]
+    pub fn complete(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for GrowingAnswer {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+impl AnswerRoom {
+    fn grow(&self, more: usize) -> bool {
+        let mut state = self.bounds.state();
+        let growth = self.key.map_or(AnswerGrowth::Refused, |key| {
+            state.account.grow_answer(Instant::now(), key, more)
+        });
+        let AnswerGrowth::Granted { given_up } = growth else {
+            drop(state);
+            self.bounds.record(TurnedAway::NoRoomForAnswer);
+            return false;
+        };
+        for key in &given_up {
+            if let Some(task) = state.connections.get(key) {
+                task.notify_one();
+            }
+        }
+        drop(state);
+        for _ in given_up {
+            self.bounds.record(TurnedAway::UnreadAnswer);
+        }
+        true
+    }
+}
+
 /// A body that is being read into one buffer.
 pub struct GrowingBody {
     bytes: Vec<u8>,
--- a/crates/egretstage_caller_io/src/lib.rs
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -15,13 +15,13 @@
 mod metrics;
 
 pub use account::{
-    BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
-    longest_body_time,
+    AnswerGrowth, AnswerKey, BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey,
+    Growth, Opening, longest_body_time,
 };
 pub use body::{UnreadBody, read_body, read_body_discarding};
 pub use bounds::{
-    CallOnConnection, CallerBounds, GrowingBody, HeldBody, KeepingBody, OpenConnection, TurnedAway,
-    TurnedAwayCounter,
+    CallOnConnection, CallerBounds, GrowingAnswer, GrowingBody, Held, HeldBody, KeepingBody,
+    OpenConnection, TurnedAway, TurnedAwayCounter,
 };
 pub use metrics::CallerGauges;
 
--- a/crates/egretstage_caller_io/src/metrics.rs
+++ b/crates/egretstage_caller_io/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the bounds on what callers make a process hold.
 
 use crate::account::CallerLimits;
-use crate::bounds::CallerBounds;
+use crate::bounds::{CallerBounds, Held};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Meter, ObservableGauge};
 use std::sync::Arc;
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub struct CallerGauges {
     /// Kept because their callbacks end with them.
-    _observed: [ObservableGauge<u64>; 2],
+    _observed: [ObservableGauge<u64>; 3],
 }
 
 impl CallerBounds {
@@ -25,7 +25,7 @@
             counter.add(1, &[KeyValue::new("reason", reason)]);
         };
         let bounds = Self::new("callers", limits, Box::new(count));
-        let observe = |name, description, read: fn((usize, usize)) -> usize| {
+        let observe = |name, description, read: fn(Held) -> usize| {
             let bounds = Arc::clone(&bounds);
             let gauge = meter.u64_observable_gauge(name);
             let gauge = gauge.with_description(description);
@@ -37,15 +37,20 @@
         let connections = observe(
             "egret_caller_connections",
             "Open connections of callers",
-            |(connections, _)| connections,
+            |held| held.connections,
         );
         let body_bytes = observe(
             "egret_caller_body_bytes",
             "Room that the bodies of callers' requests take",
-            |(_, body_bytes)| body_bytes,
+            |held| held.body_bytes,
+        );
+        let answer_bytes = observe(
+            "egret_caller_answer_bytes",
+            "Room that answers take until callers have read them",
+            |held| held.answer_bytes,
         );
         let gauges = CallerGauges {
-            _observed: [connections, body_bytes],
+            _observed: [connections, body_bytes, answer_bytes],
         };
         (bounds, gauges)
     }
--- a/crates/egretstage_caller_io/tests/account.rs
+++ b/crates/egretstage_caller_io/tests/account.rs
@@ -1,8 +1,8 @@
 //! Tests of the decisions on which callers an entry turns away, in virtual time.
 
 use egretstage_caller_io::{
-    BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey, Growth, Opening,
-    longest_body_time,
+    AnswerGrowth, AnswerKey, BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey,
+    Growth, Opening, longest_body_time,
 };
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,7 @@
     CallerAccount::new(CallerLimits {
         connections: CONNECTIONS,
         body_bytes: BODY_BYTES,
+        answer_bytes: BODY_BYTES,
     })
 }
 
@@ -109,6 +110,7 @@
     let limits = CallerLimits {
         connections: CONNECTIONS,
         body_bytes: LARGE,
+        answer_bytes: LARGE,
     };
     let (mut account, now) = (CallerAccount::new(limits), Instant::now());
     let (_, largest) = begin(&mut account, now, LARGE / 2);
@@ -229,3 +231,68 @@
     assert_eq!(few_descriptors.connections, 100);
     assert_eq!(CallerLimits::for_machine(0, 0).connections, 1);
 }
+
+/// Reads the answer to a request of `bytes` whole; returns its connection.
+fn answer(
+    account: &mut CallerAccount,
+    now: Instant,
+    bytes: usize,
+) -> (ConnectionKey, AnswerKey, AnswerGrowth) {
+    let (connection, body) = begin(account, now, 0);
+    assert!(account.complete(body, 0));
+    let answer = account.begin_answer(body).expect("the body is held");
+    let growth = account.grow_answer(now, answer, bytes);
+    account.release(body);
+    (connection, answer, growth)
+}
+
+fn answers_granted(given_up: &[ConnectionKey]) -> AnswerGrowth {
+    AnswerGrowth::Granted {
+        given_up: given_up.to_vec(),
+    }
+}
+
+/// Callers that don't read their answers give way, the longest first; those whose requests run
+/// don't.
+#[test]
+fn unread_answers_give_way() {
+    let (mut account, now) = (account(), Instant::now());
+    let held = [0, 1, 2].map(|ms| answer(&mut account, after(now, ms), LARGE));
+    assert!(
+        held.iter()
+            .all(|(.., growth)| *growth == answers_granted(&[]))
+    );
+    let [(running, ..), (first, ..), (second, ..)] = held;
+    account.end_call(after(now, 10), first);
+    account.end_call(after(now, 20), second);
+    let soon = after(now, 500);
+    let (_, refused, growth) = answer(&mut account, soon, LARGE);
+    assert_eq!(growth, AnswerGrowth::Refused, "they may still be read");
+    account.release_answer(refused);
+    let late = after(now, 2_000);
+    let (_, _, growth) = answer(&mut account, late, LARGE);
+    assert_eq!(growth, answers_granted(&[first]));
+    let (_, last, growth) = answer(&mut account, late, LARGE);
+    assert_eq!(growth, answers_granted(&[second]));
+    assert_eq!(account.answer_bytes(), 3 * LARGE);
+    let (_, _, growth) = answer(&mut account, late, LARGE);
+    assert_eq!(
+        growth,
+        AnswerGrowth::Refused,
+        "of {running:?}, too, nothing is taken"
+    );
+    account.release_answer(last);
+    assert_eq!(account.answer_bytes(), 2 * LARGE);
+}
+
+/// Large answers leave room for small ones.
+#[test]
+fn room_is_kept_for_small_answers() {
+    let (mut account, now) = (account(), Instant::now());
+    for _ in 0..4 {
+        // The last one is refused.
+        answer(&mut account, now, LARGE);
+    }
+    let (.., growth) = answer(&mut account, now, SMALL);
+    assert_eq!(growth, answers_granted(&[]));
+}
--- a/crates/egretstage_entry/src/daemon.rs
+++ b/crates/egretstage_entry/src/daemon.rs
@@ -90,6 +90,8 @@
     let callers = CallerLimits {
         connections: settings.callers.max_connections,
         body_bytes: settings.callers.max_all_bodies_bytes,
+        // Its answers are passed on in parts.
+        answer_bytes: 0,
     };
     let (bounds, _caller_gauges) = CallerBounds::with_metrics(callers, &metrics.meter());
     let admin = settings.process.admin_listen;
--- a/crates/egretstage_gateway/src/attempt.rs
+++ b/crates/egretstage_gateway/src/attempt.rs
@@ -22,10 +22,6 @@
 /// callers may send by default.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Maximum size of all answers that are buffered at the same time, in bytes: a
-/// part of the smallest instances' memory.
-const MAX_BUFFERED_BYTES: usize = 32 * 1024 * 1024;
-
 /// Maximum size of an unused answer that is read to keep its connection, in bytes.
 const MAX_DRAINED_BYTES: usize = 64 * 1024;
 
@@ -39,7 +35,7 @@
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     /// Kept until the body isn't needed any more.
-    pub(crate) _room: HeldBody,
+    pub(crate) room: HeldBody,
 }
 
 /// An upstream's answer whose head has been read.
@@ -148,7 +144,7 @@
         return foreign_answer();
     }
     let implies_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    match read_to_end(&gateway.pool, attempt, answer).await {
+    match read_to_end(&gateway.pool, req, attempt, answer).await {
         // The status would indicate to the caller that the request didn't run, but the
         // upstream hasn't stated that.
         Some(_) if implies_not_run => {
@@ -221,6 +217,7 @@
 /// answer is cut off, late or too large.
 pub(crate) async fn read_to_end(
     pool: &UpstreamPool,
+    req: &BufferedRequest,
     attempt: &Attempt,
     answer: OpenAnswer,
 ) -> Option<CompleteAnswer> {
@@ -230,30 +227,26 @@
         connection,
     } = answer;
     let expires = tokio::time::Instant::from_std(attempt.expires);
-    let body = tokio::time::timeout_at(expires, collect_body(pool, body)).await;
+    let body = tokio::time::timeout_at(expires, collect_body(&req.room, body)).await;
     let body = body.ok().flatten()?;
     pool.put_back(&attempt.instance, connection);
     Some(Response::from_parts(head, body))
 }
 
-/// Reads a body, within the limits for one answer and for all answers that are
-/// buffered at the same time.
-async fn collect_body(pool: &UpstreamPool, mut body: Incoming) -> Option<Bytes> {
-    let mut buffered = pool.buffered_bytes();
-    let mut bytes = Vec::new();
+/// Reads a body, within the limits for one answer and for all answers that are held at the
+/// same time.
+async fn collect_body(request_room: &HeldBody, mut body: Incoming) -> Option<Bytes> {
+    let mut answer = request_room.begin_answer();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame.ok()?.into_data() else {
             continue;
         };
-        if bytes.len() + data.len() > MAX_ANSWER_BYTES
-            || !buffered.add(data.len(), MAX_BUFFERED_BYTES)
-        {
-            log::warn!(bytes = bytes.len(); "an upstream's answer exceeds a size limit");
+        if !answer.extend(&data, MAX_ANSWER_BYTES) {
+            log::warn!(bytes = answer.len(); "an upstream's answer exceeds a size limit");
             return None;
         }
-        bytes.extend_from_slice(&data);
     }
-    Some(Bytes::from(bytes))
+    Some(answer.complete())
 }
 
 fn forwarded_request(
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -114,7 +114,7 @@
             request,
             head,
             body,
-            _room: room,
+            room,
         };
         self.run(guard, commands, req).await
     }
@@ -211,7 +211,7 @@
             SendOutcome::Open(open) if attempt.is_stream => {
                 AttemptOutcome::Streaming(Box::new(open))
             }
-            SendOutcome::Open(open) => match read_to_end(&self.pool, attempt, open).await {
+            SendOutcome::Open(open) => match read_to_end(&self.pool, req, attempt, open).await {
                 Some(answer) => AttemptOutcome::Complete(Box::new(answer)),
                 None => AttemptOutcome::Ended(AttemptEnd::Unknown {
                     cause: lost_connection_cause(&self.pool, attempt).await,
--- a/crates/egretstage_gateway/src/upstream_pool.rs
+++ b/crates/egretstage_gateway/src/upstream_pool.rs
@@ -14,11 +14,10 @@
 use hyper_util::rt::TokioIo;
 use smallvec::SmallVec;
 use socket2::{SockRef, TcpKeepalive};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -73,36 +72,10 @@
     since: Instant,
 }
 
-/// The idle connections to all upstreams, and the size of the answers that are
-/// being buffered.
+/// The idle connections to all upstreams.
 #[derive(Debug, Default)]
 pub(crate) struct UpstreamPool {
     idle: RefCell<HashMap<InstanceId, Vec<IdleConnection>>>,
-    /// Bytes of all answers that are being buffered.
-    buffered: Rc<Cell<usize>>,
-}
-
-/// Bytes that one answer adds to the total of all answers; dropping it subtracts
-/// them.
-#[derive(Debug)]
-pub(crate) struct BufferedBytes {
-    total: Rc<Cell<usize>>,
-    own: usize,
-}
-
-impl BufferedBytes {
-    /// Adds bytes and returns whether all answers together stay within `limit`.
-    pub(crate) fn add(&mut self, bytes: usize, limit: usize) -> bool {
-        self.own += bytes;
-        self.total.set(self.total.get() + bytes);
-        self.total.get() <= limit
-    }
-}
-
-impl Drop for BufferedBytes {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.own);
-    }
 }
 
 impl UpstreamPool {
@@ -131,14 +104,6 @@
         }
     }
 
-    /// Starts to count the bytes of one answer.
-    pub(crate) fn buffered_bytes(&self) -> BufferedBytes {
-        BufferedBytes {
-            total: Rc::clone(&self.buffered),
-            own: 0,
-        }
-    }
-
     /// Returns an idle connection on which the request wasn't refused before, or opens a
     /// new one if there is none.
     pub(crate) async fn checkout(
--- a/crates/egretstage_observe/src/admin.rs
+++ b/crates/egretstage_observe/src/admin.rs
@@ -133,6 +133,7 @@
     let limits = CallerLimits {
         connections: MAX_CONNECTIONS,
         body_bytes: 0,
+        answer_bytes: 0,
     };
     let bounds = CallerBounds::new("admin", limits, Box::new(|_| ()));
     loop {
--- a/crates/egretstage_standins/src/crowd.rs
+++ b/crates/egretstage_standins/src/crowd.rs
@@ -64,7 +64,7 @@
     }
 
     /// Sends bytes; returns whether the entry has taken them all.
-    fn send(&mut self, bytes: &[u8]) -> bool {
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
         self.tcp.write_all(bytes).is_ok()
     }
 
