--- a/crates/egretstage_caller_io/src/lib.rs
+++ b/crates/egretstage_caller_io/src/lib.rs
@@ -9,6 +9,22 @@
 //! Load pattern: callers send requests one after the other without waiting, and
 //! leave while the first one waits or runs.
 
+mod account;
+mod body;
+mod bounds;
+mod metrics;
+
+pub use account::{
+    AnswerGrowth, AnswerKey, BODY_PATIENCE, BodyKey, CallerAccount, CallerLimits, ConnectionKey,
+    Growth, Opening, longest_body_time,
+};
+pub use body::{UnreadBody, read_body, read_body_discarding};
+pub use bounds::{
+    CallOnConnection, CallerBounds, GrowingAnswer, GrowingBody, Held, HeldBody, KeepingBody,
+    OpenConnection, TurnedAway, TurnedAwayCounter,
+};
+pub use metrics::CallerGauges;
+
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
--- a/crates/egretstage_gateway/src/answers.rs
+++ b/crates/egretstage_gateway/src/answers.rs
@@ -53,6 +53,15 @@
     resp
 }
 
+/// Returns an answer of the entry's own after which the connection is closed, because the rest
+/// of the request isn't read.
+pub(crate) fn closing_answer(status: u16, text: &str) -> Response<AnswerBody> {
+    let mut resp = own_answer(status, text);
+    let value = HeaderValue::from_static("close");
+    resp.headers_mut().insert(CONNECTION, value);
+    resp
+}
+
 /// Returns the answer to a refused call; `close` asks the caller to close the
 /// connection.
 pub(crate) fn refusal_answer(
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::settings::GatewaySettings;
 use crate::upstream_pool::UpstreamPool;
 use crate::{RecordDecoder, server};
+use egretstage_caller_io::{CallerBounds, CallerLimits};
 use egretstage_dispatch::{DispatchEvent, DispatchLimits, Dispatcher};
 use egretstage_observe::{AdminServer, DecisionLog, Health, Metrics};
 use egretstage_platform::KeyedStore;
@@ -92,7 +93,11 @@
         },
     );
     let pool = Rc::new(UpstreamPool::default());
+    let machine = settings.limits;
+    let limits = CallerLimits::for_machine(machine.memory_bytes(), machine.descriptors());
+    let (bounds, _caller_gauges) = CallerBounds::with_metrics(limits, &metrics.meter());
     let gateway = Rc::new(Gateway {
+        bounds,
         driver: Rc::clone(&driver),
         pool: Rc::clone(&pool),
         dialect: Rc::from(platform.dialect),
@@ -129,7 +134,11 @@
     spawn_local(peers::receive_reports(socket, Rc::clone(&driver), peers));
     let records_listener = bind_listener(settings.peers.listen).and_then(TcpListener::from_std);
     let records_listener = records_listener.into_diagnostic()?;
-    spawn_local(record_relay::serve(records_listener, cache));
+    spawn_local(record_relay::serve(
+        records_listener,
+        cache,
+        machine.descriptors(),
+    ));
     spawn_local(handle_events(events_rx, Rc::clone(&driver)));
     spawn_local(close_idle_connections(close_idle_rx, pool));
     let (connection_guard, mut all_closed) = channel(1);
--- a/crates/egretstage_gateway/src/exchange.rs
+++ b/crates/egretstage_gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Handles one request of a caller, from its head to its answer.
 
-use crate::answers::{AnswerBody, full_body, own_answer, refusal_answer};
+use crate::answers::{AnswerBody, closing_answer, full_body, own_answer, refusal_answer};
 use crate::attempt::strip_connection_headers;
 use crate::attempt::{BufferedRequest, CompleteAnswer, OpenAnswer, SendOutcome};
 use crate::attempt::{lost_connection_cause, read_to_end, send};
@@ -8,30 +8,27 @@
 use crate::driver::{Command, Driver};
 use crate::relay;
 use crate::upstream_pool::UpstreamPool;
+use egretstage_caller_io::{CallerBounds, GrowingBody, HeldBody, UnreadBody, read_body};
 use egretstage_dispatch::{
     Attempt, AttemptEnd, CallHead, CallKey, DispatchEvent, RequestHash, RoutingTable,
 };
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Request, Response};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 
 /// Largest body in bytes until a configuration sets the limit.
 const DEFAULT_MAX_BODY_BYTES: usize = 1024 * 1024;
 
-/// Longest wait for the whole body of a request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// State that all requests share.
 pub(crate) struct Gateway {
     pub(crate) driver: Rc<Driver>,
     pub(crate) pool: Rc<UpstreamPool>,
+    pub(crate) bounds: Arc<CallerBounds>,
     pub(crate) dialect: Rc<dyn HttpDialect>,
     pub(crate) table: watch::Receiver<Option<Arc<RoutingTable>>>,
     pub(crate) closing: watch::Receiver<bool>,
@@ -87,7 +84,11 @@
 
 impl Gateway {
     /// Answers a request.
-    pub(crate) async fn serve(self: Rc<Self>, req: Request<Incoming>) -> Response<AnswerBody> {
+    pub(crate) async fn serve(
+        self: Rc<Self>,
+        req: Request<Incoming>,
+        growing: GrowingBody,
+    ) -> Response<AnswerBody> {
         let (head, body) = req.into_parts();
         let call_head = match self.dialect.parse_call_head(&head) {
             Ok(call_head) => call_head,
@@ -97,7 +98,7 @@
         let guard = CallGuard::new(&self.driver, call);
         self.driver
             .handle_event(DispatchEvent::HeadArrived { call });
-        let body = match self.read_body(body).await {
+        let (body, room) = match self.read_body(body, growing).await {
             Ok(body) => body,
             Err(resp) => return resp,
         };
@@ -113,11 +114,16 @@
             request,
             head,
             body,
+            room,
         };
         self.run(guard, commands, req).await
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, Response<AnswerBody>> {
+    async fn read_body(
+        &self,
+        body: Incoming,
+        growing: GrowingBody,
+    ) -> Result<(Bytes, HeldBody), Response<AnswerBody>> {
         let limit = self
             .table
             .borrow()
@@ -125,14 +131,17 @@
             .map_or(DEFAULT_MAX_BODY_BYTES, |table| {
                 table.limits().max_body_bytes
             });
-        let collected = Limited::new(body, limit).collect();
-        match tokio::time::timeout(BODY_TIMEOUT, collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => {
-                Err(own_answer(413, &format!("the body is over {limit} bytes")))
+        match read_body(body, growing, limit, &self.bounds).await {
+            Ok((body, room)) => Ok((Bytes::from(body), room)),
+            Err(e) => {
+                let status = match e {
+                    UnreadBody::TooLarge { .. } => 413,
+                    UnreadBody::TooSlow => 408,
+                    UnreadBody::NoRoom => 503,
+                    UnreadBody::Broken(_) => 400,
+                };
+                Err(closing_answer(status, &e.to_string()))
             }
-            Ok(Err(e)) => Err(own_answer(400, &format!("the body is broken: {e}"))),
-            Err(_) => Err(own_answer(408, "the body did not arrive in time")),
         }
     }
 
@@ -200,7 +209,7 @@
         let sent = send(self, req, attempt, None).await;
         match sent {
             SendOutcome::Open(open) if attempt.is_stream => AttemptOutcome::Streaming(open),
-            SendOutcome::Open(open) => match read_to_end(&self.pool, attempt, *open).await {
+            SendOutcome::Open(open) => match read_to_end(&self.pool, req, attempt, *open).await {
                 Some(answer) => AttemptOutcome::Complete(Box::new(answer)),
                 None => AttemptOutcome::Ended(AttemptEnd::Unknown {
                     cause: lost_connection_cause(&self.pool, attempt).await,
