Plan which share of a zone's calls leaves it

Cause: placement adds a constant of 0.3 calls for another zone. It knows neither the wait at home nor the room elsewhere, so that calls leave their zone nearly at random. Change: with a cost of a call that leaves (settings section [zones]), each entry plans the share of a plain service's calls that leaves, from the room of all zones and the calls of their callers (reports name the entry's zone), and follows the plan in steps. Without the section, placement is as before.

--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -11,7 +11,8 @@
     /// pass on), `retry`, `refuse`, `end`, or a change of state: `configure`,
     /// `behind` (another entry has a higher version of the configuration), `upstream`,
     /// `group`, `part` (a prompt part has become harmful), `request` (a request has
-    /// become harmful), `ready`, `stop`.
+    /// become harmful), `zone-share` (another share of a service's calls leaves the zone),
+    /// `ready`, `stop`.
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -68,6 +69,9 @@
     /// Delay after which the caller may retry, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// Share of the service's calls that leaves the zone, from 0 to 1.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub share_out: Option<f32>,
     /// Calls per second that the upstream takes from all entries together.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub limit_per_s: Option<f64>,
--- a/crates/egretstage_dispatch/src/lib.rs
+++ b/crates/egretstage_dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 //! | until when a waiting call can be in time | `first_byte_latency` |
 //! | whether a model group takes calls at all | [`circuit_breaker`] |
 //! | which upstream runs a call | [`placement`] |
+//! | which share of a zone's calls leaves it | [`zone_shares`] |
 //! | when a refused caller returns | [`retry_slots`] |
 //! | whether a failed call is sent again | [`attempts`] |
 //! | which prompt parts end upstreams, so that no call with them is sent | [`harmful_parts`] |
@@ -53,6 +54,7 @@
 pub mod start_limits;
 mod upstream;
 pub mod waiting;
+pub mod zone_shares;
 
 pub use admission::StreamLimits;
 pub use call::{CallHead, CallKey, Prompt, PromptPart, PromptParts, RequestHash};
@@ -67,7 +69,7 @@
 pub use harmful_requests::{HarmfulRequests, RequestReport};
 pub use peers::{
     ChangedUpstreams, GroupCost, GroupTag, LoadReport, PeerLoads, PeerSum, UpstreamLoad,
-    UpstreamLoads, UpstreamStart, UpstreamTag,
+    UpstreamLoads, UpstreamStart, UpstreamTag, ZoneTag,
 };
 pub use reducer::{DispatchLimits, Dispatcher};
 pub use routes::{
--- a/crates/egretstage_dispatch/src/peers.rs
+++ b/crates/egretstage_dispatch/src/peers.rs
@@ -5,7 +5,7 @@
 //! group would apply to each entry separately.
 
 use crate::{LimitReport, ListedUpstream, RequestReport, SuspectReport};
-use egretstage_wire::InstanceId;
+use egretstage_wire::{InstanceId, ZoneName};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use std::collections::HashMap;
@@ -46,6 +46,17 @@
     }
 }
 
+/// Identifies an availability zone in load reports: a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ZoneTag(u32);
+
+impl From<&ZoneName> for ZoneTag {
+    fn from(zone: &ZoneName) -> Self {
+        Self(hash32(zone.as_str().as_bytes()))
+    }
+}
+
 /// Returns the upper half of a hash, which fits into the rows of reports.
 pub(crate) fn hash32(bytes: &[u8]) -> u32 {
     u32::try_from(rapidhash::v3::rapidhash_v3(bytes) >> 32).unwrap_or(u32::MAX)
@@ -126,6 +137,10 @@
     /// read it.
     #[serde(rename = "t", default, skip_serializing_if = "LimitReport::is_empty")]
     pub limits: LimitReport,
+    /// The entry's availability zone, if calls between zones have a cost. Entries of older
+    /// releases neither send nor read it.
+    #[serde(rename = "z", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<ZoneTag>,
 }
 
 /// Identifies a model group in load reports: a hash of its name.
@@ -273,6 +288,12 @@
         self.calls.get(&upstream).copied().unwrap_or(0)
     }
 
+    /// Returns the loads of the other entries, each with the entry's zone.
+    pub fn loads(&self) -> impl Iterator<Item = (Option<ZoneTag>, UpstreamLoad)> + '_ {
+        let reports = self.reports.values().map(|last| &last.report);
+        reports.flat_map(|report| report.loads.iter().map(|load| (report.zone, load)))
+    }
+
     /// Returns the number of other entries with a report that counts.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod service;
 mod stop;
+mod zones;
 
 use crate::configuration_lag::ConfigurationLag;
 use crate::slow_ranks::SlowRanksReports;
@@ -60,6 +61,9 @@
     /// Time after a stop request at which the process ends, even if calls still
     /// run.
     pub stop_within: Duration,
+    /// Wait at home that a caller accepts rather than a call that leaves the availability
+    /// zone; `None` if calls between zones are almost free.
+    pub cross_zone_cost: Option<Duration>,
 }
 
 impl Default for DispatchLimits {
@@ -77,6 +81,7 @@
             close_connections_after: Duration::from_millis(2_500),
             refuse_streams_after: Duration::from_secs(3),
             stop_within: Duration::from_millis(7_500),
+            cross_zone_cost: None,
         }
     }
 }
@@ -104,6 +109,8 @@
     budgets: HashMap<CompactString, RouteBudgets>,
     expiries: BTreeSet<(Instant, CallKey)>,
     next_check: Instant,
+    /// When the shares of the calls that leave the zone are planned next.
+    next_zone_plan: Instant,
     /// When a changed load may be reported.
     next_report: Instant,
     /// When the load is reported even without a change.
@@ -145,6 +152,7 @@
             budgets: HashMap::new(),
             expiries: BTreeSet::new(),
             next_check: now + limits.check_interval,
+            next_zone_plan: now,
             next_report: now,
             next_idle_report: now,
             report_count: 0,
@@ -390,6 +398,7 @@
             suspects: self.harmful_parts.take_report(now),
             requests: self.harmful_requests.take_report(now),
             limits: self.start_limits.report(now, self.report_count),
+            zone: self.reported_zone(),
         })));
     }
 
@@ -412,6 +421,7 @@
             self.update_peer_costs(now);
             self.check_stalled_groups(now, fx);
             self.hand_out_starts(now);
+            self.plan_zone_shares(now, fx);
             self.move_streams_off_slow_ranks(now, fx);
             self.check_waiting_calls(now, fx);
         }
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -108,15 +108,21 @@
         } else {
             self.limits.max_plain_queue
         };
+        let zone = self.zone_preference(service, key);
         let choose_in_group = |load: &GroupLoad| {
             placement::choose(
                 &self.upstreams,
                 now,
                 service,
-                &self.zone,
+                zone,
                 &call.tried,
                 |upstream| {
-                    let max_calls = upstream.listed.slots + max_queue;
+                    let max_calls = upstream.listed.slots
+                        + if self.is_beyond_zone(upstream) {
+                            0
+                        } else {
+                            max_queue
+                        };
                     if upstream.group() == load.group && self.may_start_at(now, upstream) {
                         max_calls
                     } else {
--- a/crates/egretstage_dispatch/src/reducer/service.rs
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -5,6 +5,7 @@
 use crate::groups::Groups;
 use crate::retry_slots::{RetrySlotLimits, RetrySlots};
 use crate::waiting::{StartRate, WaitingCalls};
+use crate::zone_shares::ZoneShare;
 use crate::{FirstByteLatency, ServiceProfile};
 use egretstage_routing::{RetryBudget, RetryLimits};
 use std::time::{Duration, Instant};
@@ -67,6 +68,12 @@
     pub(super) retry_budget: RetryBudget,
     /// Its model groups, each with a bound on its streams.
     pub(super) groups: Groups,
+    /// The share of its calls that leaves the zone.
+    pub(super) zone_share: ZoneShare,
+    /// When a change of the share may be logged.
+    pub(super) next_share_line: Option<Instant>,
+    /// The share that was logged last.
+    pub(super) logged_share: f32,
 }
 
 impl ServiceState {
@@ -82,6 +89,9 @@
                 burst: limits.retry_burst,
             }),
             groups: Groups::default(),
+            zone_share: ZoneShare::default(),
+            next_share_line: None,
+            logged_share: 0.0,
         }
     }
 
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -74,6 +74,9 @@
 /// Weight of the newest answer in an upstream's mean answer time.
 const ANSWER_TIME_WEIGHT: f32 = 0.1;
 
+/// Maximum factor on the load of a slow upstream.
+const MAX_SLOWNESS_FACTOR: f32 = 8.0;
+
 /// An upstream with the observations of this entry.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -156,6 +159,25 @@
         self.is_full
     }
 
+    /// Returns how many times slower than a typical upstream it answers, from 1 to
+    /// [`MAX_SLOWNESS_FACTOR`].
+    #[must_use]
+    pub fn slowness(&self, typical_ms: f32) -> f32 {
+        match self.answer_ms.get() {
+            Some(own) if typical_ms > 0.0 => (own / typical_ms).clamp(1.0, MAX_SLOWNESS_FACTOR),
+            _ => 1.0,
+        }
+    }
+
+    /// Returns the calls that it runs at once as well as a typical upstream: a slow or
+    /// failing one counts less.
+    #[must_use]
+    pub fn sound_slots(&self, typical_ms: f32) -> f32 {
+        let slots = f32::from(u16::try_from(self.listed.slots).unwrap_or(u16::MAX));
+        let failures = self.failures.get().unwrap_or(0.0);
+        slots * (1.0 - failures) / self.slowness(typical_ms)
+    }
+
     /// Returns the name of its model group, empty if it is in none.
     #[must_use]
     pub fn group(&self) -> &str {
@@ -250,6 +272,12 @@
         self.arena.iter()
     }
 
+    /// Returns an upstream by its tag in load reports.
+    #[must_use]
+    pub fn get_by_tag(&self, tag: UpstreamTag) -> Option<&Upstream> {
+        self.arena.get(*self.by_tag.get(&tag)?)
+    }
+
     /// Returns an upstream by its tag in load reports, for modification.
     pub fn get_mut_by_tag(&mut self, tag: UpstreamTag) -> Option<&mut Upstream> {
         let key = *self.by_tag.get(&tag)?;
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -46,6 +46,7 @@
         costs: SmallVec::new(),
         suspects: SuspectReport::default(),
         limits: LimitReport::default(),
+        zone: None,
         requests: egretstage_dispatch::RequestReport::default(),
     }
 }
--- a/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
@@ -236,6 +236,7 @@
                 costs: smallvec![GroupCost(GroupTag::from("g"), *cost)],
                 suspects: SuspectReport::default(),
                 limits: egretstage_dispatch::LimitReport::default(),
+                zone: None,
                 requests: egretstage_dispatch::RequestReport::default(),
             };
             harness
--- a/crates/egretstage_dispatch/tests/dispatch/support.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/support.rs
@@ -112,6 +112,7 @@
         suspects: SuspectReport::default(),
         requests: RequestReport::default(),
         limits: LimitReport::default(),
+        zone: None,
     }))
 }
 
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -147,6 +147,7 @@
             costs: SmallVec::new(),
             suspects: SuspectReport::default(),
             limits: LimitReport::default(),
+            zone: None,
             requests: egretstage_dispatch::RequestReport::default(),
         }))
     };
--- a/crates/egretstage_gateway/src/daemon.rs
+++ b/crates/egretstage_gateway/src/daemon.rs
@@ -154,8 +154,10 @@
 }
 
 fn new_dispatcher(settings: &GatewaySettings) -> Dispatcher {
+    let cost_ms = settings.zones.map(|zones| zones.cross_zone_cost_ms);
     let limits = DispatchLimits {
         stop_within: stop_within(settings),
+        cross_zone_cost: cost_ms.map(|cost| Duration::from_millis(cost.get())),
         ..DispatchLimits::default()
     };
     let (entry, zone) = (settings.instance.clone(), settings.zone.clone());
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -15,6 +15,7 @@
     decisions: Counter<u64>,
     call_age: Histogram<f64>,
     configuration_version: Gauge<u64>,
+    zone_share_out: Gauge<f64>,
     passed_over_records: Counter<u64>,
     /// Kept because its callback ends with it.
     _configuration_age: ObservableGauge<f64>,
@@ -44,6 +45,10 @@
                 .u64_gauge("egret_configuration_version")
                 .with_description("Version of the active configuration")
                 .build(),
+            zone_share_out: meter
+                .f64_gauge("egret_zone_share_out")
+                .with_description("Share of a service's calls that leaves the zone")
+                .build(),
             passed_over_records: counter(
                 "egret_store_records_passed_over",
                 "Records that a restored store lists and that aren't applied, by topic",
@@ -80,6 +85,10 @@
             DispatchEffect::Refuse { refusal, .. } => self.count_refusal(*refusal),
             DispatchEffect::Log(line) => {
                 self.decisions.add(1, &[KeyValue::new("verb", line.verb)]);
+                if let (Some(share), Some(service)) = (line.share_out, &line.service) {
+                    let service = KeyValue::new("service", service.to_string());
+                    self.zone_share_out.record(f64::from(share), &[service]);
+                }
                 if line.verb == "end"
                     && let Some(age) = line.age_ms
                 {
--- a/crates/egretstage_gateway/src/settings.rs
+++ b/crates/egretstage_gateway/src/settings.rs
@@ -27,6 +27,21 @@
     pub freshness: FreshnessSettings,
     /// Planned stops.
     pub stop: StopSettings,
+    /// Calls between availability zones; they are almost free if absent.
+    pub zones: Option<ZonesSettings>,
+}
+
+/// Wait in milliseconds that outweighs the bytes of a call between zones: at least one, at
+/// most a minute.
+type CrossZoneCostMillis = Bounded<1, 60_000>;
+
+/// Calls between availability zones.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZonesSettings {
+    /// Price of a call's bytes between zones against a late answer: the expected wait at
+    /// home, in milliseconds, from which a call leaves its zone.
+    pub cross_zone_cost_ms: CrossZoneCostMillis,
 }
 
 /// Addresses at which callers and the platform's balancer reach the entry.
