Keep calls and streams at home while nobody pays for it

Change: a group at home goes first as long as it isn't used more than all groups together; a call leaves a full home only if the plan has found room elsewhere. Streams at ranks elsewhere are logged with the shares. The fleet of the tests gets zones, slots at upstreams and old reports.

--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -44,6 +44,25 @@
         self.running < self.bound
     }
 
+    /// Returns the load of several groups together.
+    pub(crate) fn sum(loads: &[Self]) -> Self {
+        let open = loads.iter().filter(|load| load.bound > 0);
+        let none = Self {
+            group: CompactString::default(),
+            running: 0,
+            ranks: 0,
+            bound: 0,
+            circuit_open: false,
+            stalled: false,
+        };
+        open.fold(none, |sum, load| Self {
+            running: sum.running.saturating_add(load.running),
+            ranks: sum.ranks.saturating_add(load.ranks),
+            bound: sum.bound.saturating_add(load.bound),
+            ..sum
+        })
+    }
+
     /// Compares by the used share of the bound.
     pub(crate) fn cmp_utilization(&self, other: &Self) -> std::cmp::Ordering {
         let cross_product = |a: &Self, b: &Self| u64::from(a.running) * u64::from(b.bound);
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -101,14 +101,17 @@
         let mut loads = self.group_loads(now, service);
         // A stream that moves within a group that is full has freed its place there.
         let is_resumed = call.is_resumed();
+        let mean = GroupLoad::sum(&loads);
         loads.retain(|load| load.has_capacity() || (is_resumed && load.bound > 0));
         loads.sort_by(GroupLoad::cmp_utilization);
+        self.prefer_home_groups(now, service, &mean, &mut loads);
         let max_queue = if call.route.kind.is_stream() {
             0
         } else {
             self.limits.max_plain_queue
         };
         let zone = self.zone_preference(service, key);
+        let may_leave = self.may_leave_zone(now, service);
         let choose_in_group = |load: &GroupLoad| {
             placement::choose(
                 &self.upstreams,
@@ -117,16 +120,15 @@
                 zone,
                 &call.tried,
                 |upstream| {
-                    let max_calls = upstream.listed.slots
-                        + if self.is_beyond_zone(upstream) {
-                            0
-                        } else {
-                            max_queue
-                        };
-                    if upstream.group() == load.group && self.may_start_at(now, upstream) {
-                        max_calls
-                    } else {
+                    if upstream.group() != load.group || !self.may_start_at(now, upstream) {
+                        return 0;
+                    }
+                    if !self.is_beyond_zone(upstream) {
+                        upstream.listed.slots + max_queue
+                    } else if call.tried.is_empty() && !may_leave {
                         0
+                    } else {
+                        upstream.listed.slots
                     }
                 },
                 self.incarnation ^ key.0,
--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -1,6 +1,7 @@
 //! The share of each service's calls that leaves the availability zone.
 
 use super::Dispatcher;
+use crate::groups::GroupLoad;
 use crate::placement::ZonePreference;
 use crate::upstream::Upstream;
 use crate::zone_shares::{ShareReason, ZoneLoad};
@@ -12,6 +13,9 @@
 /// Time between two plans: each reads the newest reports of all other entries.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Change of the share of streams at ranks elsewhere that is logged.
+const RANKS_LINE_STEP: f32 = 0.125;
+
 /// Shortest time between two log lines of a service's share.
 const LINE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,12 +46,48 @@
         }
     }
 
+    /// Moves groups at home to the front of those that a call may use, if calls between
+    /// zones have a cost: as long as no group is used more than all groups together, a
+    /// choice costs nobody a longer pass.
+    pub(super) fn prefer_home_groups(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        mean: &GroupLoad,
+        loads: &mut [GroupLoad],
+    ) {
+        if self.limits.cross_zone_cost.is_none() || loads.len() < 2 {
+            return;
+        }
+        let is_at_home = |load: &GroupLoad| {
+            let ready = self.upstreams.ready(now, service);
+            let at_home = ready.filter(|(_, upstream)| {
+                upstream.group() == load.group && upstream.listed.zone == self.zone
+            });
+            at_home.count() * 2 > load.ranks as usize
+        };
+        let is_preferred =
+            |load: &GroupLoad| load.cmp_utilization(mean).is_le() && is_at_home(load);
+        loads.sort_by_cached_key(|load| !is_preferred(load));
+    }
+
     /// Returns whether an upstream is in another zone, and calls between zones have a cost:
     /// the queue at such an upstream is left to the callers of its own zone.
     pub(super) fn is_beyond_zone(&self, upstream: &Upstream) -> bool {
         self.limits.cross_zone_cost.is_some() && upstream.listed.zone != self.zone
     }
 
+    /// Returns whether a call may leave the zone when all upstreams at home are full: not
+    /// for a wait that is as long elsewhere.
+    pub(super) fn may_leave_zone(&self, now: Instant, service: &ServiceName) -> bool {
+        let share = self.services.get(service).map(|state| &state.zone_share);
+        share.is_none_or(|share| share.reason() != ShareReason::NoRoomElsewhere)
+            || !self
+                .upstreams
+                .ready(now, service)
+                .any(|(_, upstream)| upstream.listed.zone == self.zone)
+    }
+
     /// Plans which share of each service's calls leaves the zone, if that has a cost.
     ///
     /// The ranks of a model group step together, so a stream waits no shorter elsewhere.
@@ -61,18 +101,27 @@
         self.next_zone_plan = now + PLAN_INTERVAL;
         let names: SmallVec<[ServiceName; 4]> = self.services.keys().cloned().collect();
         for name in names {
-            let Some((loads, holding)) = self.zone_loads(now, &name) else {
-                continue;
-            };
-            let cost_ms = cost.as_secs_f32() * 1000.0;
+            let of_ranks = self.share_at_ranks_elsewhere(&name);
+            let loads = self.zone_loads(now, &name);
             let Some(state) = self.services.get_mut(&name) else {
                 continue;
             };
             let share = &mut state.zone_share;
-            share.update(now, &self.zone, loads, holding, cost_ms);
-            let (out, reason): (f32, ShareReason) = (share.out(), share.reason());
-            let has_changed = (out - state.logged_share).abs() > f32::EPSILON;
-            if !has_changed || state.next_share_line.is_some_and(|at| now < at) {
+            let (out, reason) = match (of_ranks, loads) {
+                (Some(out), _) => (out, "even-ranks"),
+                (None, Some((loads, holding_ms))) => {
+                    let cost_ms = cost.as_secs_f32() * 1000.0;
+                    share.update(now, &self.zone, loads, holding_ms, cost_ms);
+                    (share.out(), share.reason().into())
+                }
+                (None, None) => continue,
+            };
+            let is_new = if of_ranks.is_some() {
+                (out - state.logged_share).abs() >= RANKS_LINE_STEP
+            } else {
+                (out - state.logged_share).abs() > f32::EPSILON
+            };
+            if !is_new || state.next_share_line.is_some_and(|at| now < at) {
                 continue;
             }
             state.logged_share = out;
@@ -80,7 +129,7 @@
             fx.push(DispatchEffect::Log(Box::new(DecisionLine {
                 verb: "zone-share",
                 service: Some(name),
-                reason: Some(reason.into()),
+                reason: Some(reason),
                 share_out: Some(out),
                 peers_age_ms: self.peers.oldest_age(now).map(super::millis),
                 ..DecisionLine::default()
@@ -88,6 +137,22 @@
         }
     }
 
+    /// Returns the share of this entry's streams that ranks in other zones run; `None` for
+    /// a service without model groups.
+    fn share_at_ranks_elsewhere(&self, service: &ServiceName) -> Option<f32> {
+        let upstreams = self.upstreams.iter().map(|(_, upstream)| upstream);
+        let ranks = upstreams.filter(|u| u.listed.service == *service && !u.group().is_empty());
+        let (mut at_ranks, mut all, mut out) = (false, 0, 0);
+        for rank in ranks {
+            at_ranks = true;
+            all += rank.own_calls;
+            if rank.listed.zone != self.zone {
+                out += rank.own_calls;
+            }
+        }
+        at_ranks.then(|| to_f32(out) / to_f32(all.max(1)))
+    }
+
     /// Returns the loads of a service's zones, and the usual time of an answer in
     /// milliseconds; `None` for the ranks of model groups, and before the first answer.
     fn zone_loads(
--- a/crates/egretstage_dispatch/tests/dispatch/fleet.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/fleet.rs
@@ -21,6 +21,37 @@
 /// Time from a call's start to the end of its answer.
 const ANSWER_DELAY: Duration = Duration::from_millis(400);
 
+/// Zones, each with its upstreams of the service without a group.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneLayout {
+    /// Names of the zones.
+    pub(crate) zones: Vec<&'static str>,
+    /// Entries in each zone.
+    pub(crate) entries: usize,
+    /// Upstreams in each zone.
+    pub(crate) desks: usize,
+    /// Ranks of the one group in each zone.
+    pub(crate) ranks: usize,
+}
+
+/// An answer that has ended.
+pub(crate) struct Answered {
+    /// Index of the entry.
+    pub(crate) entry: usize,
+    /// Time from the arrival of the call to the end of its answer.
+    pub(crate) latency: Duration,
+    /// When it ended.
+    pub(crate) at: Instant,
+}
+
+/// A call that was sent.
+pub(crate) struct Sent {
+    /// Index of the entry.
+    pub(crate) entry: usize,
+    pub(crate) instance: InstanceId,
+    pub(crate) at: Instant,
+}
+
 /// Something that happens at an entry after a delay.
 enum Later {
     Head(CallKey, UpstreamKey, InstanceId),
@@ -49,6 +80,17 @@
 pub(crate) struct Fleet {
     entries: Vec<FleetEntry>,
     upstreams: Vec<ListedUpstream>,
+    /// The zone of each entry; the first one for the others.
+    zones: Vec<&'static str>,
+    dispatch_limits: DispatchLimits,
+    /// When each slot of an upstream becomes free, if calls wait for slots there.
+    slots: HashMap<InstanceId, Vec<Instant>>,
+    /// Time of a call in a slot; answers take no longer than the work if `None`.
+    pub(crate) work: Option<Duration>,
+    /// Age of a report when it arrives.
+    pub(crate) report_delay: Duration,
+    pub(crate) sent: Vec<Sent>,
+    pub(crate) answered: Vec<Answered>,
     now: Instant,
     rng: ChaCha8Rng,
     later: BTreeMap<(Instant, u64), (usize, u64, Later)>,
@@ -72,9 +114,51 @@
     pub(crate) fn new(seed: u64, entries: usize, ranks: usize) -> Self {
         let ranks = (0..ranks).map(|rank| upstream(&format!("rank-{rank}"), "drafting", Some("g")));
         let desks = (0..3).map(|desk| upstream(&format!("desk-{desk}"), "booking", None));
+        let upstreams = with_addresses(ranks.chain(desks));
+        Self::of(
+            seed,
+            upstreams,
+            vec!["west"; entries],
+            DispatchLimits::default(),
+        )
+    }
+
+    /// Creates entries and upstreams in several zones.
+    pub(crate) fn in_zones(seed: u64, layout: &ZoneLayout, limits: DispatchLimits) -> Self {
+        let in_zone = |zone: &&'static str| {
+            let zone = *zone;
+            let desks = (0..layout.desks)
+                .map(move |desk| upstream(&format!("desk-{zone}-{desk}"), "booking", None));
+            let ranks = (0..layout.ranks)
+                .map(move |rank| upstream(&format!("rank-{zone}-{rank}"), "drafting", Some("g")));
+            desks.chain(ranks).map(move |listed| ListedUpstream {
+                zone: zone.try_into().expect("valid name"),
+                ..listed
+            })
+        };
+        let upstreams = with_addresses(layout.zones.iter().flat_map(in_zone));
+        let entries = layout.zones.iter();
+        let entries = entries.flat_map(|zone| vec![*zone; layout.entries]);
+        Self::of(seed, upstreams, entries.collect(), limits)
+    }
+
+    fn of(
+        seed: u64,
+        upstreams: Vec<ListedUpstream>,
+        zones: Vec<&'static str>,
+        dispatch_limits: DispatchLimits,
+    ) -> Self {
+        let entries = zones.len();
         let mut fleet = Self {
             entries: Vec::new(),
-            upstreams: with_addresses(ranks.chain(desks)),
+            upstreams,
+            zones,
+            dispatch_limits,
+            slots: HashMap::new(),
+            work: None,
+            report_delay: STEP,
+            sent: Vec::new(),
+            answered: Vec::new(),
             now: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             later: BTreeMap::new(),
@@ -103,8 +187,8 @@
             .as_str()
             .try_into()
             .expect("a name");
-        let zone = "west".try_into().expect("valid name");
-        let limits = DispatchLimits::default();
+        let zone = self.zones[index].try_into().expect("valid name");
+        let limits = self.dispatch_limits;
         let seed = incarnation * 1_000 + index as u64;
         let dispatcher = Dispatcher::new(self.now, name.clone(), zone, seed, limits);
         let mut sim = VirtualLoop::starting_at(self.now, dispatcher);
@@ -131,6 +215,44 @@
         self.entries[index].is_cut_off = is_cut_off;
     }
 
+    /// Changes the record of an upstream, by its name.
+    pub(crate) fn change_upstreams(&mut self, change: impl Fn(&mut ListedUpstream)) {
+        for known in 0..self.upstreams.len() {
+            let listed = &mut self.upstreams[known];
+            change(listed);
+            let listed = listed.clone();
+            for index in 0..self.entries.len() {
+                let event = DispatchEvent::Listed(Box::new(listed.clone()));
+                let effects = self.entries[index].sim.event(event);
+                self.carry_out(index, effects);
+            }
+        }
+    }
+
+    /// Returns the zone of an upstream.
+    pub(crate) fn zone_of(&self, instance: &InstanceId) -> &str {
+        let mut known = self.upstreams.iter().filter(|u| u.instance == *instance);
+        known.next().map_or("", |listed| listed.zone.as_str())
+    }
+
+    /// Returns the zone of an entry.
+    pub(crate) fn zone_of_entry(&self, index: usize) -> &str {
+        self.zones[index]
+    }
+
+    /// Returns when a call that arrives now at an upstream gets a slot.
+    fn slot_at(&mut self, instance: &InstanceId, work: Duration) -> Instant {
+        let mut known = self.upstreams.iter().filter(|u| u.instance == *instance);
+        let slots = known.next().map_or(1, |listed| listed.slots as usize);
+        let now = self.now;
+        let free = self.slots.entry(instance.clone());
+        let free = free.or_insert_with(|| vec![now; slots]);
+        let next = free.iter_mut().min().expect("a slot");
+        let start = (*next).max(now);
+        *next = start + work;
+        start
+    }
+
     /// Restarts an upstream under the name that it had.
     pub(crate) fn restart_upstream(&mut self, name: &str) {
         let known = self.upstreams.iter_mut();
@@ -213,6 +335,12 @@
             }
             Later::End(call) => {
                 self.completed += 1;
+                self.answered.push(Answered {
+                    entry: index,
+                    latency: self.now - self.arrived[&call],
+                    at: self.now,
+                });
+                let sim = &mut self.entries[index].sim;
                 sim.event(DispatchEvent::Ended { call, whole: true })
             }
             Later::Report(report) => sim.event(DispatchEvent::PeerReported(report)),
@@ -227,9 +355,21 @@
                     let instance = attempt.instance.clone();
                     let arrivals = self.arrivals.entry(instance.clone()).or_default();
                     arrivals.push(self.now);
+                    self.sent.push(Sent {
+                        entry: index,
+                        instance: instance.clone(),
+                        at: self.now,
+                    });
+                    let delays = match self.work {
+                        None => (HEAD_DELAY, ANSWER_DELAY),
+                        Some(work) => {
+                            let ends = self.slot_at(&instance, work) + work - self.now;
+                            (ends, ends)
+                        }
+                    };
                     let head = Later::Head(call, attempt.upstream, instance);
-                    self.add_later(HEAD_DELAY, index, head);
-                    self.add_later(ANSWER_DELAY, index, Later::End(call));
+                    self.add_later(delays.0, index, head);
+                    self.add_later(delays.1, index, Later::End(call));
                 }
                 DispatchEffect::Refuse { call, refusal } => {
                     let waited = self.now - self.arrived[&call];
@@ -247,7 +387,11 @@
             if to == from || is_cut || self.rng.random_range(0..100) < self.lost_reports {
                 continue;
             }
-            self.add_later(STEP, to, Later::Report(Box::new(report.clone())));
+            self.add_later(
+                self.report_delay,
+                to,
+                Later::Report(Box::new(report.clone())),
+            );
         }
     }
 
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -16,3 +16,4 @@
 mod support;
 mod under_load;
 mod upstream_signals;
+mod zone_shares;
