--- a/crates/egretstage_dispatch/src/groups.rs
+++ b/crates/egretstage_dispatch/src/groups.rs
@@ -21,6 +21,9 @@
 /// way, and one or two read the prompt.
 const PASSES_BEFORE_FIRST_EVENT: f32 = 2.0;
 
+/// A group is used evenly up to one such part above the use of all groups together.
+const EVEN_USE_PARTS: u128 = 16;
+
 /// Load and bound of a group, over all entries.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct GroupLoad {
@@ -63,6 +66,13 @@
         })
     }
 
+    /// Returns whether the group is used hardly more than all groups together.
+    pub(crate) fn is_used_evenly(&self, all: &Self) -> bool {
+        let cross_product = |a: &Self, b: &Self| u128::from(a.running) * u128::from(b.bound);
+        let own = cross_product(self, all) * EVEN_USE_PARTS;
+        own <= cross_product(all, self) * (EVEN_USE_PARTS + 1)
+    }
+
     /// Compares by the used share of the bound.
     pub(crate) fn cmp_utilization(&self, other: &Self) -> std::cmp::Ordering {
         let cross_product = |a: &Self, b: &Self| u64::from(a.running) * u64::from(b.bound);
--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -47,8 +47,8 @@
     }
 
     /// Moves groups at home to the front of those that a call may use, if calls between
-    /// zones have a cost: as long as no group is used more than all groups together, a
-    /// choice costs nobody a longer pass.
+    /// zones have a cost: as long as the group is hardly used more than all groups together,
+    /// the choice costs nobody a longer pass.
     pub(super) fn prefer_home_groups(
         &self,
         now: Instant,
@@ -66,8 +66,7 @@
             });
             at_home.count() * 2 > load.ranks as usize
         };
-        let is_preferred =
-            |load: &GroupLoad| load.cmp_utilization(mean).is_le() && is_at_home(load);
+        let is_preferred = |load: &GroupLoad| load.is_used_evenly(mean) && is_at_home(load);
         loads.sort_by_cached_key(|load| !is_preferred(load));
     }
 
