--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -108,18 +108,14 @@
     seen(fleet, from)
 }
 
-/// Returns the share of the calls that left the first zone, in each second of the last span.
-fn shares_by_second(fleet: &Fleet) -> Vec<f64> {
-    let seconds = (0..SPAN.as_secs()).rev();
-    let of_second = |ago: u64| {
-        let to = fleet.now() - Duration::from_secs(ago);
-        let sent = fleet.sent.iter().filter(|sent| {
-            sent.at <= to && sent.at > to - Duration::from_secs(1) && sent.entry < 2
-        });
-        let out = sent
-            .clone()
-            .filter(|s| fleet.zone_of(&s.instance) != ZONES[0]);
-        share(out.count(), sent.count())
+/// Runs a load for a span; returns the share of the calls that left the first zone, in each
+/// second.
+fn shares_by_second(fleet: &mut Fleet, wanted: [f64; 3]) -> Vec<f64> {
+    let seconds = 0..SPAN.as_secs();
+    let of_second = |_| {
+        let from = fleet.now();
+        fleet.run(Duration::from_secs(1), PLAIN, &rates(wanted));
+        seen(fleet, from)[0].out
     };
     seconds.map(of_second).collect()
 }
@@ -145,14 +141,20 @@
 fn calls_leave_a_zone_beyond_its_room_and_return() {
     for seed in 0..3 {
         let mut fleet = fleet(seed);
-        let [busy, ..] = play(&mut fleet, PLAIN, [1.5, 0.2, 0.2]);
-        // A third is beyond the room; half of the slots at home stay in use.
-        assert!((1.0 / 3.0..=2.0 / 3.0).contains(&busy.out), "{busy:?}");
-        for zone in seen(&fleet, fleet.now() - SPAN) {
-            assert!(zone.in_time >= 0.99, "{zone:?}");
-        }
-        let [_, idle @ ..] = seen(&fleet, fleet.now() - SPAN);
+        let [busy, idle @ ..] = play(&mut fleet, PLAIN, [1.5, 0.2, 0.2]);
+        let zones = [
+            load("east", 12.0, 18.0),
+            load("mid", 12.0, 2.4),
+            load("west", 12.0, 2.4),
+        ];
+        let planned = plan(&zones[0].zone, &zones, 200.0, 10.0).out;
+        let difference = (busy.out - f64::from(planned)).abs();
+        assert!(difference <= 0.125, "{busy:?}, planned {planned}");
+        let in_use = share(busy.arrivals, 1) / (ZONE_ROOM * SPAN.as_secs_f64());
+        assert!(in_use >= 0.5, "home stays in use: {in_use}");
+        assert!(busy.in_time >= 0.99, "{busy:?}");
         for zone in idle {
+            assert!(zone.in_time >= 0.99, "{zone:?}");
             assert!(zone.out <= MAX_CALM_SHARE, "{zone:?}");
         }
         for zone in play(&mut fleet, PLAIN, [0.3, 0.2, 0.2]) {
@@ -205,7 +207,7 @@
         fleet.report_delay = OLD;
         fleet.lost_reports = lost;
         let zones = play(&mut fleet, PLAIN, [1.5, 0.2, 0.2]);
-        let shares = shares_by_second(&fleet);
+        let shares = shares_by_second(&mut fleet, [1.5, 0.2, 0.2]);
         let lowest = shares.iter().copied().fold(1.0, f64::min);
         let highest = shares.iter().copied().fold(0.0, f64::max);
         assert!(lowest >= 0.25 && highest <= 0.8, "{shares:?}");
@@ -375,6 +377,38 @@
     );
 }
 
+/// Calls leave in the planned share, and to each zone as much as its room allows.
+#[test]
+fn calls_are_drawn_by_the_share_and_the_room_of_each_zone() {
+    let home = "east".try_into().expect("valid name");
+    let mut share_out = ZoneShare::default();
+    let mut now = Instant::now();
+    for _ in 0..20 {
+        let (mid, west) = (load("mid", 6.0, 0.0), load("west", 12.0, 0.0));
+        share_out.update(
+            now,
+            &home,
+            smallvec![load("east", 0.0, 2.0), mid, west],
+            200.0,
+            10.0,
+        );
+        now += Duration::from_millis(200);
+    }
+    assert!(share_out.out() >= 1.0, "{}", share_out.out());
+    let draws = (0..1_000_u64).map(|draw| draw.wrapping_mul(0x9E37_79B9_7F4A_7C15));
+    let zones: Vec<&str> = draws
+        .map(|d| share_out.zone_for(&home, d).as_str())
+        .collect();
+    let count = |name: &str| zones.iter().filter(|zone| **zone == name).count();
+    assert_eq!(count("east"), 0);
+    // Twice as many slots wait far less at the same use.
+    assert!(
+        count("west") > count("mid") && count("mid") > 100,
+        "{}",
+        count("mid")
+    );
+}
+
 /// Load pattern: the demand swings around the room within a second. The share changes in few
 /// steps, and returns to none after the peak.
 #[test]
