See an uneven group and an unready zone in the tests of the zone shares

Cause: two mutations passed: all ranks at home counted as even, and room of upstreams that take no calls. Change: a zone with five times the others' callers, and the log line of a lost zone.

--- a/crates/egretstage_dispatch/tests/dispatch/fleet.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/fleet.rs
@@ -2,8 +2,9 @@
 
 use crate::support::{configured, table, upstream};
 use egretstage_dispatch::{
-    CallHead, CallKey, CallRate, DispatchEffect, DispatchEvent, DispatchLimits, Dispatcher,
-    ListedUpstream, LoadReport, PromptParts, Refusal, RequestHash, UpstreamKey, UpstreamSignal,
+    CallHead, CallKey, CallRate, DecisionLine, DispatchEffect, DispatchEvent, DispatchLimits,
+    Dispatcher, ListedUpstream, LoadReport, PromptParts, Refusal, RequestHash, UpstreamKey,
+    UpstreamSignal,
 };
 use egretstage_runtime::VirtualLoop;
 use egretstage_wire::InstanceId;
@@ -93,6 +94,8 @@
     pub(crate) report_delay: Duration,
     pub(crate) sent: Vec<Sent>,
     pub(crate) answered: Vec<Answered>,
+    /// Log lines of shares that leave a zone, by entry.
+    pub(crate) share_lines: Vec<(usize, DecisionLine)>,
     now: Instant,
     rng: ChaCha8Rng,
     later: BTreeMap<(Instant, u64), (usize, u64, Later)>,
@@ -168,6 +171,7 @@
             report_delay: STEP,
             sent: Vec::new(),
             answered: Vec::new(),
+            share_lines: Vec::new(),
             now: Instant::now(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             later: BTreeMap::new(),
@@ -396,6 +400,9 @@
                     self.refusals.push((refusal, waited));
                 }
                 DispatchEffect::Report(report) => self.spread(index, &report),
+                DispatchEffect::Log(line) if line.verb == "zone-share" => {
+                    self.share_lines.push((index, *line));
+                }
                 _ => {}
             }
         }
--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -246,6 +246,12 @@
     set(&mut fleet, UpstreamState::Draining);
     let [lost, others @ ..] = play(&mut fleet, PLAIN, [0.6, 0.4, 0.4]);
     assert!(lost.out >= 1.0 && lost.arrivals == 0, "{lost:?}");
+    let mut lines = fleet.share_lines.iter();
+    let (_, line) = lines.rfind(|(entry, _)| *entry == 0).expect("a log line");
+    assert_eq!(
+        (line.reason, line.share_out),
+        (Some("home-is-lost"), Some(1.0))
+    );
     for zone in others {
         assert!(zone.out <= 0.1 && zone.in_time >= 0.99, "{zone:?}");
     }
@@ -278,29 +284,32 @@
     (share(most, 1), share(counts.iter().sum(), counts.len()))
 }
 
-/// Load pattern: one group over three zones, and one zone with a third more callers. Most
-/// streams run at home, and no rank carries more than with the slight preference.
+/// Load pattern: one group over three zones, and one zone with a third more callers, or with
+/// five times as many. No rank carries more than with the slight preference; most streams run
+/// at home if that is possible.
 #[test]
 fn streams_run_at_home_without_an_uneven_group() {
-    let observe = |cost: Option<Duration>| {
+    let observe = |cost: Option<Duration>, wanted: [f64; 3]| {
         let mut fleet = new_fleet(8, cost, true);
         fleet.work = None;
-        fleet.run(SETTLE, STREAM, &rates([1.0, 1.0, 1.33]));
+        fleet.run(SETTLE, STREAM, &rates(wanted));
         let from = fleet.now();
         let mut excess = 0.0;
         for _ in 0..100 {
-            fleet.run(Duration::from_millis(100), STREAM, &rates([1.0, 1.0, 1.33]));
+            fleet.run(Duration::from_millis(100), STREAM, &rates(wanted));
             let (most, mean) = most_and_mean(&fleet);
             excess += most - mean;
         }
         (seen(&fleet, from), excess / 100.0)
     };
-    let (slight, slight_excess) = observe(None);
-    let (chosen, excess) = observe(Some(COST));
-    // A stream of one rank is a pass that is longer for all.
-    assert!(excess <= slight_excess + 0.5, "{excess}, {slight_excess}");
-    for (chosen, slight) in chosen.iter().zip(&slight) {
-        assert!(chosen.out < slight.out * 0.7, "{chosen:?}, {slight:?}");
+    for (wanted, most_out) in [([1.0, 1.0, 1.33], 0.7), ([0.3, 0.3, 1.5], 1.0)] {
+        let (slight, slight_excess) = observe(None, wanted);
+        let (chosen, excess) = observe(Some(COST), wanted);
+        // A stream of one rank is a pass that is longer for all.
+        assert!(excess <= slight_excess + 0.5, "{excess}, {slight_excess}");
+        for (chosen, slight) in chosen.iter().zip(&slight) {
+            assert!(chosen.out < slight.out * most_out, "{chosen:?}, {slight:?}");
+        }
     }
 }
 
