--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -6,7 +6,7 @@
 use egretstage_dispatch::{
     CallRate, DispatchEffect, DispatchEvent, HarmfulParts, HarmfulRequests, LimitReport,
     LoadReport, PeerLoads, PromptPart, RequestHash, StartLimits, SuspectReport, UpstreamLoad,
-    UpstreamStart, UpstreamTag,
+    UpstreamStart, UpstreamTag, ZoneTag,
 };
 use egretstage_wire::InstanceId;
 use rand::{Rng, SeedableRng};
@@ -192,6 +192,14 @@
     assert_read_by_both_releases(&report);
 }
 
+#[test]
+fn a_report_with_a_zone_is_read_by_an_older_release() {
+    let mut report = report(7, 12, &[(1, 5)]);
+    let zone = "west".try_into().expect("valid name");
+    report.zone = Some(ZoneTag::from(&zone));
+    assert_read_by_both_releases(&report);
+}
+
 /// Load pattern: an upgrade replaces the entries one after the other.
 #[test]
 fn a_report_of_an_older_release_is_read() {
