--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -164,12 +164,13 @@
         };
         let mut loads = SmallVec::<[ZoneLoad; 4]>::new();
         let typical_ms = crate::placement::typical_answer_ms(&self.upstreams, now, service)?;
+        let ready = self.upstreams.ready(now, service);
+        for (_, upstream) in ready.filter(|(_, u)| of_service(u) && self.may_start_at(now, u)) {
+            load_of(&mut loads, &upstream.listed.zone).slots += upstream.sound_slots(typical_ms);
+        }
         let upstreams = self.upstreams.iter().map(|(_, upstream)| upstream);
         for upstream in upstreams.filter(|u| of_service(u)) {
-            let load = load_of(&mut loads, &upstream.listed.zone);
-            if upstream.is_ready(now) && self.may_start_at(now, upstream) {
-                load.slots += upstream.sound_slots(typical_ms);
-            }
+            load_of(&mut loads, &upstream.listed.zone);
             load_of(&mut loads, &self.zone).demand += to_f32(upstream.own_calls);
         }
         if loads.is_empty() {
