--- a/crates/egretstage_dispatch/src/placement.rs
+++ b/crates/egretstage_dispatch/src/placement.rs
@@ -33,6 +33,9 @@
         home: &'a ZoneName,
         /// The zone at which an upstream without a group should run it.
         chosen: &'a ZoneName,
+        /// Whether the ranks of a group may differ by a stream: longer passes of the group
+        /// are still far below the longest pause.
+        ranks_may_differ: bool,
     },
 }
 
@@ -60,6 +63,9 @@
                     (calls, 0.0)
                 }
             }
+            Self::Chosen { home, .. } if !upstream.group().is_empty() => {
+                Self::Slight(home).load(upstream, level)
+            }
             Self::Chosen { chosen, .. } if zone == *chosen => (calls, 0.0),
             Self::Chosen { .. } => (calls, to_f32(upstream.listed.slots)),
         }
@@ -115,8 +121,11 @@
         ready.filter(|(_, upstream)| upstream.calls() < max_calls(upstream))
     };
     let level = match zone {
-        ZonePreference::Slight(_) => GroupLevel::default(),
-        ZonePreference::Chosen { .. } => GroupLevel::of(candidates().map(|(_, u)| u)),
+        ZonePreference::Chosen {
+            ranks_may_differ: true,
+            ..
+        } => GroupLevel::of(candidates().map(|(_, u)| u)),
+        _ => GroupLevel::default(),
     };
     let score = |(key, upstream): (UpstreamKey, &Upstream)| {
         let is_avoided = avoid.contains(&key);
--- a/crates/egretstage_dispatch/src/reducer/calls/placing.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/placing.rs
@@ -110,14 +110,13 @@
         } else {
             self.limits.max_plain_queue
         };
-        let zone = self.zone_preference(service, key);
         let may_leave = self.may_leave_zone(now, service);
         let choose_in_group = |load: &GroupLoad| {
             placement::choose(
                 &self.upstreams,
                 now,
                 service,
-                zone,
+                self.zone_preference(service, load, key),
                 &call.tried,
                 |upstream| {
                     if upstream.group() != load.group || !self.may_start_at(now, upstream) {
--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -30,6 +30,7 @@
     pub(super) fn zone_preference(
         &self,
         service: &ServiceName,
+        load: &GroupLoad,
         key: CallKey,
     ) -> ZonePreference<'_> {
         let state = self.services.get(service);
@@ -40,6 +41,7 @@
                 ZonePreference::Chosen {
                     home: &self.zone,
                     chosen: state.zone_share.zone_for(&self.zone, draw),
+                    ranks_may_differ: load.running < load.bound / 2,
                 }
             }
             _ => ZonePreference::Slight(&self.zone),
--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -1,8 +1,10 @@
 //! The share of a zone's calls that leaves it, over several entries.
 
 use crate::fleet::{Fleet, ZoneLayout};
+use crate::support::upstream;
+use egretstage_dispatch::placement::{ZonePreference, choose};
 use egretstage_dispatch::zone_shares::{ShareReason, ZoneLoad, ZoneShare, plan};
-use egretstage_dispatch::{DispatchLimits, UpstreamState};
+use egretstage_dispatch::{DispatchLimits, UpstreamState, Upstreams};
 use smallvec::{SmallVec, smallvec};
 use std::time::{Duration, Instant};
 
@@ -313,6 +315,38 @@
     }
 }
 
+/// Each pass waits for the most loaded rank: a stream runs at home if that makes no rank carry
+/// more than an even share, and with a group under load, at the least loaded rank.
+#[test]
+fn bytes_do_not_count_in_a_group_under_load() {
+    let now = Instant::now();
+    let mut upstreams = Upstreams::default();
+    for (rank, zone, calls) in [
+        (0, "east", 2),
+        (1, "east", 3),
+        (2, "west", 1),
+        (3, "west", 3),
+    ] {
+        let mut listed = upstream(&format!("rank-{rank}"), "drafting", Some("g"));
+        listed.zone = zone.try_into().expect("valid name");
+        listed.address.set_port(1_000 + rank);
+        let key = upstreams.upsert(listed);
+        upstreams.get_mut(key).expect("an upstream").own_calls = calls;
+    }
+    let home = "east".try_into().expect("valid name");
+    let service = "drafting".try_into().expect("valid name");
+    for (ranks_may_differ, expected) in [(true, "rank-0"), (false, "rank-2")] {
+        let zone = ZonePreference::Chosen {
+            home: &home,
+            chosen: &home,
+            ranks_may_differ,
+        };
+        let key = choose(&upstreams, now, &service, zone, &[], |u| u.listed.slots, 1);
+        let chosen = upstreams.get(key.expect("a rank")).expect("an upstream");
+        assert_eq!(chosen.listed.instance.as_str(), expected);
+    }
+}
+
 /// Load pattern: each group lies in one zone, and one zone has a third more callers. Streams
 /// run at home as far as the groups stay even.
 #[test]
