--- a/crates/egretstage_dispatch/src/decision_line.rs
+++ b/crates/egretstage_dispatch/src/decision_line.rs
@@ -13,8 +13,9 @@
     /// `behind` (another entry has a higher version of the configuration), `upstream`,
     /// `group`, `part` (a prompt part has become harmful), `request` (a request has
     /// become harmful), `zone` (a zone is evacuated or taken back), `room` (room begins or ends
-    /// to be kept for more urgent calls), `ready`, `stop`; or `wait` (a new call waits although
-    /// an upstream has a free slot).
+    /// to be kept for more urgent calls), `zone-share` (another share of a service's calls
+    /// leaves the zone), `ready`, `stop`; or `wait` (a new call waits although an upstream has
+    /// a free slot).
     pub verb: &'static str,
     /// The request.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -71,6 +72,9 @@
     /// Delay after which the caller may retry, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub retry_after_ms: Option<u64>,
+    /// Share of the service's calls that leaves the zone, from 0 to 1.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub share_out: Option<f32>,
     /// Calls per second that the upstream takes from all entries together.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub limit_per_s: Option<f64>,
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod service;
 mod stop;
+mod zone_shares;
 mod zones;
 
 use crate::configuration_lag::ConfigurationLag;
@@ -62,6 +63,9 @@
     /// Time after a stop request at which the process ends, even if calls still
     /// run.
     pub stop_within: Duration,
+    /// Wait at home that a caller accepts rather than a call that leaves the availability
+    /// zone; `None` if calls between zones are almost free.
+    pub cross_zone_cost: Option<Duration>,
 }
 
 impl Default for DispatchLimits {
@@ -79,6 +83,7 @@
             close_connections_after: Duration::from_millis(2_500),
             refuse_streams_after: Duration::from_secs(3),
             stop_within: Duration::from_millis(7_500),
+            cross_zone_cost: None,
         }
     }
 }
@@ -107,6 +112,8 @@
     budgets: HashMap<CompactString, RouteBudgets>,
     expiries: BTreeSet<(Instant, CallKey)>,
     next_check: Instant,
+    /// When the shares of the calls that leave the zone are planned next.
+    next_zone_plan: Instant,
     /// When a changed load may be reported.
     next_report: Instant,
     /// When the load is reported even without a change.
@@ -149,6 +156,7 @@
             budgets: HashMap::new(),
             expiries: BTreeSet::new(),
             next_check: now + limits.check_interval,
+            next_zone_plan: now,
             next_report: now,
             next_idle_report: now,
             report_count: 0,
@@ -403,6 +411,7 @@
             requests: self.harmful_requests.take_report(now),
             limits: self.start_limits.report(now, self.report_count),
             zones: self.upstreams.evacuated_zones().report(),
+            zone: self.reported_zone(),
         })));
     }
 
@@ -427,6 +436,7 @@
             self.check_stalled_groups(now, fx);
             self.hand_out_starts(now);
             self.log_cold_changes(now, fx);
+            self.plan_zone_shares(now, fx);
             self.move_streams_off_slow_ranks(now, fx);
             self.check_waiting_calls(now, fx);
             self.log_kept_room(now, fx);
--- a/crates/egretstage_dispatch/src/reducer/service.rs
+++ b/crates/egretstage_dispatch/src/reducer/service.rs
@@ -6,6 +6,7 @@
 use crate::retry_slots::{RetrySlotLimits, RetrySlots};
 use crate::urgency_room::UrgencyRoom;
 use crate::waiting::{StartRate, WaitingCalls};
+use crate::zone_shares::ZoneShare;
 use crate::{CallKey, FirstByteLatency, ServiceProfile};
 use egretstage_routing::{RetryBudget, RetryLimits};
 use std::time::{Duration, Instant};
@@ -72,6 +73,12 @@
     pub(super) room: Option<UrgencyRoom>,
     /// Whether room was kept at the last check.
     pub(super) was_room_kept: bool,
+    /// The share of its calls that leaves the zone.
+    pub(super) zone_share: ZoneShare,
+    /// When a change of the share may be logged.
+    pub(super) next_share_line: Option<Instant>,
+    /// The share that was logged last.
+    pub(super) logged_share: f32,
 }
 
 impl ServiceState {
@@ -89,6 +96,9 @@
             groups: Groups::default(),
             room: None,
             was_room_kept: false,
+            zone_share: ZoneShare::default(),
+            next_share_line: None,
+            logged_share: 0.0,
         }
     }
 
--- a/crates/egretstage_dispatch/tests/dispatch/main.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/main.rs
@@ -20,3 +20,4 @@
 mod upstream_signals;
 mod urgency;
 mod urgency_bursts;
+mod zone_shares;
--- a/crates/egretstage_dispatch/tests/dispatch/peers.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/peers.rs
@@ -6,7 +6,7 @@
 use egretstage_dispatch::{
     CallRate, DispatchEffect, DispatchEvent, GroupCost, HarmfulParts, HarmfulRequests, LimitReport,
     LoadReport, PeerLoads, PromptPart, RequestHash, RequestReport, StartLimits, SuspectReport,
-    TopicPosition, UpstreamLoad, UpstreamLoads, UpstreamStart, UpstreamTag, ZoneSet,
+    TopicPosition, UpstreamLoad, UpstreamLoads, UpstreamStart, UpstreamTag, ZoneSet, ZoneTag,
 };
 use egretstage_wire::InstanceId;
 use rand::{Rng, SeedableRng};
@@ -47,6 +47,7 @@
         zones: None,
         suspects: SuspectReport::default(),
         limits: LimitReport::default(),
+        zone: None,
         requests: egretstage_dispatch::RequestReport::default(),
     }
 }
@@ -201,6 +202,7 @@
     for zones in [zones.into_iter().collect(), SmallVec::new()] {
         let mut report = report.clone();
         report.zones = Some(ZoneSet { position, zones });
+        report.zone = Some(ZoneTag::from(&"east".try_into().expect("valid name")));
         assert_read_by_both_releases(&report);
         let mut bytes = Vec::new();
         ciborium::into_writer(&report, &mut bytes).expect("encodable");
@@ -216,6 +218,7 @@
             requests: older.requests,
             limits: older.limits,
             zones: report.zones.clone(),
+            zone: report.zone,
         };
         assert_eq!(read, report);
     }
@@ -262,6 +265,14 @@
     assert_read_by_both_releases(&report);
 }
 
+#[test]
+fn a_report_with_a_zone_is_read_by_an_older_release() {
+    let mut report = report(7, 12, &[(1, 5)]);
+    let zone = "west".try_into().expect("valid name");
+    report.zone = Some(ZoneTag::from(&zone));
+    assert_read_by_both_releases(&report);
+}
+
 /// Load pattern: an upgrade replaces the entries one after the other.
 #[test]
 fn a_report_of_an_older_release_is_read() {
--- a/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/stalled_groups.rs
@@ -237,6 +237,7 @@
                 zones: None,
                 suspects: SuspectReport::default(),
                 limits: egretstage_dispatch::LimitReport::default(),
+                zone: None,
                 requests: egretstage_dispatch::RequestReport::default(),
             };
             harness
--- a/crates/egretstage_dispatch/tests/dispatch/under_load.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/under_load.rs
@@ -148,6 +148,7 @@
             zones: None,
             suspects: SuspectReport::default(),
             limits: LimitReport::default(),
+            zone: None,
             requests: egretstage_dispatch::RequestReport::default(),
         }))
     };
--- a/crates/egretstage_gateway/src/metrics.rs
+++ b/crates/egretstage_gateway/src/metrics.rs
@@ -17,6 +17,7 @@
     configuration_version: Gauge<u64>,
     evacuated_zones: Gauge<u64>,
     zone_changes: Counter<u64>,
+    zone_share_out: Gauge<f64>,
     passed_over_records: Counter<u64>,
     cold_upstreams: Gauge<u64>,
     held_back: Counter<u64>,
@@ -56,6 +57,10 @@
                 "egret_zone_changes",
                 "Zones evacuated or taken back, by reason, which names the source",
             ),
+            zone_share_out: meter
+                .f64_gauge("egret_zone_share_out")
+                .with_description("Share of a service's calls that leaves the zone")
+                .build(),
             passed_over_records: counter(
                 "egret_store_records_passed_over",
                 "Records that a restored store lists and that aren't applied, by topic",
@@ -107,6 +112,10 @@
                 if line.verb == "wait" {
                     self.held_back.add(1, &[]);
                 }
+                if let (Some(share), Some(service)) = (line.share_out, &line.service) {
+                    let service = KeyValue::new("service", service.to_string());
+                    self.zone_share_out.record(f64::from(share), &[service]);
+                }
                 if line.verb == "end"
                     && let Some(age) = line.age_ms
                 {
