Expect the upstreams of a zone taken back to be cold

Cause: nothing called expect_cold. An upstream may turn cold while its zone is evacuated; an entry that has only its older record took it for warm when the zone came back, and started without a bound there.

Change: change_zones calls it for each upstream whose zone is no longer evacuated, before waiting calls start, whatever took the zone back (the store, a report, the end of a restore's grace).

--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -71,6 +71,13 @@
         let is_emptied: SmallVec<[_; 2]> = is_emptied.filter(|z| zones.contains(z)).collect();
         let emptied = upstreams.filter(|(_, u)| is_emptied.contains(&&u.listed.zone));
         fx.extend(emptied.map(|(_, u)| DispatchEffect::CloseIdle(u.listed.instance.clone())));
+        let returned = changes.iter().map(|change| &change.zone);
+        let returned: SmallVec<[_; 2]> = returned.filter(|z| !zones.contains(z)).collect();
+        let upstreams = self.upstreams.iter();
+        for (_, upstream) in upstreams.filter(|(_, u)| returned.contains(&&u.listed.zone)) {
+            // It may have turned cold while its zone was empty.
+            self.cold_starts.expect_cold(now, upstream.start());
+        }
         self.reduce_start_rates(now, &changes);
         self.refuse_waiting_without_upstream(now, fx);
         self.start_all_waiting(now, fx);
--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -2,13 +2,15 @@
 //! while the store refuses some entries, serves stale lists or is restored from a copy.
 
 use crate::support::{
-    Harness, configured, refused, report_of, reports, sent, sent_calls, table, upstream,
+    Harness, configured, refused, report_of, reports, sent, sent_calls, table, table_with_cold,
+    upstream,
 };
+use egretstage_dispatch::cold_starts::{CAUTION_TIME, JOIN_DELAY};
 use egretstage_dispatch::evacuated_zones::RESTORE_GRACE;
 use egretstage_dispatch::waiting::StartRate;
 use egretstage_dispatch::{
-    AttemptEnd, CallKey, DecisionLine, DispatchEffect, DispatchEvent, LoadReport, NotRunCause,
-    RefusalKind, TopicPosition, UnknownCause, ZoneSet,
+    AttemptEnd, CallKey, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent, LoadReport,
+    NotRunCause, RefusalKind, TopicPosition, UnknownCause, ZoneSet,
 };
 use egretstage_wire::{InstanceId, ZoneName};
 use rand::seq::IndexedRandom;
@@ -315,6 +317,50 @@
     }
 }
 
+/// Load pattern: a zone's upstreams turn cold while it is empty, and it is taken back before
+/// their records are read: the known ones say that they are warm.
+#[test]
+fn a_zone_that_is_taken_back_gets_no_more_starts_than_cold_upstreams_tolerate() {
+    let take_back_ways: [fn(&mut Harness) -> Vec<DispatchEffect>; 3] = [
+        |harness| read(harness, set(0, 8, &[])),
+        |harness| hear(harness, 1, Some(set(0, 8, &[]))),
+        |harness| {
+            read(harness, set(1, 2, &[]));
+            harness.sim.advance(RESTORE_GRACE)
+        },
+    ];
+    let rate = 2.0;
+    let time = Duration::from_secs(3);
+    for (take_back, expected) in take_back_ways.into_iter().zip([2, 1, 2]) {
+        let mut harness = Harness::unready();
+        let cold = Some(ColdProfile { time, rate });
+        harness
+            .sim
+            .event(configured(table_with_cold(1, "key", cold)));
+        for name in ZONES {
+            let mut listed = upstream(&format!("{name}-2"), "booking", None);
+            listed.zone = zone(name);
+            listed.cold_for = Some(Duration::ZERO);
+            harness.list(listed);
+        }
+        harness.sim.advance(JOIN_DELAY);
+        read(&mut harness, set(0, 7, &["west"]));
+        harness.sim.advance(Duration::from_secs(1));
+        take_back(&mut harness);
+        let in_west = |harness: &mut Harness| {
+            let zones = (0..8).filter_map(|_| {
+                let (call, effects) = harness.call("/look/1", 3_000);
+                zone_of(&effects, call)
+            });
+            zones.filter(|zone| zone == "west").count()
+        };
+        assert_eq!(in_west(&mut harness), expected);
+        // The calls expire meanwhile.
+        harness.sim.advance(CAUTION_TIME);
+        assert_eq!(in_west(&mut harness), 4, "the records hold again");
+    }
+}
+
 /// The starts of the last seconds tell how long calls wait; those of an evacuated zone don't
 /// come again.
 #[test]
