Refuse waiting calls only where an evacuation took the last upstream

Change: only a change that newly evacuates a zone refuses, and only at services without a ready upstream, with one that only its zone keeps from calls, and without a back-off that ends.

--- a/crates/egretstage_dispatch/src/reducer/calls/timeouts.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/timeouts.rs
@@ -73,14 +73,19 @@
         self.start_all_waiting(now, fx);
     }
 
-    /// Refuses the waiting calls of services without a ready upstream.
+    /// Refuses the waiting calls of services whose last ready upstreams were in evacuated
+    /// zones. Where others only ask for no calls for a while, the calls wait for the end.
     pub(in crate::reducer) fn refuse_waiting_without_upstream(
         &mut self,
         now: Instant,
         fx: &mut Vec<DispatchEffect>,
     ) {
         let waiting = self.services.iter().filter(|(_, s)| !s.waiting.is_empty());
-        let is_stranded = |name: &ServiceName| self.upstreams.ready(now, name).next().is_none();
+        let is_stranded = |name: &ServiceName| {
+            self.upstreams.ready(now, name).next().is_none()
+                && self.upstreams.emptied(now, name).next().is_some()
+                && self.back_off_until(now, name).is_none()
+        };
         let stranded = waiting.filter(|(name, _)| is_stranded(name));
         let stranded: SmallVec<[ServiceName; 4]> = stranded.map(|(name, _)| name.clone()).collect();
         let calls = self.calls.iter().filter(|(_, call)| {
--- a/crates/egretstage_dispatch/src/reducer/zones.rs
+++ b/crates/egretstage_dispatch/src/reducer/zones.rs
@@ -78,27 +78,34 @@
             // It may have turned cold while its zone was empty.
             self.cold_starts.expect_cold(now, upstream.start());
         }
-        self.reduce_start_rates(now, &changes);
-        self.refuse_waiting_without_upstream(now, fx);
+        let evacuated = changes
+            .iter()
+            .filter(|change| self.is_newly_evacuated(change));
+        let evacuated: SmallVec<[ZoneName; 2]> = evacuated.map(|c| c.zone.clone()).collect();
+        if !evacuated.is_empty() {
+            self.reduce_start_rates(now, &evacuated);
+            self.refuse_waiting_without_upstream(now, fx);
+        }
         self.start_all_waiting(now, fx);
     }
 
+    /// Returns whether a change has evacuated a zone that took calls before.
+    fn is_newly_evacuated(&self, change: &ZoneChange) -> bool {
+        let is_evacuated = self.upstreams.evacuated_zones().contains(&change.zone);
+        is_evacuated && change.reason != ZoneChangeReason::Kept
+    }
+
     /// Reduces the rates at which calls start by the share of the slots that is gone: the
     /// waits that are predicted with them would be too short for the length of their window.
-    fn reduce_start_rates(&mut self, now: Instant, changes: &ZoneChanges) {
-        let zones = self.upstreams.evacuated_zones();
-        let is_new = |zone: &ZoneName| {
-            let reason = ZoneChangeReason::Kept;
-            let is_of_zone = |change: &&ZoneChange| change.zone == *zone;
-            let change = changes.iter().find(is_of_zone);
-            zones.contains(zone) && change.is_some_and(|change| change.reason != reason)
-        };
+    fn reduce_start_rates(&mut self, now: Instant, evacuated: &[ZoneName]) {
         let slots = |upstream: &Upstream| upstream.listed.slots;
         for (service, state) in &mut self.services {
             let left = self.upstreams.ready(now, service);
             let left = left.map(|(_, u)| slots(u)).fold(0, u32::saturating_add);
             let gone = self.upstreams.emptied(now, service);
-            let gone = gone.filter(|u| is_new(&u.listed.zone)).map(slots);
+            let gone = gone
+                .filter(|u| evacuated.contains(&u.listed.zone))
+                .map(slots);
             let gone = gone.fold(0, u32::saturating_add);
             if gone > 0 {
                 state.start_rate.reduce(left, left.saturating_add(gone));
--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -10,7 +10,7 @@
 use egretstage_dispatch::waiting::StartRate;
 use egretstage_dispatch::{
     AttemptEnd, CallKey, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent, LoadReport,
-    NotRunCause, RefusalKind, TopicPosition, UnknownCause, ZoneSet,
+    NotRunCause, RefusalKind, TopicPosition, UnknownCause, UpstreamSignal, ZoneSet,
 };
 use egretstage_wire::{InstanceId, ZoneName};
 use rand::seq::IndexedRandom;
@@ -57,6 +57,15 @@
     harness
 }
 
+/// Returns the calls that the effects refuse.
+fn refused_calls(effects: &[DispatchEffect]) -> Vec<CallKey> {
+    let refused = effects.iter().filter_map(|effect| match effect {
+        DispatchEffect::Refuse { call, .. } => Some(*call),
+        _ => None,
+    });
+    refused.collect()
+}
+
 /// Passes on the set as it was read in the store.
 fn read(harness: &mut Harness, set: ZoneSet) -> Vec<DispatchEffect> {
     harness.sim.event(DispatchEvent::ZonesRead(Box::new(set)))
@@ -361,6 +370,44 @@
     }
 }
 
+/// Load pattern: a service's only upstreams outside an evacuated zone ask for no calls for a
+/// moment, and other zones change meanwhile. Calls wait for that moment.
+#[test]
+fn a_change_of_zones_refuses_no_call_that_waits_for_the_end_of_a_back_off() {
+    let mut harness = two_zones();
+    read(&mut harness, set(0, 7, &["north", "west"]));
+    let mut waiting = Vec::new();
+    let mut attempts = Vec::new();
+    for _ in 0..12 {
+        let (call, effects) = harness.call("/look/1", 3_000);
+        match sent(&effects, call) {
+            Some(attempt) => attempts.push((call, attempt)),
+            None if refused(&effects, call).is_none() => waiting.push(call),
+            None => {}
+        }
+    }
+    assert!(!waiting.is_empty());
+    let back_off = Duration::from_millis(300);
+    let upstream = attempts[0].1.upstream;
+    let signal = UpstreamSignal::BackOff(back_off);
+    harness
+        .sim
+        .event(DispatchEvent::SignalReceived { upstream, signal });
+    for (offset, zones) in [(8, &["west"][..]), (9, &["north", "west"])] {
+        let effects = read(&mut harness, set(0, offset, zones));
+        assert_eq!(refused_calls(&effects), [], "{zones:?}");
+    }
+    harness.sim.advance(back_off);
+    let whole = true;
+    let call = attempts[0].0;
+    let effects = harness.sim.event(DispatchEvent::Ended { call, whole });
+    assert_eq!(sent_calls(&effects), waiting[..1]);
+
+    // Without the back-off, none is left to wait for.
+    let effects = read(&mut harness, set(0, 10, &["east", "north", "west"]));
+    assert_eq!(refused_calls(&effects), waiting[1..]);
+}
+
 /// The starts of the last seconds tell how long calls wait; those of an evacuated zone don't
 /// come again.
 #[test]
