--- a/crates/egretstage_dispatch/src/cold_starts.rs
+++ b/crates/egretstage_dispatch/src/cold_starts.rs
@@ -52,6 +52,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Share {
     starts: u32,
+    /// Starts of all entries together: the most that the share may become.
+    of_all: u32,
     window: Duration,
 }
 
@@ -298,6 +300,10 @@
         {
             let age = |at: &Instant| now.saturating_duration_since(*at);
             known.starts.retain(|at| age(at) < share.window);
+            // Earlier ones can't make the share smaller than it is with the latest.
+            let most = usize::try_from(share.of_all).unwrap_or(usize::MAX);
+            let excess = (known.starts.len() + 1).saturating_sub(most);
+            known.starts.drain(..excess);
             known.starts.push(now);
         }
     }
@@ -368,6 +374,7 @@
         let window = START_WINDOW.as_secs_f64() / profile.rate.min(1.0);
         Share {
             starts: total / entries + u32::from(ahead < total % entries),
+            of_all: total,
             window: Duration::try_from_secs_f64(window).unwrap_or(Duration::MAX),
         }
     }
--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
@@ -443,6 +443,28 @@
     assert_eq!(starts.starts_left(now + START_WINDOW * 2, start), Some(1));
 }
 
+/// The starts at a warm upstream, of any rate, aren't all kept for a long window.
+#[test]
+fn no_more_starts_are_kept_than_can_matter() {
+    let (mut starts, now) = joined(0.01);
+    let start = UpstreamStart::from(&stated(1, None));
+    starts.record_listed(now, &stated(1, Some(Duration::ZERO)));
+    let size = |starts: &ColdStarts| format!("{starts:?}").len();
+    starts.record_start(now, start);
+    let size_with_one = size(&starts);
+    for _ in 0..10_000 {
+        starts.record_start(now, start);
+    }
+    assert_eq!(size(&starts), size_with_one);
+    // The latest one is kept.
+    let later = now + SECOND;
+    starts.record_start(later, start);
+    let window = START_WINDOW.mul_f64(100.0);
+    starts.record_listed(now + window, &stated(1, Some(COLD)));
+    assert_eq!(starts.starts_left(now + window, start), Some(0));
+    assert_eq!(starts.starts_left(later + window, start), Some(1));
+}
+
 /// An entry that is silent keeps its share for the retention time, and no longer.
 #[test]
 fn a_silent_entry_keeps_its_share_for_the_retention_time() {
