Let entries with a late configuration learn the others first

Cause: the time in which an entry learns the others counted from its start. One whose configuration came later than that, since the store was away when all entries were killed, had heard none of them and took the whole rate of a cold upstream.

Change: the first bound that becomes known lets the time begin anew.

Test: seen to fail before the change: three of six calls went to the cold upstream at once.

--- a/crates/egretstage_dispatch/src/cold_starts.rs
+++ b/crates/egretstage_dispatch/src/cold_starts.rs
@@ -153,7 +153,13 @@
     }
 
     /// Applies the operator's settings of a service.
-    pub fn configure(&mut self, service: &ServiceName, profile: Option<ColdProfile>) {
+    ///
+    /// The first bound lets the time in which this entry learns the others begin anew: while it
+    /// waited for its configuration, it may have heard none.
+    pub fn configure(&mut self, now: Instant, service: &ServiceName, profile: Option<ColdProfile>) {
+        if self.profiles.is_empty() && profile.is_some() {
+            self.joined_at = self.joined_at.max(now + JOIN_DELAY);
+        }
         let previous = match profile {
             Some(profile) => self.profiles.insert(service.clone(), profile),
             None => self.profiles.remove(service),
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -185,7 +185,7 @@
             let limits = table.stream_limits(&profile.name);
             let service = self.service(&profile.name);
             service.configure(profile, limits);
-            self.cold_starts.configure(&profile.name, profile.cold);
+            self.cold_starts.configure(now, &profile.name, profile.cold);
         }
         fx.push(DispatchEffect::Log(Box::new(DecisionLine {
             verb: "configure",
--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
@@ -174,6 +174,23 @@
     assert_eq!(count_at(&send(&mut harness, 6), "desk-0"), 3);
 }
 
+/// Fault: the store was away when the entry started, so that it read its configuration, and
+/// found the other entries, only later.
+#[test]
+fn an_entry_whose_configuration_came_late_starts_nothing_until_it_knows_the_others() {
+    let mut harness = Harness::unready();
+    harness.sim.advance(JOIN_DELAY * 2);
+    harness.list(upstream("desk-1", "booking", None));
+    harness.list(cold("desk-0", "booking", COLD));
+    harness
+        .sim
+        .event(configured(table_with_cold(1, "key", Some(profile(6.0)))));
+    assert_eq!(count_at(&send(&mut harness, 6), "desk-0"), 0);
+    harness.sim.advance(JOIN_DELAY);
+    // The first calls have expired, so that the loads are equal.
+    assert_eq!(count_at(&send(&mut harness, 6), "desk-0"), 3);
+}
+
 /// Calls that no upstream of the service can take in time are refused at once, with a time to
 /// return.
 #[test]
@@ -319,6 +336,7 @@
     let now = Instant::now();
     let mut starts = ColdStarts::new(now, "entry".try_into().expect("valid name"));
     starts.configure(
+        now,
         &"booking".try_into().expect("valid name"),
         Some(profile(rate)),
     );
@@ -379,6 +397,7 @@
     let now = Instant::now();
     let mut starts = ColdStarts::new(now, "entry".try_into().expect("valid name"));
     starts.configure(
+        now,
         &"booking".try_into().expect("valid name"),
         Some(profile(2.0)),
     );
--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts/shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts/shares.rs
@@ -77,6 +77,7 @@
 fn started(now: Instant, index: usize, rate: f64) -> ColdStarts {
     let mut starts = ColdStarts::new(now, name(index));
     starts.configure(
+        now,
         &"booking".try_into().expect("valid name"),
         Some(profile(rate)),
     );
