Keep the tag of an upstream's start instead of hashing at each use

Cause: Upstream::start() allocated and hashed at each call, for each ready upstream about once for each event of a stream while any upstream is cold.

Change: Upstream holds the tag; a record updates an upstream only if it is of the same start, which the tag is made of.

--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -82,6 +82,8 @@
 pub struct Upstream {
     /// Its record.
     pub listed: ListedUpstream,
+    /// The tag of its start, which is needed for each decision.
+    start: UpstreamStart,
     /// Calls of this entry that it runs.
     pub own_calls: u32,
     /// Calls of the other entries that it runs, by their last reports.
@@ -120,6 +122,7 @@
 impl Upstream {
     fn new(listed: ListedUpstream) -> Self {
         Self {
+            start: UpstreamStart::from(&listed),
             listed,
             own_calls: 0,
             peer_calls: 0,
@@ -138,7 +141,7 @@
     /// Returns the tag of its start.
     #[must_use]
     pub fn start(&self) -> UpstreamStart {
-        UpstreamStart::from(&self.listed)
+        self.start
     }
 
     /// Returns the calls of all entries that it runs.
