Demand no starts at evacuated upstreams that also back off

Cause: an evacuated upstream that had asked for no calls wasn't taken for evacuated, so the entry asked for starts there that nobody could use.

Change: whether the zone is evacuated decides alone.

--- a/crates/egretstage_dispatch/src/reducer/limits.rs
+++ b/crates/egretstage_dispatch/src/reducer/limits.rs
@@ -47,7 +47,7 @@
             }
             let service = self.services.get_mut(&upstream.listed.service);
             // Nothing starts in an evacuated zone.
-            let service = service.filter(|_| !upstream.is_emptied(now));
+            let service = service.filter(|_| !upstream.is_evacuated());
             let demand = service.map_or(0, |service| {
                 let waiting = u32::try_from(service.waiting.len()).unwrap_or(u32::MAX);
                 let waiting = waiting.saturating_mul(WAITING_CALL_WEIGHT);
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -156,6 +156,12 @@
         !self.is_evacuated && self.would_be_ready(now)
     }
 
+    /// Returns whether its zone is evacuated, whatever else keeps it from new work.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
     /// Returns whether it takes no new work only because its zone is evacuated.
     #[must_use]
     pub fn is_emptied(&self, now: Instant) -> bool {
--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -9,8 +9,8 @@
 use egretstage_dispatch::evacuated_zones::RESTORE_GRACE;
 use egretstage_dispatch::waiting::StartRate;
 use egretstage_dispatch::{
-    AttemptEnd, CallKey, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent, LoadReport,
-    NotRunCause, RefusalKind, TopicPosition, UnknownCause, UpstreamSignal, ZoneSet,
+    AttemptEnd, CallKey, CallRate, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent,
+    LoadReport, NotRunCause, RefusalKind, TopicPosition, UnknownCause, UpstreamSignal, ZoneSet,
 };
 use egretstage_wire::{InstanceId, ZoneName};
 use rand::seq::IndexedRandom;
@@ -408,6 +408,41 @@
     assert_eq!(refused_calls(&effects), waiting[1..]);
 }
 
+/// Nothing starts in an evacuated zone, also once an upstream's back-off there is over: this
+/// entry asks for no starts at one that limits them.
+#[test]
+fn an_entry_demands_no_starts_in_an_evacuated_zone() {
+    for back_off in [None, Some(Duration::from_secs(5))] {
+        let mut harness = two_zones();
+        let mut west = None;
+        for _ in 0..8 {
+            let (call, effects) = harness.call("/look/1", 3_000);
+            let attempt = sent(&effects, call).expect("an attempt");
+            if attempt.instance.as_str() == "west-2" {
+                west = Some(attempt.upstream);
+            }
+        }
+        let upstream = west.expect("a call in the zone");
+        let limit = UpstreamSignal::Limit(Some(CallRate::try_from(2.0).expect("a rate")));
+        for signal in [Some(limit), back_off.map(UpstreamSignal::BackOff)] {
+            if let Some(signal) = signal {
+                harness
+                    .sim
+                    .event(DispatchEvent::SignalReceived { upstream, signal });
+            }
+        }
+        let demands = |harness: &mut Harness| {
+            let report = reports(harness).pop().expect("a report");
+            format!("{:?}", report.limits)
+        };
+        let before = demands(&mut harness);
+        assert!(!before.contains("demand: 0"), "{before}");
+        read(&mut harness, set(0, 7, &["west"]));
+        let after = demands(&mut harness);
+        assert!(after.contains("demand: 0"), "{after}");
+    }
+}
+
 /// The starts of the last seconds tell how long calls wait; those of an evacuated zone don't
 /// come again.
 #[test]
