Cap the number of evacuated zones

Cause: the set of zones that entries report could outgrow a datagram; entries that read the store and those that hear reports would then know different zones.

Change: of more than 32 zones, the first in the order of their names are evacuated, at all entries alike; the others are logged once as passed over.

Test: seen to fail before the change: nothing was passed over of 200 zones.

--- a/crates/egretstage_dispatch/src/evacuated_zones.rs
+++ b/crates/egretstage_dispatch/src/evacuated_zones.rs
@@ -19,6 +19,11 @@
 /// lost records again; until then the zone may still be empty.
 pub const RESTORE_GRACE: Duration = Duration::from_secs(5);
 
+/// Most zones that can be evacuated at once, so that the set fits into a datagram with the
+/// other reported values. Of more, the first ones in the order of their names are, at all
+/// entries.
+pub const MAX_EVACUATED_ZONES: usize = 32;
+
 /// Position up to which the operator's topic is known; a later era wins over any offset.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TopicPosition {
@@ -57,6 +62,8 @@
     Kept,
     /// The operator didn't write the evacuation again after a restore.
     NotRestored,
+    /// [`MAX_EVACUATED_ZONES`] others are evacuated, so this one isn't.
+    PassedOver,
 }
 
 /// A change of a zone.
@@ -102,6 +109,8 @@
     set: ZoneSet,
     /// Zones that a restored store lacks, with the end of their grace.
     kept: BTreeMap<ZoneName, Instant>,
+    /// Zones of the latest set beyond the most.
+    passed_over: SmallVec<[ZoneName; 0]>,
     /// Whether any zone is known to have been evacuated, now or before.
     was_used: bool,
 }
@@ -178,9 +187,19 @@
         set.zones.sort_unstable();
         set.zones.dedup();
         let is_restored = set.position.era > self.set.position.era;
+        let most = set.zones.len().min(MAX_EVACUATED_ZONES);
+        let passed_over = set.zones.drain(most..).collect();
+        let passed_before = std::mem::replace(&mut self.passed_over, passed_over);
         let before = std::mem::replace(&mut self.set, set);
         self.was_used |= !self.set.zones.is_empty();
-        let mut changes = ZoneChanges::new();
+        let newly_passed = self.passed_over.iter();
+        let newly_passed = newly_passed.filter(|zone| !passed_before.contains(zone));
+        let mut changes: ZoneChanges = newly_passed
+            .map(|zone| ZoneChange {
+                zone: zone.clone(),
+                reason: ZoneChangeReason::PassedOver,
+            })
+            .collect();
         for zone in &self.set.zones {
             if self.kept.remove(zone).is_none() && !before.zones.contains(zone) {
                 changes.push(ZoneChange {
@@ -193,7 +212,7 @@
             }
         }
         for zone in before.zones {
-            if self.set.zones.contains(&zone) {
+            if self.set.zones.contains(&zone) || self.passed_over.contains(&zone) {
                 continue;
             }
             let reason = if is_restored {
--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -6,13 +6,13 @@
     upstream,
 };
 use egretstage_dispatch::cold_starts::{CAUTION_TIME, JOIN_DELAY};
-use egretstage_dispatch::evacuated_zones::RESTORE_GRACE;
+use egretstage_dispatch::evacuated_zones::{MAX_EVACUATED_ZONES, RESTORE_GRACE};
 use egretstage_dispatch::waiting::StartRate;
 use egretstage_dispatch::{
     AttemptEnd, CallKey, CallRate, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent,
     LoadReport, NotRunCause, RefusalKind, TopicPosition, UnknownCause, UpstreamSignal, ZoneSet,
 };
-use egretstage_wire::{InstanceId, ZoneName};
+use egretstage_wire::{InstanceId, MAX_NAME_BYTES, ZoneName};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -562,6 +562,49 @@
     assert_eq!(zones_called(&mut started, "/look/1"), names(&ZONES));
 }
 
+/// Load pattern: the operator's topic names more zones than there can be. Reports still fit
+/// into a datagram, and the log says once which zones aren't in force.
+#[test]
+fn zones_beyond_the_most_are_passed_over_and_logged() {
+    let names: Vec<String> = (0..200)
+        .map(|index| format!("{index:0>MAX_NAME_BYTES$}"))
+        .collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let passed_over = |effects: &[DispatchEffect]| {
+        let reasons = reasons(effects).into_iter();
+        let passed_over = reasons.filter(|(_, reason)| *reason == "passed-over");
+        passed_over.map(|(zone, _)| zone).collect::<Vec<_>>()
+    };
+    let mut harness = two_zones();
+    let effects = read(&mut harness, set(0, 7, &names));
+    assert_eq!(passed_over(&effects), names[MAX_EVACUATED_ZONES..]);
+    assert_eq!(reasons(&effects).len(), names.len());
+    for report in reports(&mut harness) {
+        let zones = report.zones.as_ref().expect("the zones");
+        assert_eq!(zones.zones.len(), MAX_EVACUATED_ZONES);
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&report, &mut bytes).expect("encodable");
+        assert!(bytes.len() < 4_096, "{} bytes", bytes.len());
+    }
+    assert_eq!(passed_over(&read(&mut harness, set(0, 8, &names))), [""; 0]);
+    // One that was in force gives way to one that comes before it in the order of names.
+    let before: Vec<&str> = names.iter().copied().chain(["-"]).collect();
+    let effects = read(&mut harness, set(0, 9, &before));
+    let expected = [
+        ("-", "evacuated"),
+        (names[MAX_EVACUATED_ZONES - 1], "passed-over"),
+    ];
+    let expected = expected.map(|(zone, reason)| (zone.to_owned(), reason));
+    assert_eq!(reasons(&effects), expected);
+    // Entries that hear of the set know the same zones.
+    let mut peer = two_zones();
+    hear(&mut peer, 1, Some(set(0, 9, &before)));
+    let zones = |harness: &mut Harness| reports(harness).pop().expect("a report").zones;
+    assert_eq!(zones(&mut peer), zones(&mut harness));
+    let effects = read(&mut harness, set(0, 10, &[]));
+    assert_eq!(reasons(&effects).len(), MAX_EVACUATED_ZONES);
+}
+
 /// An evacuation is reported as soon as a changed load would be.
 #[test]
 fn a_change_of_a_zone_is_reported_at_once() {
