Move streams off slow ranks also where the others limit starts

Cause: the room of sound ranks was capped by all starts left there, also by those that are granted at ranks which limit starts. An entry often has none at the moment, so its streams stayed at the slow rank; that changed deployments that have start limits only.

Change: only the starts left at cold ranks cap the room.

--- a/crates/egretstage_dispatch/src/reducer/calls/moving.rs
+++ b/crates/egretstage_dispatch/src/reducer/calls/moving.rs
@@ -121,7 +121,7 @@
         sound
             .map(|(_, u)| {
                 let free = u.listed.slots.saturating_sub(u.calls());
-                let starts = self.starts_left_at(now, u);
+                let starts = self.cold_starts.starts_left(now, u.start());
                 u64::from(starts.map_or(free, |starts| free.min(starts)))
             })
             .sum()
--- a/crates/egretstage_dispatch/tests/dispatch/slow_ranks.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/slow_ranks.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{Harness, refused, sent, upstream};
 use egretstage_dispatch::{
-    AttemptEnd, CallKey, DispatchEffect, DispatchEvent, Prompt, RefusalKind, UnknownCause,
+    AttemptEnd, CallKey, CallRate, DispatchEffect, DispatchEvent, Prompt, RefusalKind,
+    UnknownCause, UpstreamSignal,
 };
 use egretstage_wire::{SlowRanks, Slowdown};
 use std::collections::{HashMap, HashSet};
@@ -228,6 +229,35 @@
     assert_eq!(moves, on_slow_rank, "each stream moves once");
 }
 
+/// Load pattern: the other ranks limit the starts of all entries together, and this entry has
+/// none yet. It gets some shortly, so its streams still leave the slow rank.
+#[test]
+fn streams_of_a_slow_rank_move_although_the_others_limit_starts() {
+    let mut harness = harness();
+    let mut running = HashMap::new();
+    for _ in 0..16 {
+        let (call, effects) = harness.call("/draft/1", 8_000);
+        let attempt = sent(&effects, call).expect("the group isn't full");
+        running.insert(call, attempt);
+        harness.sim.event(DispatchEvent::FirstByte { call });
+    }
+    let slow = address(1);
+    let limit = CallRate::try_from(2.0).expect("a rate");
+    for attempt in running.values().filter(|a| a.address != slow) {
+        let upstream = attempt.upstream;
+        let signal = UpstreamSignal::Limit(Some(limit));
+        harness
+            .sim
+            .event(DispatchEvent::SignalReceived { upstream, signal });
+    }
+    let on_slow_rank = running.values().filter(|a| a.address == slow).count();
+    assert!(on_slow_rank > 1);
+    let mut effects = harness.sim.event(report(1, &[(1, 12.0)]));
+    // A check is due, but no start has been handed out yet.
+    effects.extend(harness.sim.advance(Duration::from_millis(60)));
+    assert_eq!(moved(&effects).len(), on_slow_rank);
+}
+
 /// Load pattern: several ranks are slow, and the others can't hold all experts, so the
 /// slow ranks keep some of the work. Moving their streams would change nothing.
 #[test]
