--- a/crates/egretstage_dispatch/src/cold_starts.rs
+++ b/crates/egretstage_dispatch/src/cold_starts.rs
@@ -52,6 +52,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Share {
     starts: u32,
+    /// Starts of all entries together: the most that the share may become.
+    of_all: u32,
     window: Duration,
 }
 
@@ -151,7 +153,13 @@
     }
 
     /// Applies the operator's settings of a service.
-    pub fn configure(&mut self, service: &ServiceName, profile: Option<ColdProfile>) {
+    ///
+    /// The first bound lets the time in which this entry learns the others begin anew: while it
+    /// waited for its configuration, it may have heard none.
+    pub fn configure(&mut self, now: Instant, service: &ServiceName, profile: Option<ColdProfile>) {
+        if self.profiles.is_empty() && profile.is_some() {
+            self.joined_at = self.joined_at.max(now + JOIN_DELAY);
+        }
         let previous = match profile {
             Some(profile) => self.profiles.insert(service.clone(), profile),
             None => self.profiles.remove(service),
@@ -298,6 +306,10 @@
         {
             let age = |at: &Instant| now.saturating_duration_since(*at);
             known.starts.retain(|at| age(at) < share.window);
+            // Earlier ones can't make the share smaller than it is with the latest.
+            let most = usize::try_from(share.of_all).unwrap_or(usize::MAX);
+            let excess = (known.starts.len() + 1).saturating_sub(most);
+            known.starts.drain(..excess);
             known.starts.push(now);
         }
     }
@@ -368,6 +380,7 @@
         let window = START_WINDOW.as_secs_f64() / profile.rate.min(1.0);
         Share {
             starts: total / entries + u32::from(ahead < total % entries),
+            of_all: total,
             window: Duration::try_from_secs_f64(window).unwrap_or(Duration::MAX),
         }
     }
--- a/crates/egretstage_dispatch/src/reducer.rs
+++ b/crates/egretstage_dispatch/src/reducer.rs
@@ -194,7 +194,7 @@
             let service = self.service(&profile.name);
             service.configure(profile, limits);
             service.set_has_urgencies(table.has_urgencies(&profile.name));
-            self.cold_starts.configure(&profile.name, profile.cold);
+            self.cold_starts.configure(now, &profile.name, profile.cold);
         }
         fx.push(DispatchEffect::Log(Box::new(DecisionLine {
             verb: "configure",
--- a/crates/egretstage_dispatch/src/upstream.rs
+++ b/crates/egretstage_dispatch/src/upstream.rs
@@ -85,6 +85,8 @@
 pub struct Upstream {
     /// Its record.
     pub listed: ListedUpstream,
+    /// The tag of its start, which is needed for each decision.
+    start: UpstreamStart,
     /// Calls of this entry that it runs.
     pub own_calls: u32,
     /// Calls of the other entries that it runs, by their last reports.
@@ -123,6 +125,7 @@
 impl Upstream {
     fn new(listed: ListedUpstream) -> Self {
         Self {
+            start: UpstreamStart::from(&listed),
             listed,
             own_calls: 0,
             peer_calls: 0,
@@ -141,7 +144,7 @@
     /// Returns the tag of its start.
     #[must_use]
     pub fn start(&self) -> UpstreamStart {
-        UpstreamStart::from(&self.listed)
+        self.start
     }
 
     /// Returns the calls of all entries that it runs.
@@ -156,6 +159,12 @@
         !self.is_evacuated && self.would_be_ready(now)
     }
 
+    /// Returns whether its zone is evacuated, whatever else keeps it from new work.
+    #[must_use]
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
     /// Returns whether it takes no new work only because its zone is evacuated.
     #[must_use]
     pub fn is_emptied(&self, now: Instant) -> bool {
--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts.rs
@@ -174,6 +174,23 @@
     assert_eq!(count_at(&send(&mut harness, 6), "desk-0"), 3);
 }
 
+/// Fault: the store was away when the entry started, so that it read its configuration, and
+/// found the other entries, only later.
+#[test]
+fn an_entry_whose_configuration_came_late_starts_nothing_until_it_knows_the_others() {
+    let mut harness = Harness::unready();
+    harness.sim.advance(JOIN_DELAY * 2);
+    harness.list(upstream("desk-1", "booking", None));
+    harness.list(cold("desk-0", "booking", COLD));
+    harness
+        .sim
+        .event(configured(table_with_cold(1, "key", Some(profile(6.0)))));
+    assert_eq!(count_at(&send(&mut harness, 6), "desk-0"), 0);
+    harness.sim.advance(JOIN_DELAY);
+    // The first calls have expired, so that the loads are equal.
+    assert_eq!(count_at(&send(&mut harness, 6), "desk-0"), 3);
+}
+
 /// Calls that no upstream of the service can take in time are refused at once, with a time to
 /// return.
 #[test]
@@ -319,6 +336,7 @@
     let now = Instant::now();
     let mut starts = ColdStarts::new(now, "entry".try_into().expect("valid name"));
     starts.configure(
+        now,
         &"booking".try_into().expect("valid name"),
         Some(profile(rate)),
     );
@@ -379,6 +397,7 @@
     let now = Instant::now();
     let mut starts = ColdStarts::new(now, "entry".try_into().expect("valid name"));
     starts.configure(
+        now,
         &"booking".try_into().expect("valid name"),
         Some(profile(2.0)),
     );
@@ -443,6 +462,28 @@
     assert_eq!(starts.starts_left(now + START_WINDOW * 2, start), Some(1));
 }
 
+/// The starts at a warm upstream, of any rate, aren't all kept for a long window.
+#[test]
+fn no_more_starts_are_kept_than_can_matter() {
+    let (mut starts, now) = joined(0.01);
+    let start = UpstreamStart::from(&stated(1, None));
+    starts.record_listed(now, &stated(1, Some(Duration::ZERO)));
+    let size = |starts: &ColdStarts| format!("{starts:?}").len();
+    starts.record_start(now, start);
+    let size_with_one = size(&starts);
+    for _ in 0..10_000 {
+        starts.record_start(now, start);
+    }
+    assert_eq!(size(&starts), size_with_one);
+    // The latest one is kept.
+    let later = now + SECOND;
+    starts.record_start(later, start);
+    let window = START_WINDOW.mul_f64(100.0);
+    starts.record_listed(now + window, &stated(1, Some(COLD)));
+    assert_eq!(starts.starts_left(now + window, start), Some(0));
+    assert_eq!(starts.starts_left(later + window, start), Some(1));
+}
+
 /// An entry that is silent keeps its share for the retention time, and no longer.
 #[test]
 fn a_silent_entry_keeps_its_share_for_the_retention_time() {
--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -2,15 +2,17 @@
 //! while the store refuses some entries, serves stale lists or is restored from a copy.
 
 use crate::support::{
-    Harness, configured, refused, report_of, reports, sent, sent_calls, table, upstream,
+    Harness, configured, refused, report_of, reports, sent, sent_calls, table, table_with_cold,
+    upstream,
 };
-use egretstage_dispatch::evacuated_zones::RESTORE_GRACE;
+use egretstage_dispatch::cold_starts::{CAUTION_TIME, JOIN_DELAY};
+use egretstage_dispatch::evacuated_zones::{MAX_EVACUATED_ZONES, RESTORE_GRACE};
 use egretstage_dispatch::waiting::StartRate;
 use egretstage_dispatch::{
-    AttemptEnd, CallKey, DecisionLine, DispatchEffect, DispatchEvent, LoadReport, NotRunCause,
-    RefusalKind, TopicPosition, UnknownCause, ZoneSet,
+    AttemptEnd, CallKey, CallRate, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent,
+    LoadReport, NotRunCause, RefusalKind, TopicPosition, UnknownCause, UpstreamSignal, ZoneSet,
 };
-use egretstage_wire::{InstanceId, ZoneName};
+use egretstage_wire::{InstanceId, MAX_NAME_BYTES, ZoneName};
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -55,6 +57,15 @@
     harness
 }
 
+/// Returns the calls that the effects refuse.
+fn refused_calls(effects: &[DispatchEffect]) -> Vec<CallKey> {
+    let refused = effects.iter().filter_map(|effect| match effect {
+        DispatchEffect::Refuse { call, .. } => Some(*call),
+        _ => None,
+    });
+    refused.collect()
+}
+
 /// Passes on the set as it was read in the store.
 fn read(harness: &mut Harness, set: ZoneSet) -> Vec<DispatchEffect> {
     harness.sim.event(DispatchEvent::ZonesRead(Box::new(set)))
@@ -225,6 +236,7 @@
     let (running, waiting) = fill(&mut harness);
     assert!(waiting > 4, "{waiting} calls wait");
     read(&mut harness, set(0, 7, &["west"]));
+    let mut started_in_east = 0;
     for (call, zone) in running {
         let whole = true;
         let effects = harness.sim.event(DispatchEvent::Ended { call, whole });
@@ -234,8 +246,10 @@
         }
         for started in sent {
             assert_eq!(zone_of(&effects, started).as_deref(), Some("east"));
+            started_in_east += 1;
         }
     }
+    assert!(started_in_east > 0, "places in the other zone are used");
 }
 
 /// The ranks in the other zone take the streams that they have room for, and no more: with
@@ -277,11 +291,7 @@
         _ => None,
     });
     let refusals: Vec<_> = refusals.collect();
-    assert!(
-        refusals.len() >= waiting.min(4),
-        "{} of {waiting}",
-        refusals.len()
-    );
+    assert_eq!(refusals.len(), waiting);
     for path in ["/look/1", "/draft/1"] {
         let (call, effects) = harness.call(path, 3_000);
         let refusal = refused(&effects, call).expect("a refusal at once");
@@ -315,6 +325,125 @@
     }
 }
 
+/// Load pattern: a zone's upstreams turn cold while it is empty, and it is taken back before
+/// their records are read: the known ones say that they are warm.
+#[test]
+fn a_zone_that_is_taken_back_gets_no_more_starts_than_cold_upstreams_tolerate() {
+    let take_back_ways: [fn(&mut Harness) -> Vec<DispatchEffect>; 3] = [
+        |harness| read(harness, set(0, 8, &[])),
+        |harness| hear(harness, 1, Some(set(0, 8, &[]))),
+        |harness| {
+            read(harness, set(1, 2, &[]));
+            harness
+                .sim
+                .advance(RESTORE_GRACE + Duration::from_millis(20))
+        },
+    ];
+    let rate = 2.0;
+    let time = Duration::from_secs(3);
+    for (take_back, expected) in take_back_ways.into_iter().zip([2, 1, 2]) {
+        let mut harness = Harness::unready();
+        let cold = Some(ColdProfile { time, rate });
+        harness
+            .sim
+            .event(configured(table_with_cold(1, "key", cold)));
+        for name in ZONES {
+            let mut listed = upstream(&format!("{name}-2"), "booking", None);
+            listed.zone = zone(name);
+            listed.cold_for = Some(Duration::ZERO);
+            harness.list(listed);
+        }
+        harness.sim.advance(JOIN_DELAY);
+        read(&mut harness, set(0, 7, &["west"]));
+        harness.sim.advance(Duration::from_secs(1));
+        take_back(&mut harness);
+        let in_west = |harness: &mut Harness| {
+            let zones = (0..8).filter_map(|_| {
+                let (call, effects) = harness.call("/look/1", 3_000);
+                zone_of(&effects, call)
+            });
+            zones.filter(|zone| zone == "west").count()
+        };
+        assert_eq!(in_west(&mut harness), expected);
+        // The calls expire meanwhile.
+        harness.sim.advance(CAUTION_TIME);
+        assert_eq!(in_west(&mut harness), 4, "the records hold again");
+    }
+}
+
+/// Load pattern: a service's only upstreams outside an evacuated zone ask for no calls for a
+/// moment, and other zones change meanwhile. Calls wait for that moment.
+#[test]
+fn a_change_of_zones_refuses_no_call_that_waits_for_the_end_of_a_back_off() {
+    let mut harness = two_zones();
+    read(&mut harness, set(0, 7, &["north", "west"]));
+    let mut waiting = Vec::new();
+    let mut attempts = Vec::new();
+    for _ in 0..12 {
+        let (call, effects) = harness.call("/look/1", 3_000);
+        match sent(&effects, call) {
+            Some(attempt) => attempts.push((call, attempt)),
+            None if refused(&effects, call).is_none() => waiting.push(call),
+            None => {}
+        }
+    }
+    assert!(!waiting.is_empty());
+    let back_off = Duration::from_millis(300);
+    let upstream = attempts[0].1.upstream;
+    let signal = UpstreamSignal::BackOff(back_off);
+    harness
+        .sim
+        .event(DispatchEvent::SignalReceived { upstream, signal });
+    for (offset, zones) in [(8, &["west"][..]), (9, &["north", "west"])] {
+        let effects = read(&mut harness, set(0, offset, zones));
+        assert_eq!(refused_calls(&effects), [], "{zones:?}");
+    }
+    harness.sim.advance(back_off);
+    let whole = true;
+    let call = attempts[0].0;
+    let effects = harness.sim.event(DispatchEvent::Ended { call, whole });
+    assert_eq!(sent_calls(&effects), waiting[..1]);
+
+    // Without the back-off, none is left to wait for.
+    let effects = read(&mut harness, set(0, 10, &["east", "north", "west"]));
+    assert_eq!(refused_calls(&effects), waiting[1..]);
+}
+
+/// Nothing starts in an evacuated zone, also once an upstream's back-off there is over: this
+/// entry asks for no starts at one that limits them.
+#[test]
+fn an_entry_demands_no_starts_in_an_evacuated_zone() {
+    for back_off in [None, Some(Duration::from_secs(5))] {
+        let mut harness = two_zones();
+        let mut west = None;
+        for _ in 0..8 {
+            let (call, effects) = harness.call("/look/1", 3_000);
+            let attempt = sent(&effects, call).expect("an attempt");
+            if attempt.instance.as_str() == "west-2" {
+                west = Some(attempt.upstream);
+            }
+        }
+        let upstream = west.expect("a call in the zone");
+        let limit = UpstreamSignal::Limit(Some(CallRate::try_from(2.0).expect("a rate")));
+        for signal in [Some(limit), back_off.map(UpstreamSignal::BackOff)] {
+            if let Some(signal) = signal {
+                harness
+                    .sim
+                    .event(DispatchEvent::SignalReceived { upstream, signal });
+            }
+        }
+        let demands = |harness: &mut Harness| {
+            let report = reports(harness).pop().expect("a report");
+            format!("{:?}", report.limits)
+        };
+        let before = demands(&mut harness);
+        assert!(!before.contains("demand: 0"), "{before}");
+        read(&mut harness, set(0, 7, &["west"]));
+        let after = demands(&mut harness);
+        assert!(after.contains("demand: 0"), "{after}");
+    }
+}
+
 /// The starts of the last seconds tell how long calls wait; those of an evacuated zone don't
 /// come again.
 #[test]
@@ -434,6 +563,49 @@
     assert_eq!(zones_called(&mut started, "/look/1"), names(&ZONES));
 }
 
+/// Load pattern: the operator's topic names more zones than there can be. Reports still fit
+/// into a datagram, and the log says once which zones aren't in force.
+#[test]
+fn zones_beyond_the_most_are_passed_over_and_logged() {
+    let names: Vec<String> = (0..200)
+        .map(|index| format!("{index:0>MAX_NAME_BYTES$}"))
+        .collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let passed_over = |effects: &[DispatchEffect]| {
+        let reasons = reasons(effects).into_iter();
+        let passed_over = reasons.filter(|(_, reason)| *reason == "passed-over");
+        passed_over.map(|(zone, _)| zone).collect::<Vec<_>>()
+    };
+    let mut harness = two_zones();
+    let effects = read(&mut harness, set(0, 7, &names));
+    assert_eq!(passed_over(&effects), names[MAX_EVACUATED_ZONES..]);
+    assert_eq!(reasons(&effects).len(), names.len());
+    for report in reports(&mut harness) {
+        let zones = report.zones.as_ref().expect("the zones");
+        assert_eq!(zones.zones.len(), MAX_EVACUATED_ZONES);
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&report, &mut bytes).expect("encodable");
+        assert!(bytes.len() < 4_096, "{} bytes", bytes.len());
+    }
+    assert_eq!(passed_over(&read(&mut harness, set(0, 8, &names))), [""; 0]);
+    // One that was in force gives way to one that comes before it in the order of names.
+    let before: Vec<&str> = names.iter().copied().chain(["-"]).collect();
+    let effects = read(&mut harness, set(0, 9, &before));
+    let expected = [
+        ("-", "evacuated"),
+        (names[MAX_EVACUATED_ZONES - 1], "passed-over"),
+    ];
+    let expected = expected.map(|(zone, reason)| (zone.to_owned(), reason));
+    assert_eq!(reasons(&effects), expected);
+    // Entries that hear of the set know the same zones.
+    let mut peer = two_zones();
+    hear(&mut peer, 1, Some(set(0, 9, &before)));
+    let zones = |harness: &mut Harness| reports(harness).pop().expect("a report").zones;
+    assert_eq!(zones(&mut peer), zones(&mut harness));
+    let effects = read(&mut harness, set(0, 10, &[]));
+    assert_eq!(reasons(&effects).len(), MAX_EVACUATED_ZONES);
+}
+
 /// An evacuation is reported as soon as a changed load would be.
 #[test]
 fn a_change_of_a_zone_is_reported_at_once() {
