Pass over a missing signal without a nested if

Cause: Clippy reports a loop over options in the test of demanded starts. Change: the loop runs over the signals that there are; it asserts the same.

--- a/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/evacuation.rs
@@ -425,12 +425,11 @@
         }
         let upstream = west.expect("a call in the zone");
         let limit = UpstreamSignal::Limit(Some(CallRate::try_from(2.0).expect("a rate")));
-        for signal in [Some(limit), back_off.map(UpstreamSignal::BackOff)] {
-            if let Some(signal) = signal {
-                harness
-                    .sim
-                    .event(DispatchEvent::SignalReceived { upstream, signal });
-            }
+        let back_off = back_off.map(UpstreamSignal::BackOff);
+        for signal in [limit].into_iter().chain(back_off) {
+            harness
+                .sim
+                .event(DispatchEvent::SignalReceived { upstream, signal });
         }
         let demands = |harness: &mut Harness| {
             let report = reports(harness).pop().expect("a report");
