Send calls at upstreams that turn cold before entries read that

Cause: the test of shares said that records are late, but entries sent nothing before they read them, so late records were never met under load.

Change: the entries together send at the tolerated rate until they read the record, before the upstream turns cold and after, and without end from then on. All calls that arrive since it turned cold count. In half of the plays all entries read late, at once.

--- a/crates/egretstage_dispatch/tests/dispatch/cold_starts/shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/cold_starts/shares.rs
@@ -17,6 +17,9 @@
 /// Longest time that a report or a call is on its way.
 const MAX_DELAY: Duration = Duration::from_millis(100);
 
+/// Calls of an entry with endless demand in a step, more than any rate allows.
+const ENDLESS: u32 = 1_000;
+
 /// Time for which entries are lost, frozen or cut off.
 const FAULT: Duration = Duration::from_secs(5);
 
@@ -57,6 +60,8 @@
     next_report: Instant,
     /// When it reads the record that the upstream has turned cold.
     reads_at: Instant,
+    /// When its next call arrives, until it reads that record.
+    next_call: Instant,
 }
 
 impl Entry {
@@ -84,25 +89,34 @@
     starts
 }
 
-/// Entries with endless demand at one upstream; returns when their calls arrived there.
-fn play(seed: u64, count: usize, rate: f64, turns_cold_at: Duration) -> (Instant, Vec<Instant>) {
+/// Entries that together have a steady demand of the rate at one upstream, and an endless one
+/// from when they read that it has turned cold; returns when their calls arrived there since it
+/// did.
+fn play(seed: u64, count: usize, rate: f64, turns_cold_at: Duration) -> Vec<Instant> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let start = Instant::now();
     let cold_at = start + turns_cold_at;
     let warm = stated(1, Some(Duration::ZERO));
     let upstream = UpstreamStart::from(&warm);
+    let entry_count = u32::try_from(count).expect("a count");
+    let call_interval = Duration::from_secs_f64(f64::from(entry_count) / rate);
+    // In half of the plays, all entries read the record late, at once.
+    let read_together = seed.is_multiple_of(2);
     let mut entries: Vec<Entry> = (0..count)
         .map(|index| {
             let fault = FAULTS[rng.random_range(0..FAULTS.len())];
             let at = start + JOIN_DELAY;
             let at = at + (cold_at + COLD - at).mul_f64(rng.random_range(0.0..1.0));
             let starts = (fault != Fault::Added).then(|| started(start, index, rate));
+            let read_delay = rng.random_range(0.0..1.0);
+            let read_delay = if read_together { 1.0 } else { read_delay };
             Entry {
                 starts,
                 fault,
                 at,
                 next_report: start,
-                reads_at: cold_at + MAX_READ_DELAY.mul_f64(rng.random_range(0.0..1.0)),
+                reads_at: cold_at + MAX_READ_DELAY.mul_f64(read_delay),
+                next_call: start + call_interval.mul_f64(rng.random_range(0.0..1.0)),
             }
         })
         .collect();
@@ -140,31 +154,37 @@
             }
             !is_due
         });
-        for entry in entries.iter_mut().filter(|entry| entry.runs(now)) {
-            let reads_at = entry.reads_at;
+        for entry in &mut entries {
+            let mut calls = 0;
+            while entry.next_call <= now {
+                entry.next_call += call_interval;
+                calls += 1;
+            }
+            if !entry.runs(now) {
+                continue;
+            }
             let Some(starts) = &mut entry.starts else {
                 continue;
             };
             starts.record_run(now);
-            if now < cold_at {
-                starts.record_listed(now, &warm);
-                continue;
-            }
-            if now >= reads_at {
+            let has_read = now >= entry.reads_at;
+            if has_read {
                 starts.record_listed(now, &stated(1, Some(COLD)));
+                calls = ENDLESS;
+            } else {
+                starts.record_listed(now, &warm);
             }
             starts.remove_expired(now);
-            // Before it reads the record, an entry doesn't know of the bound.
-            let unbounded = u32::from(now >= reads_at);
             let left = starts.starts_left(now, upstream);
-            for _ in 0..left.unwrap_or(unbounded) {
+            for _ in 0..left.map_or(calls, |left| left.min(calls)) {
                 starts.record_start(now, upstream);
                 arrivals.push(now + MAX_DELAY.mul_f64(rng.random_range(0.0..1.0)));
             }
         }
     }
+    arrivals.retain(|at| *at >= cold_at);
     arrivals.sort_unstable();
-    (cold_at, arrivals)
+    arrivals
 }
 
 /// Returns the largest number of calls within a second.
@@ -178,7 +198,8 @@
     f64::from(u32::try_from(counts.max().unwrap_or(0)).expect("a count"))
 }
 
-/// Load pattern: all entries have more calls than they may start, while some are lost, frozen,
+/// Load pattern: an upstream turns cold under a steady demand of what it tolerates then. All
+/// entries have more calls than they may start once they read that, while some are lost, frozen,
 /// cut off, restarted or added, and reports and records are late.
 #[test]
 fn all_entries_together_keep_the_rate_whatever_befalls_them() {
@@ -186,7 +207,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(1_000 + seed);
         let count = rng.random_range(1..36);
         let rate = f64::from(rng.random_range(1_u32..80));
-        let (_, arrivals) = play(seed, count, rate, JOIN_DELAY * 3);
+        let arrivals = play(seed, count, rate, JOIN_DELAY * 3);
         let most = most_in_a_second(&arrivals);
         assert!(
             most <= rate * EXCESS + SLACK,
