Start no request on a connection that was given up

Cause: egret-entry accepts and serves on several threads. The accept task could give a connection up after its task had read a request and before it began the call; the next poll then dropped the connection while the request ran, so a request that wasn't refused lost its answer. Change: begin returns None for a connection that was given up. The request is answered 503 with Connection: close, and nothing is handed over. Seen to fail: with the check of is_given_up off, the new test no_request_starts_on_a_connection_that_was_given_up fails (Some(BodyKey(10)) instead of None).

--- a/crates/egretstage_caller_io/src/account.rs
+++ b/crates/egretstage_caller_io/src/account.rs
@@ -368,8 +368,12 @@
         self.connections.remove(&connection);
     }
 
-    /// Starts the body of a request on a connection.
-    pub fn begin(&mut self, now: Instant, connection: ConnectionKey) -> BodyKey {
+    /// Starts the body of a request on a connection; returns `None` if the connection was given
+    /// up: the request must not run.
+    pub fn begin(&mut self, now: Instant, connection: ConnectionKey) -> Option<BodyKey> {
+        self.connections
+            .get(&connection)
+            .filter(|connection| !connection.is_given_up)?;
         let key = BodyKey(self.new_key());
         let body = Body {
             connection,
@@ -382,7 +386,7 @@
             connection.calls += 1;
             connection.unfinished = Some(key);
         }
-        key
+        Some(key)
     }
 
     /// Returns the time until which a body must go on; `now` for one that was given up.
--- a/crates/egretstage_caller_io/src/bounds.rs
+++ b/crates/egretstage_caller_io/src/bounds.rs
@@ -183,12 +183,13 @@
         self.task.notified().await;
     }
 
-    /// Begins a request and its body.
+    /// Begins a request and its body; returns `None` if the connection must be closed, without
+    /// running the request.
     #[must_use]
-    pub fn begin(&self) -> (CallOnConnection, GrowingBody) {
+    pub fn begin(&self) -> Option<(CallOnConnection, GrowingBody)> {
         let task = Arc::new(Notify::new());
         let mut state = self.bounds.state();
-        let key = state.account.begin(Instant::now(), self.key);
+        let key = state.account.begin(Instant::now(), self.key)?;
         state.bodies.insert(key, Arc::clone(&task));
         drop(state);
         let held = HeldBody {
@@ -204,7 +205,7 @@
             bounds: Arc::clone(&self.bounds),
             key: self.key,
         };
-        (call, body)
+        Some((call, body))
     }
 }
 
--- a/crates/egretstage_caller_io/tests/account.rs
+++ b/crates/egretstage_caller_io/tests/account.rs
@@ -41,10 +41,15 @@
     connection
 }
 
+fn begin_on(account: &mut CallerAccount, now: Instant, connection: ConnectionKey) -> BodyKey {
+    let body = account.begin(now, connection);
+    body.expect("the connection isn't given up")
+}
+
 /// Opens a connection with a body, of which `bytes` have arrived.
 fn begin(account: &mut CallerAccount, now: Instant, bytes: usize) -> (ConnectionKey, BodyKey) {
     let connection = open(account, now);
-    let body = account.begin(now, connection);
+    let body = begin_on(account, now, connection);
     assert_eq!(account.grow(now, body, bytes), granted(&[]));
     account.receive(now, body, bytes);
     (connection, body)
@@ -69,7 +74,7 @@
     let late = after(now, 1_500);
     for expected in [first, second] {
         let connection = open(&mut account, late);
-        let body = account.begin(late, connection);
+        let body = begin_on(&mut account, late, connection);
         assert_eq!(account.grow(late, body, LARGE), granted(&[expected]));
         assert_eq!(account.body_bytes(), 3 * LARGE);
     }
@@ -83,7 +88,7 @@
         begin(&mut account, now, LARGE);
     }
     let connection = open(&mut account, now);
-    let body = account.begin(now, connection);
+    let body = begin_on(&mut account, now, connection);
     assert_eq!(account.grow(now, body, LARGE), Growth::Refused);
     assert_eq!(account.body_bytes(), 3 * LARGE);
 }
@@ -94,7 +99,7 @@
     let (mut account, now) = (account(), Instant::now());
     for _ in 0..4 {
         let connection = open(&mut account, now);
-        let body = account.begin(now, connection);
+        let body = begin_on(&mut account, now, connection);
         // The last one is refused and stays without room.
         account.grow(now, body, LARGE);
         account.complete(body, 0);
@@ -120,7 +125,7 @@
         begin(&mut account, now, small);
     }
     let connection = open(&mut account, now);
-    let body = account.begin(now, connection);
+    let body = begin_on(&mut account, now, connection);
     assert_eq!(account.grow(now, body, small), granted(&[largest]));
     assert!(account.complete(larger, 0), "the other one is kept");
     assert!(!account.complete(largest, 0), "it was given up");
@@ -137,7 +142,7 @@
     let late = now + 2 * BODY_PATIENCE;
     for _ in 3..CONNECTIONS {
         let connection = open(&mut account, late);
-        let body = account.begin(late, connection);
+        let body = begin_on(&mut account, late, connection);
         assert_eq!(account.grow(late, body, LARGE), Growth::Refused);
         assert_eq!(account.grow(late, body, SMALL), granted(&[]));
         assert!(account.complete(body, 0));
@@ -296,3 +301,19 @@
     let (.., growth) = answer(&mut account, now, SMALL);
     assert_eq!(growth, answers_granted(&[]));
 }
+
+/// A connection may be given up before its task is polled: no request starts on it any more.
+#[test]
+fn no_request_starts_on_a_connection_that_was_given_up() {
+    let (mut account, now) = (account(), Instant::now());
+    let first = open(&mut account, now);
+    for _ in 1..CONNECTIONS {
+        open(&mut account, now);
+    }
+    let (newest, given_up) = accepted(account.open(now));
+    assert_eq!(given_up, Some(first));
+    assert_eq!(account.begin(now, first), None);
+    assert!(account.begin(now, newest).is_some());
+    account.close(first);
+    assert_eq!(account.begin(now, first), None);
+}
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -1,7 +1,9 @@
 //! The callers' HTTP server.
 
 use crate::answer::{AnswerBody, CallerGuard};
-use crate::responses::{ResponseBody, invalid_response, refusal_response, set_outcome_headers};
+use crate::responses::{
+    ResponseBody, closing_response, invalid_response, refusal_response, set_outcome_headers,
+};
 use crate::{
     AnswerPart, CallKey, CallRequest, EntryEvent, InvalidRequest, RawRequest, Refusal, RefusalKind,
     RequestLimits,
@@ -209,7 +211,7 @@
         let marker = watch.marker();
         let service = service_fn(|req| {
             let (server, call) = (Arc::clone(&self), marker.begin());
-            let (kept, growing) = open.begin();
+            let (kept, growing) = open.begin().unzip();
             async move {
                 let _call = call;
                 let (resp, room) = server.handle_request(req, growing).await;
@@ -246,7 +248,7 @@
     async fn handle_request(
         &self,
         req: Request<Incoming>,
-        growing: GrowingBody,
+        growing: Option<GrowingBody>,
     ) -> (Response<ResponseBody>, Option<HeldBody>) {
         let sequence = self.next_call.fetch_add(1, Ordering::Relaxed);
         let id_text = format!("{:016x}-{sequence:x}", self.incarnation.0);
@@ -262,7 +264,7 @@
     async fn read_request(
         &self,
         req: Request<Incoming>,
-        growing: GrowingBody,
+        growing: Option<GrowingBody>,
         call: CallKey,
         request: &RequestId,
     ) -> Result<(CallRequest, HeldBody), Response<ResponseBody>> {
@@ -272,6 +274,10 @@
                 "HTTP/1.1 is needed: older versions can't tell a cut answer from a whole one";
             return Err(invalid_response(505, "http_version", message, request));
         }
+        let Some(growing) = growing else {
+            let message = "there is no room for the connection";
+            return Err(closing_response(503, "no_room", message, request));
+        };
         let limit = self.max_body_bytes;
         let read = read_body_discarding(body, growing, limit, MAX_DISCARDED_BYTES, &self.bounds);
         let (body, room) = match read.await {
--- a/crates/egretstage_entry/src/responses.rs
+++ b/crates/egretstage_entry/src/responses.rs
@@ -6,7 +6,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use serde_json::json;
 
@@ -22,6 +22,19 @@
     error_response(status, code, message, request, "not-run")
 }
 
+/// Returns an answer after which the connection is closed.
+pub(crate) fn closing_response(
+    status: u16,
+    code: &str,
+    message: &str,
+    request: &RequestId,
+) -> Response<ResponseBody> {
+    let mut resp = invalid_response(status, code, message, request);
+    let close = HeaderValue::from_static("close");
+    resp.headers_mut().insert(CONNECTION, close);
+    resp
+}
+
 pub(crate) fn refusal_response(refusal: &Refusal, request: &RequestId) -> Response<ResponseBody> {
     let mut resp = match refusal.kind {
         RefusalKind::UnknownToken => {
--- a/crates/egretstage_gateway/src/server.rs
+++ b/crates/egretstage_gateway/src/server.rs
@@ -1,5 +1,6 @@
 //! The callers' HTTP server.
 
+use crate::answers::closing_answer;
 use crate::exchange::Gateway;
 use egretstage_caller_io::{KeepingBody, OpenConnection, run_until_closed, watch_caller};
 use hyper::server::conn::http1::Connection;
@@ -72,10 +73,13 @@
     let marker = watch.marker();
     let service = service_fn(move |req| {
         let (gateway, call) = (Rc::clone(&gateway), marker.begin());
-        let (kept, body) = open.begin();
+        let (kept, body) = open.begin().unzip();
         async move {
             let _call = call;
-            let resp = gateway.serve(req, body).await;
+            let resp = match body {
+                Some(body) => gateway.serve(req, body).await,
+                None => closing_answer(503, "there is no room for the connection"),
+            };
             Ok::<_, Infallible>(resp.map(|body| KeepingBody::new(body, kept)))
         }
     });
--- a/crates/egretstage_observe/src/admin.rs
+++ b/crates/egretstage_observe/src/admin.rs
@@ -158,7 +158,7 @@
     let service = service_fn(move |req| {
         let endpoints = Arc::clone(&endpoints);
         // The body of a request isn't read.
-        let (kept, _) = open.begin();
+        let kept = open.begin().map(|(kept, _)| kept);
         async move {
             let resp = endpoints.answer(&req);
             Ok::<_, Infallible>(resp.map(|body| KeepingBody::new(body, kept)))
