Say in egret-entry's answers to unread bodies that the connection closes

Cause: egret-entry's 413, 408, 400 and 503 to a body that it doesn't read to its end lacked Connection: close, so a caller on a kept connection could send its next request into a connection that was being closed. Refused connections were logged one line each. Change: these answers name the close, as the gateway's do. A body over the limit whose rest was discarded to its end keeps its connection, as before. The lines of refused connections are the account's, one in 10 s. Seen to fail: with the header left out, the new test only_an_unread_body_closes_the_connection fails at its first answer.

--- a/crates/egretstage_caller_io/src/body.rs
+++ b/crates/egretstage_caller_io/src/body.rs
@@ -12,6 +12,8 @@
     TooLarge {
         /// The limit in bytes.
         limit: usize,
+        /// Whether the body was read to its end and discarded.
+        is_discarded: bool,
     },
     /// The body made no progress.
     #[error("the body did not arrive in time")]
@@ -54,13 +56,17 @@
     discarded_bytes: usize,
     bounds: &CallerBounds,
 ) -> Result<(Vec<u8>, HeldBody), UnreadBody> {
-    let filled = fill(&mut body, &mut growing, limit, bounds).await;
-    if matches!(filled, Err(UnreadBody::TooLarge { .. })) {
+    let mut filled = fill(&mut body, &mut growing, limit, bounds).await;
+    if let Err(UnreadBody::TooLarge { is_discarded, .. }) = &mut filled {
         let mut discarded = 0;
         while discarded < discarded_bytes {
             match next_data(&mut body, &growing, bounds).await {
                 Ok(Some(data)) => discarded += data.len(),
-                Ok(None) | Err(_) => break,
+                Ok(None) => {
+                    *is_discarded = true;
+                    break;
+                }
+                Err(_) => break,
             }
         }
     }
@@ -76,7 +82,10 @@
 ) -> Result<(), UnreadBody> {
     let too_large = || {
         bounds.record(TurnedAway::BodyTooLarge);
-        UnreadBody::TooLarge { limit }
+        UnreadBody::TooLarge {
+            limit,
+            is_discarded: false,
+        }
     };
     let announced = body.size_hint().exact();
     let announced = announced.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
--- a/crates/egretstage_entry/src/http.rs
+++ b/crates/egretstage_entry/src/http.rs
@@ -9,7 +9,7 @@
     RequestLimits,
 };
 use egretstage_caller_io::{
-    CallerBounds, GrowingBody, HeldBody, KeepingBody, OpenConnection, UnreadBody,
+    CallerBounds, GrowingBody, HeldBody, KeepingBody, OpenConnection, TurnedAway, UnreadBody,
     longest_body_time, read_body_discarding, run_until_closed, watch_caller,
 };
 use egretstage_runtime::EventSender;
@@ -184,11 +184,10 @@
         stop: &watch::Receiver<bool>,
     ) {
         let Some(open) = self.bounds.open() else {
-            log::warn!(limit = self.max_connections; "connection refused: the connection limit is reached");
             return;
         };
         let Ok(permit) = Arc::clone(permits).try_acquire_owned() else {
-            log::warn!(limit = self.max_connections; "connection refused: the connection limit is reached");
+            self.bounds.record(TurnedAway::NoRoomForConnection);
             return;
         };
         let server = Arc::clone(self);
@@ -289,7 +288,13 @@
                     UnreadBody::NoRoom => (503, "no_room"),
                     UnreadBody::Broken(_) => (400, "body_broken"),
                 };
-                return Err(invalid_response(status, code, &e.to_string(), request));
+                let text = e.to_string();
+                return Err(match e {
+                    UnreadBody::TooLarge {
+                        is_discarded: true, ..
+                    } => invalid_response(status, code, &text, request),
+                    _ => closing_response(status, code, &text, request),
+                });
             }
         };
         let header_text = |name: &str| header_value(&head.headers, name);
--- a/crates/egretstage_standins/src/crowd.rs
+++ b/crates/egretstage_standins/src/crowd.rs
@@ -104,6 +104,17 @@
         })
     }
 
+    /// Reads the head of an answer; returns `None` if the connection ends first.
+    pub fn read_head(&mut self) -> Option<String> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            self.tcp.read_exact(&mut byte).ok()?;
+            head.push(byte[0]);
+        }
+        Some(String::from_utf8_lossy(&head).to_ascii_lowercase())
+    }
+
     /// Reads an answer's status line; returns `None` if the connection ends first.
     pub fn read_status(&mut self) -> Option<String> {
         let mut buf = [0; 12];
--- a/tests/hostile_callers.rs
+++ b/tests/hostile_callers.rs
@@ -103,3 +103,28 @@
 fn a_crowd_that_stops_within_its_heads_is_outlasted() {
     assert_outlasted(send_unfinished_head, |_| ());
 }
+
+/// An answer to a body that isn't read to its end says that the connection is closed; after
+/// one whose rest was discarded, the connection stays.
+#[test]
+fn only_an_unread_body_closes_the_connection() {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = scenario::start_fleet(programs!());
+    let settings = format!("max_body_bytes = {MAX_BODY_BYTES}\n{LIMIT_SETTINGS}");
+    let entry = fleet.entry_with_caller_settings("entry-1", "west", &settings);
+    entry.wait_until_ready(true);
+    let answer_head = |announced: usize, sent: usize| {
+        let mut caller = CrowdCaller::connect(entry.address, 0, head);
+        caller.send_length(announced);
+        caller.send_pieces(sent, MAX_BODY_BYTES);
+        caller.read_head().expect("an answer")
+    };
+    // What the entry reads and discards of a body: none is left unread when it closes.
+    let discarded_bytes = 16 * 1024 * 1024;
+    let unread = answer_head(2 * discarded_bytes, discarded_bytes);
+    assert!(unread.starts_with("http/1.1 413"), "{unread}");
+    assert!(unread.contains("connection: close"), "{unread}");
+    let discarded = answer_head(2 * MAX_BODY_BYTES, 2 * MAX_BODY_BYTES);
+    assert!(discarded.starts_with("http/1.1 413"), "{discarded}");
+    assert!(!discarded.contains("connection: close"), "{discarded}");
+}
