Refuse room for all bodies that can't hold one of the largest size

Cause: what is over 64 KiB gets three quarters of max_all_bodies_bytes, and a setting whose three quarters are below max_body_bytes was accepted: each body near its limit was answered 503, whatever else was held. Change: the settings check refuses it and names the least value. Seen to fail: with the result of the check ignored, each_error_names_its_location_and_what_is_allowed fails (the file is accepted).

--- a/crates/egretstage_config/src/settings.rs
+++ b/crates/egretstage_config/src/settings.rs
@@ -68,6 +68,9 @@
     pub configuration: ConfigurationSettings,
 }
 
+/// Part of the room for all bodies that an entry keeps for small ones.
+const KEPT_BODIES_SHARE: usize = 4;
+
 /// Settings of an entry's checkpoints of the configuration.
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,10 +106,28 @@
                 ),
             });
         }
+        check_room_for_bodies(callers)?;
         check_port("listen", callers.listen)
     }
 }
 
+/// Refuses room for all bodies that can't hold one of the largest size.
+fn check_room_for_bodies(callers: &CallerSettings) -> Result<(), InvalidValue> {
+    let room = callers.max_all_bodies_bytes;
+    if room - room / KEPT_BODIES_SHARE >= callers.max_body_bytes {
+        return Ok(());
+    }
+    let least = (callers.max_body_bytes * KEPT_BODIES_SHARE - 1) / (KEPT_BODIES_SHARE - 1);
+    Err(InvalidValue {
+        key: "max_all_bodies_bytes",
+        message: format_compact!(
+            "{room} is not allowed, allowed is {least} or more, so that three quarters hold a \
+             body of max_body_bytes, which is {}",
+            callers.max_body_bytes
+        ),
+    })
+}
+
 impl SettingsFile for CompanionSettings {
     fn check(&self) -> Result<(), InvalidValue> {
         check_process(&self.process)?;
--- a/crates/egretstage_config/tests/settings.rs
+++ b/crates/egretstage_config/tests/settings.rs
@@ -46,6 +46,14 @@
             "default_budget_ms = 130000",
             "entry.toml:10: callers.default_budget_ms: 130000 is not allowed, allowed are 1 to max_budget_ms, which is 120000",
         ),
+        (
+            "max_body_bytes = 3000\nmax_all_bodies_bytes = 3998",
+            "entry.toml:11: callers.max_all_bodies_bytes: 3998 is not allowed, allowed is 3999 or more, so that three quarters hold a body of max_body_bytes, which is 3000",
+        ),
+        (
+            "max_all_bodies_bytes = 1048576",
+            "entry.toml:10: callers.max_all_bodies_bytes: 1048576 is not allowed, allowed is 1398101 or more",
+        ),
         ("max_conections = 5", "did you mean `max_connections`?"),
         (
             "[configuration]\ncheckpoint_interval_s = 0",
@@ -58,6 +66,13 @@
     }
 }
 
+#[test]
+fn room_for_one_body_of_the_largest_size_is_enough() {
+    let text = format!("{ENTRY}max_body_bytes = 3000\nmax_all_bodies_bytes = 3999\n");
+    let settings: EntrySettings = parse("entry.toml", &text).unwrap();
+    assert_eq!(settings.callers.max_all_bodies_bytes, 3999);
+}
+
 #[test]
 fn each_value_is_checked() {
     let cases = [
