End a stream whose caller doesn't read at its deadline

Cause: the relay awaited room in the caller's queue without looking at the dispatcher's commands. A caller that opened a stream and read none of it kept the upstream's connection, and the request's body with its room, for as long as it stayed. Change: the wait ends when the dispatcher ends the call, which it does when the call expires; room in the queue goes first, so a caller that reads keeps every event. An attempt that is abandoned meanwhile ends after the events that have arrived, as before. The room of the body is freed before the abort, which may wait for the caller. Seen to fail: with the relay as before, a_stream_that_nobody_reads_frees_its_upstream_at_its_end fails: no connection of an upstream has ended 6 s after the request, whose deadline is 3 s.

--- a/crates/egretstage_gateway/src/relay.rs
+++ b/crates/egretstage_gateway/src/relay.rs
@@ -41,6 +41,16 @@
     Stopped,
 }
 
+/// What became of an event for the caller.
+enum PassedOn {
+    /// It is queued.
+    Queued,
+    /// The caller is gone.
+    CallerGone,
+    /// The dispatcher has ended the call; the caller hasn't read in time.
+    Ended,
+}
+
 /// State of one stream across all attempts.
 struct StreamRelay {
     gateway: Rc<Gateway>,
@@ -142,6 +152,7 @@
     async fn relay_events(&mut self, body: &mut Incoming, repeatable: bool) -> RelayEnd {
         let mut events = EventSplitter::default();
         let mut has_event = false;
+        let mut abandoned = None;
         let silence = tokio::time::sleep(SILENCE_TIMEOUT);
         tokio::pin!(silence);
         loop {
@@ -191,13 +202,32 @@
                 has_event = true;
                 self.report_event();
                 self.last_id = event.id.or(self.last_id.take());
-                if self
-                    .chunk_tx
-                    .send(Ok(Bytes::from(event.bytes)))
-                    .await
-                    .is_err()
-                {
-                    return RelayEnd::Stopped;
+                match self.pass_on(Bytes::from(event.bytes), &mut abandoned).await {
+                    PassedOn::Queued => {}
+                    PassedOn::CallerGone => return RelayEnd::Stopped,
+                    PassedOn::Ended => return self.stop(),
+                }
+            }
+            if let Some(cause) = abandoned {
+                return RelayEnd::Broken(cause);
+            }
+        }
+    }
+
+    /// Queues an event for the caller, unless the dispatcher ends the call while the queue is
+    /// full. The attempt may be `abandoned` meanwhile: the event still counts as passed on.
+    async fn pass_on(&mut self, event: Bytes, abandoned: &mut Option<UnknownCause>) -> PassedOn {
+        let queued = self.chunk_tx.send(Ok(event));
+        tokio::pin!(queued);
+        loop {
+            tokio::select! {
+                biased;
+                sent = queued.as_mut() => {
+                    return sent.map_or(PassedOn::CallerGone, |()| PassedOn::Queued);
+                }
+                command = self.commands.recv() => match command {
+                    Some(Command::Abandon(cause)) => *abandoned = Some(cause),
+                    _ => return PassedOn::Ended,
                 }
             }
         }
@@ -277,7 +307,15 @@
     /// Aborts the caller's connection, so that the answer doesn't look
     /// complete.
     async fn abort(self) {
+        let Self {
+            chunk_tx,
+            guard,
+            req,
+            ..
+        } = self;
+        // A caller that doesn't read delays the abort without an end.
+        drop((guard, req));
         // The send fails only if the caller is gone already.
-        drop(self.chunk_tx.send(Err(AnswerAborted)).await);
+        drop(chunk_tx.send(Err(AnswerAborted)).await);
     }
 }
