Let a silent connection at the peers' address give way to a new one

Cause: the records server for peers closed the newest connection when all places were taken, so silent connections kept peers out, again each second. Change: the server uses the account of callers, as the admin server does: the connection that is used least, among silent ones the oldest, gives way. Seen to fail: with the server as before, silent_connections_keep_no_peer_out fails: the peer's connection ends without an answer.

--- a/crates/egretstage_gateway/src/record_relay.rs
+++ b/crates/egretstage_gateway/src/record_relay.rs
@@ -9,6 +9,7 @@
 //! compare versions.
 
 use crate::peers::PeerDirectory;
+use egretstage_caller_io::{CallerBounds, CallerLimits, KeepingBody, OpenConnection};
 use egretstage_platform::{HttpClient, KeyedChange, KeyedTopic};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
@@ -21,8 +22,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Prefix of the paths under which records are served.
 const RECORDS_PATH: &str = "/records/";
@@ -316,10 +316,14 @@
 }
 
 /// Serves the cached records to peers for as long as the process runs, on a limited number of
-/// connections: one beyond it is closed at once.
+/// connections: the one that has been silent longest gives way to one beyond it.
 pub(crate) async fn serve(listener: TcpListener, cache: RecordCache, descriptors: usize) {
-    let max_connections = MAX_CONNECTIONS.min(descriptors / DESCRIPTOR_SHARE);
-    let places = Arc::new(Semaphore::new(max_connections));
+    let limits = CallerLimits {
+        connections: MAX_CONNECTIONS.min(descriptors / DESCRIPTOR_SHARE),
+        body_bytes: 0,
+        answer_bytes: 0,
+    };
+    let bounds = CallerBounds::new("peers", limits, Box::new(|_| ()));
     loop {
         let tcp = match listener.accept().await {
             Ok((tcp, _)) => tcp,
@@ -329,29 +333,36 @@
                 continue;
             }
         };
-        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-            log::debug!("a peer's connection is closed for want of room");
+        let Some(open) = bounds.open() else {
             continue;
         };
-        let cache = cache.clone();
-        let service = service_fn(move |req| {
-            let resp = answer(&req, &cache);
-            async move { Ok::<_, Infallible>(resp) }
-        });
-        tokio::task::spawn_local(async move {
-            let served = hyper::server::conn::http1::Builder::new()
-                .max_buf_size(MAX_HEAD_BYTES)
-                .keep_alive(false)
-                .serve_connection(TokioIo::new(tcp), service);
-            match tokio::time::timeout(CONNECTION_TIMEOUT, served).await {
-                Ok(Ok(())) => {}
-                Ok(Err(e)) => {
-                    log::debug!(error:display = e; "a peer's connection ended with an error");
-                }
-                Err(_) => log::debug!("a peer's connection is closed after its time"),
+        tokio::task::spawn_local(serve_connection(tcp, open, cache.clone()));
+        bounds.has_room().await;
+    }
+}
+
+async fn serve_connection(tcp: TcpStream, open: OpenConnection, cache: RecordCache) {
+    let open = &open;
+    let service = service_fn(move |req| {
+        // The body of a request isn't read.
+        let kept = open.begin().map(|(kept, _)| kept);
+        let resp = answer(&req, &cache);
+        async move { Ok::<_, Infallible>(resp.map(|body| KeepingBody::new(body, kept))) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(tcp), service);
+    tokio::select! {
+        biased;
+        () = open.given_up() => log::debug!("a peer's connection is closed for a new one"),
+        end = tokio::time::timeout(CONNECTION_TIMEOUT, served) => match end {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => {
+                log::debug!(error:display = e; "a peer's connection ended with an error");
             }
-            drop(place);
-        });
+            Err(_) => log::debug!("a peer's connection is closed after its time"),
+        },
     }
 }
 
