Free the bytes of a body as soon as it is given up

Cause: the account freed the room of a given-up body at once, but its buffer lived until its task was polled, while the new body's buffer was already there: what bodies held could exceed the room. Change: the buffer is shared with the bounds, which empty it before the other body grows. A task that goes on with an emptied buffer drops the body. Seen to fail: with the buffer kept until its task drops it, bodies_that_were_given_up_hold_nothing fails: 1093632 bytes are held in a room of 1048576.

--- a/crates/egretstage_caller_io/src/bounds.rs
+++ b/crates/egretstage_caller_io/src/bounds.rs
@@ -50,10 +50,31 @@
 struct State {
     account: CallerAccount,
     connections: HashMap<ConnectionKey, Arc<Notify>>,
-    bodies: HashMap<BodyKey, Arc<Notify>>,
+    bodies: HashMap<BodyKey, Arc<BodyBuffer>>,
     warned_at: Option<Instant>,
 }
 
+/// The buffer of a body, and the task that fills it.
+///
+/// The lock is taken while the account is locked, and never the other way round.
+struct BodyBuffer {
+    /// `None` once the body was given up, or is whole.
+    bytes: Mutex<Option<Vec<u8>>>,
+    given_up: Notify,
+}
+
+impl BodyBuffer {
+    fn bytes(&self) -> MutexGuard<'_, Option<Vec<u8>>> {
+        self.bytes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Frees the bytes at once: the task may not be polled before their room is used.
+    fn give_up(&self) {
+        drop(self.bytes().take());
+        self.given_up.notify_one();
+    }
+}
+
 /// What callers make a process hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Held {
@@ -187,20 +208,19 @@
     /// running the request.
     #[must_use]
     pub fn begin(&self) -> Option<(CallOnConnection, GrowingBody)> {
-        let task = Arc::new(Notify::new());
+        let buffer = Arc::new(BodyBuffer {
+            bytes: Mutex::new(Some(Vec::new())),
+            given_up: Notify::new(),
+        });
         let mut state = self.bounds.state();
         let key = state.account.begin(Instant::now(), self.key)?;
-        state.bodies.insert(key, Arc::clone(&task));
+        state.bodies.insert(key, Arc::clone(&buffer));
         drop(state);
         let held = HeldBody {
             bounds: Arc::clone(&self.bounds),
             key,
         };
-        let body = GrowingBody {
-            bytes: Vec::new(),
-            task,
-            held,
-        };
+        let body = GrowingBody { buffer, held };
         let call = CallOnConnection {
             bounds: Arc::clone(&self.bounds),
             key: self.key,
@@ -352,27 +372,26 @@
 
 /// A body that is being read into one buffer.
 pub struct GrowingBody {
-    bytes: Vec<u8>,
-    task: Arc<Notify>,
+    buffer: Arc<BodyBuffer>,
     held: HeldBody,
 }
 
 impl GrowingBody {
-    /// Returns the number of bytes that have been read.
+    /// Returns the number of bytes that are held, none once the body was given up.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.bytes.len()
+        self.buffer.bytes().as_ref().map_or(0, Vec::len)
     }
 
-    /// Returns whether nothing has been read.
+    /// Returns whether no bytes are held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.len() == 0
     }
 
     /// Waits until the body loses its room to another one.
     pub async fn given_up(&self) {
-        self.task.notified().await;
+        self.buffer.given_up.notified().await;
     }
 
     /// Returns the time until which the body must go on.
@@ -387,42 +406,56 @@
     pub fn extend(&mut self, bytes: &[u8], max_bytes: usize) -> bool {
         let now = Instant::now();
         let bounds = &self.held.bounds;
-        let needed = self.bytes.len() + bytes.len();
-        let capacity = self.bytes.capacity();
         let mut state = bounds.state();
+        let size = self
+            .buffer
+            .bytes()
+            .as_ref()
+            .map(|b| (b.len(), b.capacity()));
+        let Some((len, capacity)) = size else {
+            return false;
+        };
+        let needed = len + bytes.len();
         let mut given_up = Vec::new();
+        let mut more = 0;
         if needed > capacity {
             let larger = (2 * capacity).max(FIRST_BODY_BYTES).min(max_bytes);
-            let more = larger.max(needed) - capacity;
+            more = larger.max(needed) - capacity;
             match state.account.grow(now, self.held.key, more) {
                 Growth::Granted { given_up: bodies } => given_up = bodies,
                 Growth::Refused => return false,
             }
-            self.bytes.reserve_exact(capacity + more - self.bytes.len());
         }
         state.account.receive(now, self.held.key, bytes.len());
         for key in &given_up {
-            if let Some(task) = state.bodies.get(key) {
-                task.notify_one();
+            if let Some(body) = state.bodies.get(key) {
+                body.give_up();
             }
         }
         drop(state);
         for _ in given_up {
             bounds.record(TurnedAway::BodyGivenUp);
         }
-        self.bytes.extend_from_slice(bytes);
+        // Another thread may have given this body up meanwhile.
+        let mut buffer = self.buffer.bytes();
+        let Some(buffer) = buffer.as_mut() else {
+            return false;
+        };
+        buffer.reserve_exact(capacity + more - len);
+        buffer.extend_from_slice(bytes);
         true
     }
 
     /// Returns the whole body and its room; `None` if it was given up before.
     #[must_use]
-    pub fn complete(mut self) -> Option<(Vec<u8>, HeldBody)> {
-        let unused = self.bytes.capacity() - self.bytes.len();
-        self.bytes.shrink_to_fit();
+    pub fn complete(self) -> Option<(Vec<u8>, HeldBody)> {
         let mut state = self.held.bounds.state();
+        let mut bytes = self.buffer.bytes().take()?;
+        let unused = bytes.capacity() - bytes.len();
+        bytes.shrink_to_fit();
         let is_held = state.account.complete(self.held.key, unused);
         drop(state);
-        is_held.then_some((self.bytes, self.held))
+        is_held.then_some((bytes, self.held))
     }
 }
 
