--- a/crates/egretstage_gateway/src/lib.rs
+++ b/crates/egretstage_gateway/src/lib.rs
@@ -37,7 +37,7 @@
 };
 pub use events::{EventSplitter, StreamEvent};
 pub use operator_records::{ConfigurationRecord, OperatorRecords};
-pub use settings::{GatewaySettings, LimitsSettings};
+pub use settings::{GatewaySettings, LimitsSettings, ZonesSettings};
 
 /// The items that most users of this crate need.
 pub mod prelude {
