--- a/crates/egretstage_dispatch/tests/dispatch/fleet.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/fleet.rs
@@ -4,7 +4,7 @@
 use egretstage_dispatch::{
     CallHead, CallKey, CallRate, ColdProfile, DecisionLine, DispatchEffect, DispatchEvent,
     DispatchLimits, Dispatcher, ListedUpstream, LoadReport, PromptParts, Refusal, RequestHash,
-    UpstreamKey, UpstreamSignal,
+    TopicPosition, UpstreamKey, UpstreamSignal, ZoneSet,
 };
 use egretstage_runtime::VirtualLoop;
 use egretstage_wire::InstanceId;
@@ -257,6 +257,19 @@
         }
     }
 
+    /// Lets each entry read the set of the evacuated zones at an offset in the store.
+    pub(crate) fn read_zones(&mut self, offset: u64, zones: &[&str]) {
+        let position = TopicPosition { era: 0, offset };
+        let zones = zones.iter().map(|name| (*name).try_into());
+        let zones = zones.collect::<Result<_, _>>().expect("valid names");
+        let set = ZoneSet { position, zones };
+        for index in 0..self.entries.len() {
+            let event = DispatchEvent::ZonesRead(Box::new(set.clone()));
+            let effects = self.entries[index].sim.event(event);
+            self.carry_out(index, effects);
+        }
+    }
+
     /// Returns the zone of an upstream.
     pub(crate) fn zone_of(&self, instance: &InstanceId) -> &str {
         let mut known = self.upstreams.iter().filter(|u| u.instance == *instance);
--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -262,6 +262,31 @@
     assert!(back.out <= MAX_CALM_SHARE, "{back:?}");
 }
 
+/// Load pattern: the operator evacuates a zone under load and takes it back. All of its calls
+/// leave while it is evacuated, those of the other zones stay, and it gets its calls back.
+#[test]
+fn all_calls_leave_an_evacuated_zone_and_return() {
+    let wanted = [0.6, 0.4, 0.4];
+    let mut fleet = fleet(10);
+    fleet.run(SETTLE, PLAIN, &rates(wanted));
+    fleet.read_zones(1, &[ZONES[0]]);
+    let [evacuated, others @ ..] = play(&mut fleet, PLAIN, wanted);
+    assert!(evacuated.arrivals == 0, "{evacuated:?}");
+    for zone in others.iter().chain([&evacuated]) {
+        assert!(zone.in_time >= 0.99, "{zone:?}");
+    }
+    for zone in others {
+        // As without upstreams there: at 0.7 of the room, a home is full at times.
+        assert!(zone.out <= 0.1, "{zone:?}");
+    }
+    fleet.read_zones(2, &[]);
+    for zone in play(&mut fleet, PLAIN, [0.4, 0.3, 0.3]) {
+        assert!(zone.out <= MAX_CALM_SHARE, "{zone:?}");
+        assert!(zone.arrivals > 0 && zone.in_time >= 0.99, "{zone:?}");
+    }
+    assert!(fleet.refusals.is_empty(), "{:?}", fleet.refusals);
+}
+
 /// Load pattern: a zone without upstreams wants more than the others have left after their own
 /// callers, who must not wait for it.
 #[test]
