--- a/crates/egretstage_dispatch/src/zone_shares.rs
+++ b/crates/egretstage_dispatch/src/zone_shares.rs
@@ -170,6 +170,8 @@
     demand: SmallVec<[(ZoneName, f32); 4]>,
     observed_at: Option<Instant>,
     next_step: Option<Instant>,
+    /// Until when the latest lack of room elsewhere counts.
+    no_room_until: Option<Instant>,
 }
 
 impl ZoneShare {
@@ -196,7 +198,15 @@
     ) -> bool {
         self.smooth(now, &mut zones);
         let plan = plan(home, &zones, holding_ms, cost_ms);
-        self.reason = plan.reason;
+        if plan.reason == ShareReason::NoRoomElsewhere {
+            self.no_room_until = Some(now + STEP_BACK_INTERVAL);
+        }
+        let is_held = self.no_room_until.is_some_and(|until| now < until);
+        self.reason = match plan.reason {
+            ShareReason::HomeIsLost => plan.reason,
+            _ if is_held => ShareReason::NoRoomElsewhere,
+            reason => reason,
+        };
         if !plan.to.is_empty() {
             self.to = plan.to;
         }
--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -445,6 +445,30 @@
     );
 }
 
+/// Load pattern: the room elsewhere comes and goes with each report. Calls leave a full home
+/// only after there was room for three plans; a lost home isn't held back.
+#[test]
+fn calls_leave_a_full_home_only_for_room_that_lasts() {
+    let zones = |slots, west| -> SmallVec<[ZoneLoad; 4]> {
+        smallvec![load("east", slots, 14.0), load("west", 12.0, west)]
+    };
+    let home = zones(12.0, 0.0)[0].zone.clone();
+    let mut share = ZoneShare::default();
+    let mut now = Instant::now();
+    let mut reason = |slots, west| {
+        now += Duration::from_millis(100);
+        share.update(now, &home, zones(slots, west), 200.0, 10.0);
+        share.reason()
+    };
+    assert_eq!(reason(12.0, 13.0), ShareReason::NoRoomElsewhere);
+    let mut plans = 0;
+    while reason(12.0, 0.0) == ShareReason::NoRoomElsewhere {
+        plans += 1;
+    }
+    assert!((2..=5).contains(&plans), "{plans} plans");
+    assert_eq!(reason(0.0, 0.0), ShareReason::HomeIsLost);
+}
+
 /// Calls leave in the planned share, and to each zone as much as its room allows.
 #[test]
 fn calls_are_drawn_by_the_share_and_the_room_of_each_zone() {
