Keep the steps of a share within the plan

Cause: rounding up to sixteenths sends out more than the room elsewhere, and a share stayed at a sixteenth for a plan of a thousandth. Change: a share grows up to the plan rounded down to a step, or to the plan itself if that is less than a step; it shrinks if the plan is a whole step lower (a step and a half before), and ends below half a step. Seen to fail: with the rounding before, 10.5 calls go to 10 slots in the test of plans, and the share is 0.0625 for a plan of 0.053.

--- a/crates/egretstage_dispatch/src/zone_shares.rs
+++ b/crates/egretstage_dispatch/src/zone_shares.rs
@@ -214,10 +214,15 @@
             return false;
         }
         let before = self.out;
-        let interval = if plan.out >= self.out + STEP / 2.0 {
-            self.out = (self.out + STEP * STEPS_OUT).min((plan.out / STEP).ceil() * STEP);
+        let within_plan = if plan.out < STEP {
+            plan.out
+        } else {
+            (plan.out / STEP).floor() * STEP
+        };
+        let interval = if within_plan >= self.out + STEP / 2.0 {
+            self.out = (self.out + STEP * STEPS_OUT).min(within_plan);
             STEP_OUT_INTERVAL
-        } else if plan.out <= self.out - STEP * 1.5 || plan.out <= 0.0 {
+        } else if plan.out <= self.out - STEP || plan.out < STEP / 2.0 {
             self.out -= STEP;
             STEP_BACK_INTERVAL
         } else {
--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -5,6 +5,7 @@
 use egretstage_dispatch::placement::{ZonePreference, choose};
 use egretstage_dispatch::zone_shares::{ShareReason, ZoneLoad, ZoneShare, plan};
 use egretstage_dispatch::{DispatchLimits, UpstreamState, Upstreams};
+use egretstage_wire::ZoneName;
 use smallvec::{SmallVec, smallvec};
 use std::time::{Duration, Instant};
 
@@ -397,8 +398,8 @@
     }
 }
 
-/// The plans of all zones together never send more to a zone than it has left after its own
-/// callers.
+/// The plans of all zones together, and the shares that follow them from none, never send more
+/// to a zone than it has left after its own callers.
 #[test]
 fn plans_of_all_zones_fit_the_room_that_is_left() {
     for (east, mid, west) in [
@@ -406,28 +407,81 @@
         (20.0, 17.0, 2.0),
         (9.0, 9.0, 9.0),
         (30.0, 5.0, 11.9),
+        (30.0, 11.0, 11.0),
     ] {
         let zones = [
             load("east", 12.0, east),
             load("mid", 12.0, mid),
             load("west", 12.0, west),
         ];
-        let mut received = [0.0; 3];
+        let mut received = [[0.0; 3]; 2];
         for home in &zones {
             let plan = plan(&home.zone, &zones, 200.0, 10.0);
+            let followed = followed_share(&home.zone, &zones);
             let total: f32 = plan.to.iter().map(|(_, left)| left).sum();
             for (zone, left) in &plan.to {
                 let index = zones.iter().position(|load| load.zone == *zone);
-                received[index.expect("a zone")] += plan.out * home.demand * left / total;
+                let index = index.expect("a zone");
+                for (received, out) in received.iter_mut().zip([plan.out, followed]) {
+                    received[index] += out * home.demand * left / total;
+                }
             }
         }
-        for (zone, received) in zones.iter().zip(received) {
-            let left = (zone.slots - zone.demand).max(0.0);
-            assert!(received <= left + 0.01, "{received} at {zone:?}");
+        for received in received {
+            for (zone, received) in zones.iter().zip(received) {
+                let left = (zone.slots - zone.demand).max(0.0);
+                assert!(received <= left + 0.01, "{received} at {zone:?}");
+            }
         }
     }
 }
 
+/// Returns the share that follows a plan which doesn't change.
+fn followed_share(home: &ZoneName, zones: &[ZoneLoad]) -> f32 {
+    let mut share = ZoneShare::default();
+    follow(&mut share, Instant::now(), home, zones);
+    share.out()
+}
+
+/// Lets a share follow loads that don't change until it has settled; returns the time then.
+fn follow(share: &mut ZoneShare, mut now: Instant, home: &ZoneName, zones: &[ZoneLoad]) -> Instant {
+    let end = now + SETTLE;
+    while now < end {
+        now += Duration::from_millis(100);
+        share.update(now, home, zones.iter().cloned().collect(), 200.0, 10.0);
+    }
+    now
+}
+
+/// A plan of less than half a step ends the share; a larger one of less than a step is
+/// followed as it is.
+#[test]
+fn a_share_follows_a_plan_below_a_step_or_ends() {
+    let zones = |west| [load("east", 12.0, 30.0), load("west", 12.0, west)];
+    let planned = |west| {
+        let zones = zones(west);
+        plan(&zones[0].zone, &zones, 200.0, 10.0).out
+    };
+    let (small, tiny) = (10.3, 11.6);
+    assert!(
+        planned(small) > 1.0 / 32.0 && planned(small) < 1.0 / 16.0,
+        "{}",
+        planned(small)
+    );
+    assert!(
+        planned(tiny) > 0.0 && planned(tiny) < 1.0 / 32.0,
+        "{}",
+        planned(tiny)
+    );
+    let home = zones(small)[0].zone.clone();
+    let mut share = ZoneShare::default();
+    let now = follow(&mut share, Instant::now(), &home, &zones(small));
+    let difference = (share.out() - planned(small)).abs();
+    assert!(difference < 0.001, "{} of {}", share.out(), planned(small));
+    follow(&mut share, now, &home, &zones(tiny));
+    assert!(share.out() <= 0.0, "{}", share.out());
+}
+
 /// A zone without slots is lost, one beyond its slots is busy, and nobody goes where no room
 /// is left.
 #[test]
