Let calls leave a home that has lost most of its slots

Cause: with no room elsewhere by the plan, calls might not leave as long as one upstream at home was ready, even if it may not start a call. With no answer time known, the share and its reason stayed as they were. Change: a home with slots for less than half of its callers' demand, and for less than half as many per call as the other zones have, counts as lost (the second condition keeps calls at home when all zones are full). The share is reset where no answer time is known.

--- a/crates/egretstage_dispatch/src/reducer/zone_shares.rs
+++ b/crates/egretstage_dispatch/src/reducer/zone_shares.rs
@@ -4,7 +4,7 @@
 use crate::groups::GroupLoad;
 use crate::placement::ZonePreference;
 use crate::upstream::Upstream;
-use crate::zone_shares::{ShareReason, ZoneLoad};
+use crate::zone_shares::{ShareReason, ZoneLoad, ZoneShare};
 use crate::{CallKey, DecisionLine, DispatchEffect, ZoneTag};
 use egretstage_wire::{ServiceName, ZoneName};
 use smallvec::SmallVec;
@@ -115,7 +115,11 @@
                     share.update(now, &self.zone, loads, holding_ms, cost_ms);
                     (share.out(), share.reason().into())
                 }
-                (None, None) => continue,
+                (None, None) => {
+                    // What was planned with answers of upstreams that are gone says nothing.
+                    *share = ZoneShare::default();
+                    (share.out(), share.reason().into())
+                }
             };
             let is_new = if of_ranks.is_some() {
                 (out - state.logged_share).abs() >= RANKS_LINE_STEP
--- a/crates/egretstage_dispatch/src/zone_shares.rs
+++ b/crates/egretstage_dispatch/src/zone_shares.rs
@@ -33,6 +33,9 @@
 /// Longest wait that is weighed, in milliseconds.
 const MAX_WAIT_MS: f32 = 2_000.0;
 
+/// Part of its callers' demand below which the slots at home count as lost.
+const LOST_HOME_PART: f32 = 0.5;
+
 /// Load of a service in a zone, in calls.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ZoneLoad {
@@ -55,7 +58,8 @@
     HomeHasRoom,
     /// The wait at home is above the wait elsewhere and the cost of leaving.
     HomeIsBusy,
-    /// No upstream at home takes calls.
+    /// The upstreams at home that take calls have slots for less than half of its callers'
+    /// demand, and for less than half as many of them as those of the other zones.
     HomeIsLost,
     /// No other zone has room left after its own callers.
     NoRoomElsewhere,
@@ -107,6 +111,15 @@
     within
 }
 
+/// Returns whether a zone has lost most of its slots, rather than that all zones are full.
+fn is_lost(own: &ZoneLoad, zones: &[ZoneLoad]) -> bool {
+    let others = || zones.iter().filter(|zone| zone.zone != own.zone);
+    let slots: f32 = others().map(|zone| zone.slots).sum();
+    let demand: f32 = others().map(|zone| zone.demand).sum();
+    own.slots < own.demand * LOST_HOME_PART
+        && own.slots * demand < own.demand * slots * LOST_HOME_PART
+}
+
 /// Plans which share of the calls of the zone `home` leaves it.
 ///
 /// A call takes `holding_ms`; a caller accepts `cost_ms` of waiting at home rather than
@@ -149,10 +162,12 @@
     let others = zones.iter().filter(|zone| zone.zone != *home);
     let to = others.map(|zone| (zone.zone.clone(), left(zone, wait_ms)));
     let out = over(own, wait_ms) * taken / own.demand;
-    let reason = match (out > 0.0, own.slots > 0.0) {
-        (false, _) => ShareReason::NoRoomElsewhere,
-        (true, true) => ShareReason::HomeIsBusy,
-        (true, false) => ShareReason::HomeIsLost,
+    let reason = if is_lost(own, zones) {
+        ShareReason::HomeIsLost
+    } else if out > 0.0 {
+        ShareReason::HomeIsBusy
+    } else {
+        ShareReason::NoRoomElsewhere
     };
     ZonePlan {
         out,
--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -4,7 +4,7 @@
 use crate::support::upstream;
 use egretstage_dispatch::placement::{ZonePreference, choose};
 use egretstage_dispatch::zone_shares::{ShareReason, ZoneLoad, ZoneShare, plan};
-use egretstage_dispatch::{DispatchLimits, UpstreamState, Upstreams};
+use egretstage_dispatch::{CallRate, DispatchLimits, UpstreamState, Upstreams};
 use egretstage_wire::ZoneName;
 use smallvec::{SmallVec, smallvec};
 use std::time::{Duration, Instant};
@@ -288,6 +288,76 @@
     assert!(fleet.refusals.is_empty(), "{:?}", fleet.refusals);
 }
 
+/// Returns the answers in time for callers of a zone in which so many of four upstreams are
+/// left, beside zones at this part of their room; a limit holds for the first upstream.
+fn answers_in_time(left: usize, others: f64, limit: Option<CallRate>) -> usize {
+    let layout = ZoneLayout {
+        zones: ZONES.to_vec(),
+        entries: 2,
+        desks: 4,
+        ranks: 8,
+        is_group_over_zones: true,
+    };
+    let limits = DispatchLimits {
+        cross_zone_cost: Some(COST),
+        ..DispatchLimits::default()
+    };
+    let of_seed = |seed| {
+        let mut fleet = Fleet::in_zones(seed, &layout, limits);
+        fleet.work = Some(WORK);
+        let desks = (0..4).map(|desk| format!("desk-{}-{desk}", ZONES[0]));
+        let desks: Vec<String> = desks.collect();
+        if let Some(limit) = limit {
+            let name = desks[0].as_str().try_into().expect("valid name");
+            fleet.limits.insert(name, limit);
+        }
+        fleet.change_upstreams(|listed| {
+            if desks[left..].iter().any(|d| d == listed.instance.as_str()) {
+                listed.state = UpstreamState::Draining;
+            }
+        });
+        // Four upstreams are twice the room that the rates count with.
+        let wanted = rates([1.6, others * 2.0, others * 2.0]);
+        fleet.run(SETTLE, PLAIN, &wanted);
+        let from = fleet.now();
+        fleet.run(SPAN, PLAIN, &wanted);
+        let answered = fleet.answered.iter().filter(|a| a.at >= from);
+        let of_zone = answered.filter(|a| fleet.zone_of_entry(a.entry) == ZONES[0]);
+        of_zone.filter(|a| a.latency <= OBJECTIVE).count()
+    };
+    (0..2).map(of_seed).sum()
+}
+
+/// Fault: one of four upstreams of a zone remains beside nearly full zones, with or without a
+/// limit of one call per second. The zone's callers get no fewer answers in time than with none
+/// left.
+#[test]
+fn one_upstream_left_at_home_is_no_worse_than_none() {
+    let limit = CallRate::try_from(1.0).expect("a rate");
+    for others in [0.85, 0.95] {
+        let none = answers_in_time(0, others, None);
+        for limit in [None, Some(limit)] {
+            let one = answers_in_time(1, others, limit);
+            assert!(one >= none, "{one} with one left, {none} with none");
+        }
+    }
+}
+
+/// Fault: no upstream with an answer time is left. The share doesn't stay as it was.
+#[test]
+fn a_share_ends_when_no_answer_time_is_known() {
+    let mut fleet = fleet(11);
+    fleet.run(SETTLE, PLAIN, &rates([1.5, 0.2, 0.2]));
+    fleet.change_upstreams(|listed| listed.state = UpstreamState::Draining);
+    fleet.run(Duration::from_secs(2), PLAIN, &[0.0]);
+    let mut lines = fleet.share_lines.iter();
+    let (_, line) = lines.rfind(|(entry, _)| *entry == 0).expect("a log line");
+    assert_eq!(
+        (line.reason, line.share_out),
+        (Some("home-has-room"), Some(0.0))
+    );
+}
+
 /// Load pattern: a zone without upstreams wants more than the others have left after their own
 /// callers, who must not wait for it.
 #[test]
@@ -493,6 +563,12 @@
     assert_eq!(reason((12.0, 2.0), (12.0, 0.0)), ShareReason::HomeHasRoom);
     assert_eq!(reason((12.0, 14.0), (12.0, 0.0)), ShareReason::HomeIsBusy);
     assert_eq!(reason((0.0, 4.0), (12.0, 0.0)), ShareReason::HomeIsLost);
+    assert_eq!(reason((3.0, 8.0), (12.0, 13.0)), ShareReason::HomeIsLost);
+    // All are full.
+    assert_eq!(
+        reason((12.0, 30.0), (12.0, 30.0)),
+        ShareReason::NoRoomElsewhere
+    );
     assert_eq!(
         reason((12.0, 14.0), (12.0, 13.0)),
         ShareReason::NoRoomElsewhere
