Bound what a lost zone costs others, and ranks at home under load

Cause: the test of a lost zone only compared the others with it, and no test covered which load of a group the reducer passes to the placement. Change: the others' callers get 99 % in time, the target of the tests around it (added to the comparison); under load, a group's streams leave as often as without a cost, within three standard errors of 600 streams.

--- a/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
+++ b/crates/egretstage_dispatch/tests/dispatch/zone_shares.rs
@@ -371,6 +371,7 @@
     let [lost, others @ ..] = play(&mut fleet, PLAIN, [1.2, 0.7, 0.7]);
     for zone in others {
         assert!(zone.in_time > lost.in_time, "{lost:?}, {zone:?}");
+        assert!(zone.in_time >= 0.99, "{zone:?}");
         assert!(zone.out <= 0.1, "{zone:?}");
     }
 }
@@ -443,6 +444,26 @@
     }
 }
 
+/// Load pattern: one group over three zones runs more than half of its bound. The choice of the
+/// rank is that without a cost: as many streams leave.
+#[test]
+fn ranks_at_home_do_not_go_first_under_load() {
+    let wanted = [2.5; 3];
+    let out = |cost| {
+        let mut fleet = new_fleet(12, cost, true);
+        fleet.work = None;
+        fleet.run(Duration::from_secs(2), STREAM, &rates(wanted));
+        let from = fleet.now();
+        fleet.run(Duration::from_secs(4), STREAM, &rates(wanted));
+        seen(&fleet, from).map(|zone| zone.out)
+    };
+    let (slight, chosen) = (out(None), out(Some(COST)));
+    for (chosen, slight) in chosen.iter().zip(slight) {
+        // Three standard errors of the difference between two shares of 600 streams.
+        assert!((chosen - slight).abs() <= 0.085, "{chosen}, {slight}");
+    }
+}
+
 /// Load pattern: each group lies in one zone, and one zone has a third more callers. Streams
 /// run at home as far as the groups stay even.
 #[test]
