Apply deferred records when they are due

Cause: a store's follower waits no longer than until a deferred record is due, but applies only those that are due when a poll begins, and the feed then pauses for 0.5 to 0.9 s. After a restore during which the feed's reads failed, the back-off (up to 1 s), that pause twice and the grace of 2.3 s leave no margin to the bound of 4.3 s in restored_store::an_entry_that_moves_soon_after_a_restore_gets_reports.

Change: the feed pauses no longer than until the next deferred record is due. One read comes earlier after an outage with deferred records; nothing else changes.

--- a/crates/egretstage_gateway/src/feeds.rs
+++ b/crates/egretstage_gateway/src/feeds.rs
@@ -107,7 +107,9 @@
                     (
                         changes,
                         if was_caught_up {
-                            timing.pause
+                            // A poll applies only the deferred records that are due at its
+                            // beginning.
+                            timing.pause.min(follower.time_to_deferred(Instant::now()))
                         } else {
                             Duration::ZERO
                         },
--- a/crates/egretstage_platform/src/keyed_follower.rs
+++ b/crates/egretstage_platform/src/keyed_follower.rs
@@ -387,7 +387,8 @@
     }
 
     /// Returns the time until the next deferred record is due.
-    fn time_to_deferred(&self, now: Instant) -> Duration {
+    #[must_use]
+    pub fn time_to_deferred(&self, now: Instant) -> Duration {
         let due = self.deferred.values().map(|(_, at)| *at).min();
         due.map_or(Duration::MAX, |at| at.saturating_duration_since(now))
     }
