--- /dev/null
+++ b/review/standin-2/src/main.rs
@@ -0,0 +1,296 @@
+//! Plays a case of the review: stand-ins of the platform around the project's own processes.
+//!
+//! Usage: `review_standin_2 CASE ROOT RECORD`. `TROUBLE=0` leaves out the disruption.
+//! Exit codes: 0 the rule held; 1 it was broken; 2 the case couldn't run.
+
+mod clients;
+mod entry;
+mod http;
+mod record;
+mod runner;
+mod store;
+mod wire;
+
+use clients::{Client, Crowd, DEADLINE_MS, End, Outcome, record_statuses};
+use entry::{Entry, resident_bytes};
+use record::Log;
+use runner::{Behaviour, Runner, describe};
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use store::Store;
+use wire::name;
+
+/// Time of an ordinary request at a sound runner.
+const WORK: Duration = Duration::from_millis(300);
+
+/// Requests that a machine may pass on and leave unanswered.
+const MAX_LOST: usize = 3;
+
+/// The stand-ins and the entries of a case. Dropping it ends the entries.
+struct Site {
+    entries: Vec<Entry>,
+    runners: Vec<Runner>,
+    log: Log,
+    _folder: Folder,
+}
+
+/// A temporary folder, removed at the end.
+struct Folder(PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.0));
+    }
+}
+
+impl Site {
+    /// Starts the store, the runners and two entries, and waits until these are ready.
+    fn start(root: &Path, log: &Log, runners: &[(&str, Behaviour)]) -> io::Result<Self> {
+        let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+        std::fs::create_dir_all(&path)?;
+        let folder = Folder(path);
+        let store = Store::start()?;
+        store.put(name("operator-topic"), "config", wire::CONFIGURATION.trim());
+        let start_runner = |(index, (service, behaviour)): (usize, &(&str, Behaviour))| {
+            Runner::start(&store, service, &format!("i-{index:04}"), *behaviour)
+        };
+        let runners = runners.iter().enumerate().map(start_runner);
+        let runners = runners.collect::<io::Result<Vec<_>>>()?;
+        let start_entry = |name| Entry::start(root, &folder.0, name, &store);
+        let entries = ["edge-1", "edge-2"].map(start_entry);
+        let entries = entries.into_iter().collect::<io::Result<Vec<_>>>()?;
+        if !entries.iter().all(Entry::wait_until_ready) {
+            return Err(io::Error::other("an entry isn't ready"));
+        }
+        log.line("two entries are ready");
+        let log = log.clone();
+        Ok(Self {
+            entries,
+            runners,
+            log,
+            _folder: folder,
+        })
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.address).collect()
+    }
+
+    /// Does what the platform does to the entries for a time.
+    fn watch_for(&mut self, time: Duration) -> io::Result<()> {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            for entry in &mut self.entries {
+                entry.watch(&self.log)?;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Ok(())
+    }
+
+    fn ends(&self) -> u32 {
+        self.entries.iter().map(|entry| entry.ends).sum()
+    }
+
+    /// Returns the ids of the requests that a runner received.
+    fn received(&self) -> HashSet<String> {
+        let lists = self
+            .runners
+            .iter()
+            .map(|r| r.received.lock().expect("not poisoned").clone());
+        lists.flatten().collect()
+    }
+
+    /// Returns the ids of the requests that a runner ran.
+    fn run(&self) -> HashSet<String> {
+        let lists = self
+            .runners
+            .iter()
+            .map(|r| r.run.lock().expect("not poisoned").clone());
+        lists.flatten().collect()
+    }
+
+    /// Checks the rule LOST: no more than three requests from kept connections are passed on to
+    /// a sound runner and left without an answer as their connections close.
+    fn is_lost_kept(&self, outcomes: &[Outcome]) -> bool {
+        let received = self.received();
+        let is_lost = |outcome: &&Outcome| {
+            matches!(outcome.end, End::Closed) && received.contains(&outcome.id)
+        };
+        let lost: Vec<&Outcome> = outcomes.iter().filter(is_lost).collect();
+        for outcome in &lost {
+            self.log.line(&format!(
+                "request {} reached a sound runner, and its connection was closed without an answer \
+                 {:?} ago",
+                outcome.id,
+                outcome.at.elapsed()
+            ));
+        }
+        self.log.line(&format!(
+            "ordinary requests: {}, lost: {}, allowed: {MAX_LOST}; ends of entries: {}",
+            outcomes.len(),
+            lost.len(),
+            self.ends()
+        ));
+        lost.len() <= MAX_LOST
+    }
+}
+
+/// Clients send long bodies to a service that is full and rejects them before they are in.
+fn early(root: &Path, log: &Log, trouble: bool) -> io::Result<bool> {
+    let full = Behaviour::Full {
+        early: trouble,
+        bytes_per_s: 200_000,
+    };
+    let sound = Behaviour::Sound(WORK);
+    let runners = [
+        ("core", full),
+        ("core", full),
+        ("core", full),
+        ("archive", sound),
+        ("archive", sound),
+        ("archive", sound),
+    ];
+    let mut site = Site::start(root, log, &runners)?;
+    let addresses = site.addresses();
+    let ordinary = Crowd::start(&addresses, 6, ("POST", "/records/7"), &Arc::default());
+    site.watch_for(Duration::from_secs(2))?;
+    log.line("ten clients of each entry begin to send bodies of 4,000,000 bytes");
+    let long_body = Arc::new(vec![b'x'; 4_000_000]);
+    let pressing = Crowd::start(&addresses, 10, ("POST", "/bookings/7"), &long_body);
+    for _ in 0..20 {
+        site.watch_for(Duration::from_secs(1))?;
+        for entry in &site.entries {
+            let bytes = resident_bytes(entry.process_id()).unwrap_or(0);
+            log.line(&format!("{}: {} MiB of memory", entry.name, bytes >> 20));
+        }
+        if site.ends() >= 3 {
+            break;
+        }
+    }
+    record_statuses(log, "clients with long bodies", &pressing.stop());
+    let outcomes = ordinary.stop();
+    record_statuses(log, "ordinary clients", &outcomes);
+    Ok(site.is_lost_kept(&outcomes))
+}
+
+/// One client states a very long time that it will wait.
+fn deadline(root: &Path, log: &Log, trouble: bool) -> io::Result<bool> {
+    let sound = Behaviour::Sound(WORK);
+    let mut site = Site::start(
+        root,
+        log,
+        &[("core", sound), ("core", sound), ("core", sound)],
+    )?;
+    let addresses = site.addresses();
+    let ordinary = Crowd::start(&addresses, 6, ("GET", "/lookups/7"), &Arc::default());
+    site.watch_for(Duration::from_secs(8))?;
+    let time = if trouble {
+        "16000000000000000000000"
+    } else {
+        DEADLINE_MS
+    };
+    // Retries of a client reach other nodes, each on a new connection.
+    for address in addresses {
+        let outcome = Client::new(address).send("GET", "/lookups/8", time, &[]);
+        log.line(&format!(
+            "a client that waits for {time} ms: {:?}",
+            outcome.end
+        ));
+        site.watch_for(Duration::from_secs(1))?;
+        if matches!(outcome.end, End::Answered(_)) {
+            break;
+        }
+    }
+    site.watch_for(Duration::from_secs(2))?;
+    let outcomes = ordinary.stop();
+    record_statuses(log, "ordinary clients", &outcomes);
+    Ok(site.is_lost_kept(&outcomes))
+}
+
+/// Runners send additional bytes after some of their responses.
+fn additional(root: &Path, log: &Log, trouble: bool) -> io::Result<bool> {
+    let sound = Behaviour::Additional { every: None };
+    // Three in a hundred responses of three runners in five.
+    let faulty = Behaviour::Additional {
+        every: trouble.then_some(33),
+    };
+    let runners = [
+        ("core", faulty),
+        ("core", faulty),
+        ("core", faulty),
+        ("core", sound),
+        ("core", sound),
+    ];
+    let mut site = Site::start(root, log, &runners)?;
+    let body = Arc::new(b"book".to_vec());
+    let clients = Crowd::start(&site.addresses(), 10, ("POST", "/bookings/7"), &body);
+    site.watch_for(Duration::from_secs(15))?;
+    let outcomes = clients.stop();
+    record_statuses(log, "clients", &outcomes);
+    let run = site.run();
+    let is_own_error = |outcome: &&Outcome| match &outcome.end {
+        End::Answered(head) => {
+            let (status, is_signed) = describe(head);
+            (300..500).contains(&status) && ![408, 421, 429].contains(&status) && !is_signed
+        }
+        End::Closed | End::NotSent => false,
+    };
+    let denied: Vec<&Outcome> = outcomes.iter().filter(is_own_error).collect();
+    for outcome in &denied {
+        let was_run = run.contains(&outcome.id);
+        log.line(&format!(
+            "request {}: {}, unsigned; run: {was_run}",
+            outcome.id,
+            outcome.status()
+        ));
+    }
+    let allowed = 5 + outcomes.len() / 500;
+    log.line(&format!(
+        "requests: {}, denied: {}, allowed: {allowed}",
+        outcomes.len(),
+        denied.len()
+    ));
+    Ok(denied.len() <= allowed)
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let [case, root, record] = args.as_slice() else {
+        eprintln!("usage: review_standin_2 CASE ROOT RECORD");
+        return ExitCode::from(2);
+    };
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let played = Log::create(Path::new(record)).and_then(|log| {
+        log.line(&format!("case {case}, disruption: {trouble}"));
+        let root = Path::new(root);
+        let is_kept = match case.as_str() {
+            "early" => early(root, &log, trouble),
+            "deadline" => deadline(root, &log, trouble),
+            "additional" => additional(root, &log, trouble),
+            _ => Err(io::Error::other("no such case")),
+        };
+        match &is_kept {
+            Ok(is_kept) => log.line(if *is_kept {
+                "the rule held"
+            } else {
+                "the rule was broken"
+            }),
+            Err(e) => log.line(&format!("the case couldn't run: {e}")),
+        }
+        is_kept
+    });
+    match played {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
+    }
+}
