Review case 9: without organisations no key is asked for

Cause: none is fixed here. A configuration whose list of organisations is empty opens all routes to callers with any key or none.

Change: a script with the stand-ins of case 6, whose client takes a key.

--- a/review/standin-2/src/clients.rs
+++ b/review/standin-2/src/clients.rs
@@ -42,17 +42,27 @@
     }
 }
 
+/// The key of the only organisation in the configuration.
+pub const KEY: &str = "k1";
+
 /// A client with one kept connection to an entry.
 pub struct Client {
     address: SocketAddr,
+    key: &'static str,
     connection: Option<Connection>,
 }
 
 impl Client {
     pub fn new(address: SocketAddr) -> Self {
+        Self::with_key(address, KEY)
+    }
+
+    /// Creates a client that sends this key.
+    pub fn with_key(address: SocketAddr, key: &'static str) -> Self {
         let connection = None;
         Self {
             address,
+            key,
             connection,
         }
     }
@@ -64,7 +74,8 @@
         let (request, time) = (name("request-id"), name("deadline"));
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: h.example\r\n{request}: {id}\r\n{time}: {deadline}\r\n\
-             Authorization: Token k1\r\nContent-Length: {}\r\n\r\n",
+             Authorization: Token {}\r\nContent-Length: {}\r\n\r\n",
+            self.key,
             body.len()
         );
         if self.connection.is_none() {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -11,7 +11,7 @@
 mod store;
 mod wire;
 
-use clients::{Client, Crowd, DEADLINE_MS, End, Outcome, record_statuses};
+use clients::{Client, Crowd, DEADLINE_MS, End, KEY, Outcome, record_statuses};
 use entry::{Entry, resident_bytes};
 use record::Log;
 use runner::{Behaviour, Runner, describe};
@@ -35,6 +35,7 @@
 struct Site {
     entries: Vec<Entry>,
     runners: Vec<Runner>,
+    store: Store,
     log: Log,
     _folder: Folder,
 }
@@ -72,6 +73,7 @@
         Ok(Self {
             entries,
             runners,
+            store,
             log,
             _folder: folder,
         })
@@ -259,6 +261,53 @@
     Ok(denied.len() <= allowed)
 }
 
+/// Time after which a configuration is in force, with half a second to spare.
+const CONFIGURATION_TIME: Duration = Duration::from_millis(2_500);
+
+/// A key that no configuration ever held.
+const UNKNOWN_KEY: &str = "k9";
+
+/// The operator takes away the only organisation of a deployment, or only its keys.
+fn keys(root: &Path, log: &Log, trouble: bool) -> io::Result<bool> {
+    let sound = Behaviour::Sound(Duration::from_millis(20));
+    let site = Site::start(root, log, &[("core", sound), ("core", sound)])?;
+    let ask = |when: &str, key| {
+        let mut outcomes = Vec::new();
+        for address in site.addresses() {
+            let mut client = Client::with_key(address, key);
+            outcomes
+                .extend((0..10).map(|_| client.send("POST", "/bookings/7", DEADLINE_MS, b"book")));
+        }
+        record_statuses(log, &format!("{when}, key {key}"), &outcomes);
+        let run = site.run();
+        outcomes
+            .iter()
+            .filter(|outcome| run.contains(&outcome.id))
+            .count()
+    };
+    let (allowed, unknown) = (ask("at first", KEY), ask("at first", UNKNOWN_KEY));
+    if allowed == 0 || unknown > 0 {
+        return Err(io::Error::other("the first configuration isn't in force"));
+    }
+    // The organisations stand last in the configuration.
+    let (first, organisations) = wire::CONFIGURATION
+        .split_once("\"tenants\":")
+        .ok_or_else(|| io::Error::other("the configuration has no organisations"))?;
+    let without_keys = organisations.replace("\"k1\"", "");
+    let fewer = if trouble { "[]}" } else { without_keys.trim() };
+    let next = first.replace("\"version\":1,", "\"version\":2,") + "\"tenants\":" + fewer;
+    site.store.put(name("operator-topic"), "config", &next);
+    log.line(&format!(
+        "version 2 is acknowledged, which ends with \"tenants\":{fewer}"
+    ));
+    std::thread::sleep(CONFIGURATION_TIME);
+    let run = ask("after the change", KEY) + ask("after the change", UNKNOWN_KEY);
+    log.line(&format!(
+        "requests that were run without a valid key: {run}, allowed: 0"
+    ));
+    Ok(run == 0)
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let [case, root, record] = args.as_slice() else {
@@ -273,6 +322,7 @@
             "early" => early(root, &log, trouble),
             "deadline" => deadline(root, &log, trouble),
             "additional" => additional(root, &log, trouble),
+            "keys" => keys(root, &log, trouble),
             _ => Err(io::Error::other("no such case")),
         };
         match &is_kept {
