Review case 6: a late order to disarm breaks up a switch that another decider completes

Cause: none is fixed here. A successor completes a switch because all ranks are armed or prepared. It doesn't know of orders to disarm that an earlier decider sent and that are still to be carried out, and sends nothing with its own fencing number to ranks that are armed.

Change: a script with real companions and a stand-in of a group of 12 engines.

Result: review/6/run.sh, three runs: exit 1; pass 33 begins with nine ranks on the old map and three on the new one. With TROUBLE=0, one run: exit 0.

--- a/review/standin-2/src/entry.rs
+++ b/review/standin-2/src/entry.rs
@@ -153,7 +153,8 @@
     Some(kibibytes << 10)
 }
 
-fn free_ports<const N: usize>() -> io::Result<[u16; N]> {
+/// Returns free ports.
+pub fn free_ports<const N: usize>() -> io::Result<[u16; N]> {
     let listeners: io::Result<Vec<TcpListener>> =
         (0..N).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
     let mut ports = [0; N];
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,6 +4,8 @@
 //! Exit codes: 0 the rule held; 1 it was broken; 2 the case couldn't run.
 
 mod clients;
+mod companion;
+mod engines;
 mod entry;
 mod http;
 mod record;
@@ -12,6 +14,8 @@
 mod wire;
 
 use clients::{Client, Crowd, DEADLINE_MS, End, KEY, Outcome, record_statuses};
+use companion::Companion;
+use engines::{Engines, Fate, Order, RANKS};
 use entry::{Entry, resident_bytes};
 use record::Log;
 use runner::{Behaviour, Runner, describe};
@@ -20,7 +24,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use store::Store;
 use wire::name;
@@ -308,6 +312,180 @@
     Ok(run == 0)
 }
 
+/// Topic in which the companions keep their claims to decide.
+const CLAIMS_TOPIC: &str = "keyed.egret-deciders";
+
+/// Time for which a killed process stays away.
+const KILLED_FOR: Duration = Duration::from_millis(3_500);
+
+/// Shortest time after which a late order is carried out.
+const MIN_LATENESS: Duration = Duration::from_secs(2);
+
+/// The companions of a group.
+struct Members {
+    companions: Mutex<Vec<Companion>>,
+    store: Store,
+    log: Log,
+}
+
+impl Members {
+    /// Kills the companion that decides, and starts it again later.
+    fn kill_decider(self: &Arc<Self>) {
+        let claim = self.store.newest(CLAIMS_TOPIC).unwrap_or_default();
+        let claim = String::from_utf8_lossy(&claim).into_owned();
+        let mut companions = self.companions.lock().expect("not poisoned");
+        let Some(rank) = companions.iter().position(|c| claim.contains(&c.name)) else {
+            return;
+        };
+        companions[rank].kill();
+        self.log.line(&format!(
+            "{}, which decides, is killed",
+            companions[rank].name
+        ));
+        let members = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(KILLED_FOR);
+            let mut companions = members.companions.lock().expect("not poisoned");
+            if let Some(companion) = companions.get_mut(rank) {
+                let started = companion.restart().is_ok();
+                members
+                    .log
+                    .line(&format!("{} is started again: {started}", companion.name));
+            }
+        });
+    }
+}
+
+/// How far the disruption of a switch has got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    /// Fencing number of the decider that was killed first, and when.
+    first: Option<(u64, Instant)>,
+    /// Fencing number of the second one, and when.
+    second: Option<(u64, Instant)>,
+}
+
+/// Waits until a condition holds, for at most `limit`.
+fn wait_for(limit: Duration, mut is_met: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if is_met() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    false
+}
+
+/// Two deciders are killed one after the other in a switch, and orders to some ranks get no
+/// answer and are carried out late.
+fn disarm(root: &Path, log: &Log, trouble: bool) -> io::Result<bool> {
+    let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    std::fs::create_dir_all(&path)?;
+    let folder = Folder(path);
+    let store = Store::start()?;
+    store.put(
+        name("operator-topic"),
+        "config",
+        wire::GROUP_CONFIGURATION.trim(),
+    );
+    let engines = Engines::start(log)?;
+    let start = |(rank, engine): (usize, &SocketAddr)| {
+        Companion::start(root, &folder.0, &format!("side-{rank}"), *engine, &store)
+    };
+    let companions = engines.addresses.iter().enumerate().map(start);
+    let companions = companions.collect::<io::Result<Vec<_>>>()?;
+    let members = Arc::new(Members {
+        companions: Mutex::new(companions),
+        store: store.clone(),
+        log: log.clone(),
+    });
+    if !wait_for(Duration::from_secs(15), || engines.newest_map() > 0) {
+        return Err(io::Error::other("the group doesn't switch its map"));
+    }
+    log.line("the group has switched its map once");
+    let progress: Arc<Mutex<Progress>> = Arc::default();
+    if trouble {
+        let (progress, members) = (Arc::clone(&progress), Arc::clone(&members));
+        engines.set_script(Box::new(move |_, order: &Order| {
+            let mut progress = progress.lock().expect("not poisoned");
+            let now = Instant::now();
+            let Some((first, _)) = progress.first else {
+                if order.operation == "arm" {
+                    progress.first = Some((order.fence, now));
+                    members.kill_decider();
+                }
+                return Fate::CarriedOut;
+            };
+            if order.fence <= first
+                || progress
+                    .second
+                    .is_some_and(|(second, _)| order.fence > second)
+            {
+                return Fate::CarriedOut;
+            }
+            if order.operation == "disarm" && progress.second.is_none() {
+                progress.second = Some((order.fence, now));
+                members.kill_decider();
+            }
+            match order.operation.as_str() {
+                "prepare" | "disarm" => Fate::Unanswered,
+                _ => Fate::CarriedOut,
+            }
+        }));
+    }
+    let before = engines.newest_map();
+    engines.shift_demand();
+    if trouble {
+        let first = || progress.lock().expect("not poisoned").first;
+        let second = || progress.lock().expect("not poisoned").second;
+        if !wait_for(Duration::from_secs(15), || first().is_some()) {
+            return Err(io::Error::other("no switch began"));
+        }
+        // Clients leave after two seconds without an event.
+        std::thread::sleep(Duration::from_secs(2));
+        engines.set_work(false);
+        if !wait_for(Duration::from_secs(10), || second().is_some()) {
+            log.line("the second decider disarmed no rank");
+        }
+        let is_released = || engines.armed() == RANKS && !engines.is_held();
+        let released = wait_for(Duration::from_secs(10), is_released);
+        log.line(&format!(
+            "all ranks are armed and the group isn't held: {released}"
+        ));
+        if let Some((_, at)) = second() {
+            std::thread::sleep((at + MIN_LATENESS).saturating_duration_since(Instant::now()));
+        }
+        engines.carry_out_late("disarm");
+        std::thread::sleep(Duration::from_millis(300));
+    } else {
+        wait_for(Duration::from_secs(15), || engines.newest_map() > before);
+        engines.set_work(false);
+        std::thread::sleep(Duration::from_secs(3));
+    }
+    engines.set_work(true);
+    std::thread::sleep(Duration::from_secs(2));
+    engines.carry_out_late("prepare");
+    std::thread::sleep(Duration::from_secs(1));
+    for companion in members.companions.lock().expect("not poisoned").iter() {
+        let lines = companion.output();
+        let decisions = lines.lines().filter(|line| line.contains("\"decision\""));
+        log.line(&format!(
+            "{}: {} lines on decisions",
+            companion.name,
+            decisions.count()
+        ));
+    }
+    let (orders, unanswered) = engines.orders();
+    log.line(&format!(
+        "orders: {orders}, without an answer: {unanswered}"
+    ));
+    let broken = engines.broken();
+    log.line(&format!("passes with different maps: {broken:?}"));
+    members.companions.lock().expect("not poisoned").clear();
+    Ok(broken.is_none())
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let [case, root, record] = args.as_slice() else {
@@ -323,6 +501,7 @@
             "deadline" => deadline(root, &log, trouble),
             "additional" => additional(root, &log, trouble),
             "keys" => keys(root, &log, trouble),
+            "disarm" => disarm(root, &log, trouble),
             _ => Err(io::Error::other("no such case")),
         };
         match &is_kept {
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -49,6 +49,12 @@
         self.state.changed.notify_all();
     }
 
+    /// Returns the newest value of a topic.
+    pub fn newest(&self, topic: &str) -> Option<Vec<u8>> {
+        let topics = self.state.topics.lock().expect("not poisoned");
+        topics.get(topic)?.last().map(|(_, value)| value.clone())
+    }
+
     fn serve(&self, tcp: TcpStream) {
         let mut reader = BufReader::new(tcp);
         while let Ok(Some(head)) = read_head(&mut reader) {
--- a/review/standin-2/src/wire.rs
+++ b/review/standin-2/src/wire.rs
@@ -3,6 +3,9 @@
 /// The configuration that the operator writes.
 pub const CONFIGURATION: &str = include_str!("../wire/configuration.json");
 
+/// The configuration of a deployment with a group of model runners.
+pub const GROUP_CONFIGURATION: &str = include_str!("../wire/group.json");
+
 /// The record of an upstream, with placeholders.
 pub const UPSTREAM: &str = include_str!("../wire/upstream.json");
 
